Lay the workspace and the joints between its packages

Cause: the thin whole path needs the types that every package shares before work can go side by side. Ruled out: one shared crate for all types; the configuration library must stand alone for operators' programs, so its model lives there. Before: nothing. Conclusion: the policy interface (events in, actions out), the wire messages and the configuration model are fixed enough to build against.

--- /dev/null
+++ b/camphorweir-policy/src/event.rs
@@ -0,0 +1,79 @@
+//! What the core is told.
+
+use {
+    crate::call::Call,
+    camphorweir_config::model::TargetId,
+    camphorweir_wire::{
+        engine::{Hello, Reply},
+        ids::{AttemptId, EntryId, Offset, RequestId},
+        list::Instance,
+        log::Page,
+        outcome::Answer,
+        peer,
+    },
+};
+
+/// Tells the appends of one entry apart.
+pub type AppendId = u64;
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request arrived whole.
+    Arrive(Call),
+    /// A caller went away.
+    Hangup(RequestId),
+    /// The connection to an engine is up.
+    Linked(TargetId, Hello),
+    /// The connection to an engine is lost or could not be made.
+    Unlinked(TargetId),
+    /// An engine said something.
+    Engine(TargetId, Reply),
+    /// An exchange with a plain service ended.
+    Plain(RequestId, AttemptId, Exchange),
+    /// An append landed at this offset.
+    Appended(AppendId, Offset),
+    /// An append failed, or its answer was lost; it may have landed or may land yet.
+    AppendFailed(AppendId),
+    /// A part of a tailed stream; without records it says that the stream's end is reached.
+    Page(String, Page),
+    /// A tailed stream could not be read; the reader tries on.
+    TailFailed(String),
+    /// The platform's instance list.
+    Listed(Vec<Instance>),
+    /// The instance list could not be read.
+    ListFailed,
+    /// A peer's authentic and fresh message.
+    Peer(peer::Message),
+    /// A message to a peer could not be delivered.
+    PeerFailed(EntryId),
+    /// SIGTERM.
+    Stop,
+    /// Time passed; at least every [`TICK`](crate::event::TICK).
+    Tick,
+}
+
+/// Longest time between two [`Event::Tick`].
+pub const TICK: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// How an exchange with a plain service ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Exchange {
+    /// A whole answer.
+    Answered(Answered),
+    /// Provably no byte of the request left this entry.
+    Unsent,
+    /// The connection failed, or the answer was cut, after the first byte was written.
+    Broken,
+}
+
+/// A whole answer of a plain service, with what its headers say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    /// The answer.
+    pub answer: Answer,
+    /// Whether the target says that it did not start the call (`camphorweir-ran: no`).
+    pub not_run: bool,
+    /// Whether the target says that it is leaving (`camphorweir-leaving: true`).
+    pub leaving: bool,
+}
--- /dev/null
+++ b/camphorweir-wire/src/claim.rs
@@ -0,0 +1,98 @@
+//! The records of the claim streams, by which a never-repeat request runs at most once.
+
+use {
+    crate::{
+        ids::{EntryId, Incarnation, Nonce},
+        outcome::Answer,
+    },
+    camphorweir_config::model::WorkspaceId,
+    serde::{Deserialize, Serialize},
+};
+
+/// The format that this release writes and the newest that it reads.
+pub const FORMAT: u16 = 1;
+/// Partitions of the claim streams.
+pub const PARTITIONS: u32 = 8;
+
+/// The name of a partition's stream.
+pub fn stream(partition: u32) -> String {
+    format!("claims-{partition:02}")
+}
+
+/// What a caller may run at most once.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Key {
+    /// The caller's workspace.
+    pub workspace: WorkspaceId,
+    /// The caller's `Idempotency-Key`, a UUIDv7.
+    pub id: u128,
+}
+
+impl Key {
+    /// The partition that holds the key's records.
+    pub fn partition(&self) -> u32 {
+        let mut hash = blake3::Hasher::new();
+        hash.update(self.workspace.as_bytes());
+        hash.update(&self.id.to_be_bytes());
+        u32::from_le_bytes(
+            hash.finalize().as_bytes()[..4]
+                .try_into()
+                .unwrap_or_default(),
+        ) % PARTITIONS
+    }
+}
+
+/// Who runs a claimed request.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Owner {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its life; a restarted entry is another owner.
+    pub incarnation: Incarnation,
+}
+
+/// One record of a claim stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Record {
+    /// The format of `body`; a reader stops at one that it does not know.
+    pub format: u16,
+    /// The key.
+    pub key: Key,
+    /// The start that the record speaks of.
+    pub nonce: Nonce,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a claim record says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Body {
+    /// The owner runs the request if this is the key's first start that is not void.
+    Start(Start),
+    /// The owner of the start never sent the request and never will.
+    Void,
+    /// The request ran and was answered.
+    Done(Answer),
+    /// The request may have run; its owner is gone or lost the target.
+    Unknown,
+    /// An operator settles it.
+    Resolve(Resolve),
+}
+
+/// The start of a claimed request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Start {
+    /// Who runs it.
+    pub owner: Owner,
+    /// Hash over the route and the request, to refuse another one under the same key.
+    pub fingerprint: u64,
+}
+
+/// How an operator settles an unresolved key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Resolve {
+    /// Whether it ran.
+    pub ran: bool,
+    /// Who says so.
+    pub operator: String,
+}
--- /dev/null
+++ b/camphorweir-wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! What camphorweir's processes, log records and targets exchange.
+#![forbid(unsafe_code)]
+
+pub mod claim;
+pub mod code;
+pub mod codec;
+pub mod engine;
+pub mod ids;
+pub mod list;
+pub mod log;
+pub mod outcome;
+pub mod peer;
