Name the core's interface

Cause: the entry process is built against it side by side with the core itself. Ruled out: a trait over cores; there is one core. Before: event and action types only.

--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod action;
 pub mod call;
 pub mod clock;
+pub mod core;
 pub mod event;
