Check, fold, edit and index the configuration

Cause: entries need the version in force and its indexes before anything else can be built on them. A checkpoint now names the offset that it takes into account. Ruled out: judging by the version alone, since a checkpoint that is appended late next to a racing publication would then give a reader that starts between the two another version than one that read both. After: readers that start at any offset, with holes and with checkpoints of peers, hold the same version once they have a base (tests/fold.rs).

--- /dev/null
+++ b/camphorweir-config/src/check.rs
@@ -0,0 +1,276 @@
+//! All faults of a document at once.
+//!
+//! The fold refuses a publication whose result has faults, so these rules are a part of the record
+//! format: a release that judges otherwise has to raise [`FORMAT`](crate::record::FORMAT), or old and
+//! new instances would not agree on the version in force.
+
+use {
+    crate::{
+        check_layers::layers_faults,
+        check_workspace::{keys_faults, workspace_faults},
+        fault::{Code, Fault},
+        model::{Document, Kind, Link, Model, Pipeline, Serves, Target},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        ops::RangeInclusive,
+    },
+};
+
+/// Longest name in characters.
+pub const MAX_NAME: usize = 64;
+/// Most kinds of accelerator, zones, or models.
+pub const MAX_SMALL: usize = 1024;
+/// Most pipelines, or plain services.
+pub const MAX_ROUTED: usize = 4096;
+/// Most links.
+pub const MAX_LINKS: usize = 65_536;
+/// Most targets, or workspaces.
+pub const MAX_LARGE: usize = 65_536;
+/// Layers of a model.
+pub const LAYERS: RangeInclusive<u64> = 1..=4096;
+/// Bytes of one position's activation.
+pub const ACTIVATION: RangeInclusive<u64> = 1..=16 << 20;
+/// Requests that a target steps together.
+pub const BATCH: RangeInclusive<u64> = 1..=4096;
+/// Tokens of a prompt or an answer.
+pub const TOKENS: RangeInclusive<u64> = 1..=1 << 20;
+/// One-way delay of a link in microseconds, up to a minute.
+pub const DELAY_US: RangeInclusive<u64> = 0..=60_000_000;
+
+/// The faults of a document in the order of its sections; empty when it can be published.
+///
+/// Linear in the size of the document, but for sorting the targets of each model.
+pub fn document(document: &Document) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    section_faults(document, &mut faults);
+    kinds_faults(document, &mut faults);
+    zones_faults(document, &mut faults);
+    links_faults(document, &mut faults);
+    models_faults(document, &mut faults);
+    pipelines_faults(document, &mut faults);
+    targets_faults(document, &mut faults);
+    layers_faults(document, &mut faults);
+    for (name, workspace) in &document.workspaces {
+        workspace_faults(document, name, workspace, &mut faults);
+    }
+    keys_faults(document, &mut faults);
+    faults
+}
+
+/// Whether a name can be used.
+pub fn name_is_usable(name: &str) -> bool {
+    let allowed = |c: char| matches!(c, 'a'..='z' | '0'..='9' | '.' | '_' | '-');
+    !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(allowed)
+}
+
+pub(crate) fn name_faults(steps: &[&str], name: &str, faults: &mut Vec<Fault>) {
+    if !name_is_usable(name) {
+        faults.push(Fault::new(
+            Code::BadName,
+            steps,
+            format!("{name:?} is not a usable name"),
+        ));
+    }
+}
+
+pub(crate) fn names_faults<T>(
+    steps: &[&str],
+    items: &BTreeMap<String, T>,
+    most: usize,
+    faults: &mut Vec<Fault>,
+) {
+    if items.len() > most {
+        let text = format!("{} items, at most {most} are allowed", items.len());
+        faults.push(Fault::new(Code::OutOfBounds, steps, text));
+    }
+    for name in items.keys() {
+        let mut place = steps.to_vec();
+        place.push(name);
+        name_faults(&place, name, faults);
+    }
+}
+
+pub(crate) fn bounds_faults(
+    steps: &[&str],
+    value: u64,
+    bounds: &RangeInclusive<u64>,
+    faults: &mut Vec<Fault>,
+) {
+    if !bounds.contains(&value) {
+        let text = format!(
+            "{value} is not between {} and {}",
+            bounds.start(),
+            bounds.end()
+        );
+        faults.push(Fault::new(Code::OutOfBounds, steps, text));
+    }
+}
+
+pub(crate) fn reference_faults<T>(
+    steps: &[&str],
+    what: &str,
+    name: &str,
+    items: &BTreeMap<String, T>,
+    faults: &mut Vec<Fault>,
+) {
+    if !items.contains_key(name) {
+        let text = format!("no {what} is named {name:?}");
+        faults.push(Fault::new(Code::NoSuchReference, steps, text));
+    }
+}
+
+fn rate_faults(steps: &[&str], rate: f64, faults: &mut Vec<Fault>) {
+    if !rate.is_finite() || rate <= 0.0 {
+        let text = format!("{rate} is not a finite number above zero");
+        faults.push(Fault::new(Code::BadRate, steps, text));
+    }
+}
+
+fn section_faults(document: &Document, faults: &mut Vec<Fault>) {
+    names_faults(&["kinds"], &document.kinds, MAX_SMALL, faults);
+    names_faults(&["zones"], &document.zones, MAX_SMALL, faults);
+    names_faults(&["models"], &document.models, MAX_SMALL, faults);
+    names_faults(&["pipelines"], &document.pipelines, MAX_ROUTED, faults);
+    names_faults(&["services"], &document.services, MAX_ROUTED, faults);
+    names_faults(&["targets"], &document.targets, MAX_LARGE, faults);
+    names_faults(&["workspaces"], &document.workspaces, MAX_LARGE, faults);
+}
+
+fn kinds_faults(document: &Document, faults: &mut Vec<Fault>) {
+    for (name, kind) in &document.kinds {
+        let Kind {
+            prefill_rate,
+            decode_layer_us,
+            batch,
+        } = kind;
+        rate_faults(&["kinds", name, "prefill_rate"], *prefill_rate, faults);
+        rate_faults(
+            &["kinds", name, "decode_layer_us"],
+            *decode_layer_us,
+            faults,
+        );
+        bounds_faults(&["kinds", name, "batch"], u64::from(*batch), &BATCH, faults);
+    }
+}
+
+fn zones_faults(document: &Document, faults: &mut Vec<Fault>) {
+    for (name, zone) in &document.zones {
+        name_faults(&["zones", name, "region"], &zone.region, faults);
+    }
+}
+
+fn links_faults(document: &Document, faults: &mut Vec<Fault>) {
+    if document.links.len() > MAX_LINKS {
+        let text = format!(
+            "{} links, at most {MAX_LINKS} are allowed",
+            document.links.len()
+        );
+        faults.push(Fault::new(Code::OutOfBounds, &["links"], text));
+    }
+    let mut seen = HashMap::new();
+    for (index, link) in document.links.iter().enumerate() {
+        let step = index.to_string();
+        link_faults(document, &step, link, faults);
+        let [a, b] = &link.between;
+        if let Some(first) = seen.insert((a.min(b), a.max(b)), index) {
+            let text = format!("{a} and {b} are linked by links.{first} already");
+            faults.push(Fault::new(Code::DuplicateLink, &["links", &step], text));
+        }
+    }
+}
+
+fn link_faults(document: &Document, step: &str, link: &Link, faults: &mut Vec<Fault>) {
+    for (end, zone) in link.between.iter().enumerate() {
+        let place = ["links", step, "between", &end.to_string()];
+        reference_faults(&place, "zone", zone, &document.zones, faults);
+    }
+    bounds_faults(
+        &["links", step, "delay_us"],
+        link.delay_us,
+        &DELAY_US,
+        faults,
+    );
+    rate_faults(&["links", step, "rate"], link.rate, faults);
+}
+
+fn models_faults(document: &Document, faults: &mut Vec<Fault>) {
+    for (name, model) in &document.models {
+        let Model {
+            layers,
+            activation,
+            end_token: _,
+        } = model;
+        bounds_faults(
+            &["models", name, "layers"],
+            u64::from(*layers),
+            &LAYERS,
+            faults,
+        );
+        bounds_faults(
+            &["models", name, "activation"],
+            *activation,
+            &ACTIVATION,
+            faults,
+        );
+    }
+}
+
+fn pipelines_faults(document: &Document, faults: &mut Vec<Fault>) {
+    for (name, pipeline) in &document.pipelines {
+        let Pipeline {
+            model,
+            max_prompt,
+            max_tokens,
+        } = pipeline;
+        let place = ["pipelines", name, "model"];
+        reference_faults(&place, "model", model, &document.models, faults);
+        let place = ["pipelines", name, "max_prompt"];
+        bounds_faults(&place, u64::from(*max_prompt), &TOKENS, faults);
+        let place = ["pipelines", name, "max_tokens"];
+        bounds_faults(&place, u64::from(*max_tokens), &TOKENS, faults);
+    }
+}
+
+fn targets_faults(document: &Document, faults: &mut Vec<Fault>) {
+    let mut addresses = HashMap::new();
+    for (name, target) in &document.targets {
+        target_faults(document, name, target, faults);
+        let place = ["targets", name, "address"];
+        match address_of(&target.address) {
+            None => {
+                let text = format!("{:?} is not IP:PORT", target.address);
+                faults.push(Fault::new(Code::BadAddress, &place, text));
+            }
+            Some(address) => {
+                if let Some(first) = addresses.insert(address, name) {
+                    let text = format!("target {first} has {address} already");
+                    faults.push(Fault::new(Code::DuplicateAddress, &place, text));
+                }
+            }
+        }
+    }
+}
+
+fn address_of(text: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = text.parse().ok()?;
+    (address.port() != 0).then_some(address)
+}
+
+fn target_faults(document: &Document, name: &str, target: &Target, faults: &mut Vec<Fault>) {
+    let place = ["targets", name, "zone"];
+    reference_faults(&place, "zone", &target.zone, &document.zones, faults);
+    match &target.serves {
+        Serves::Service(service) => {
+            let place = ["targets", name, "serves", "service"];
+            reference_faults(&place, "service", service, &document.services, faults);
+        }
+        Serves::Layers(engine) => {
+            let place = ["targets", name, "serves", "layers", "model"];
+            reference_faults(&place, "model", &engine.model, &document.models, faults);
+            let place = ["targets", name, "serves", "layers", "kind"];
+            reference_faults(&place, "kind", &engine.kind, &document.kinds, faults);
+        }
+    }
+}
--- /dev/null
+++ b/camphorweir-config/src/fault.rs
@@ -0,0 +1,194 @@
+//! Faults of a configuration file, each with a number, its place and the case at hand.
+
+use {
+    serde::Serialize,
+    std::{
+        fmt::{self, Display, Formatter},
+        slice,
+    },
+};
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $todo:literal;)+) => {
+        /// A kind of fault.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "u16")]
+        #[repr(u16)]
+        pub enum Code {
+            $($(#[doc = $doc])+ $name = $number,)+
+        }
+
+        impl Code {
+            /// Every code, in the order of its number.
+            pub const ALL: &[Self] = &[$(Self::$name,)+];
+
+            /// The number that reports and the documentation show.
+            pub fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// The name in the documentation's table.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)+ }
+            }
+
+            /// What it means, one sentence.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc,)+),)+ }
+            }
+
+            /// What the operator should do about it.
+            pub fn remedy(self) -> &'static str {
+                match self { $(Self::$name => $todo,)+ }
+            }
+        }
+
+        impl TryFrom<u16> for Code {
+            type Error = String;
+
+            fn try_from(number: u16) -> Result<Self, String> {
+                match number {
+                    $($number => Ok(Self::$name),)+
+                    _ => Err(format!("no fault code {number}")),
+                }
+            }
+        }
+    };
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+codes! {
+    /// The text is not well-formed YAML.
+    Syntax = 5101, "Correct the YAML at the line named.";
+    /// The text is longer or nested deeper than a configuration may be.
+    TooLarge = 5102, "Shorten the file.";
+    /// The field does not exist.
+    UnknownField = 5103, "Correct the field's name or remove it.";
+    /// A field that must be there is missing.
+    MissingField = 5104, "Add the field.";
+    /// The value is of another type or out of the range of its type.
+    WrongType = 5105, "Write a value of the type named; quote names that look like numbers.";
+    /// The key stands twice in one mapping.
+    DuplicateKey = 5106, "Remove one of the two.";
+    /// The name can't be used.
+    BadName = 5107, "Use 1 to 64 characters out of `a-z`, `0-9`, `.`, `_` and `-`.";
+    /// Nothing has the name that is referred to.
+    NoSuchReference = 5108, "Correct the name or add what it should name.";
+    /// The address is not `IP:PORT`.
+    BadAddress = 5109, "Write an IP number and a port other than 0, such as `10.0.0.7:8000`.";
+    /// Two targets have the same address.
+    DuplicateAddress = 5110, "Give each target its own address.";
+    /// The range of layers is empty or reaches past the model.
+    BadLayers = 5111, "Write `first` below `end`, and `end` at most the model's layers.";
+    /// Some layers of a pipeline's model are held by no target.
+    LayersGap = 5112, "Add targets that hold the layers named.";
+    /// The rate or time is not a finite number above zero.
+    BadRate = 5113, "Write a number above zero.";
+    /// The key hash is not 64 lower-case hexadecimal digits.
+    BadKeyHash = 5114, "Write the BLAKE3 hash of the key in lower-case hexadecimal digits.";
+    /// The same key hash stands twice, so a caller's workspace would not be certain.
+    DuplicateKeyHash = 5115, "Give each workspace its own keys.";
+    /// A route to a pipeline says never repeat, but pipelines are repeatable.
+    NeverOnPipeline = 5116, "Remove `repeat: never`, or lead the route to a plain service.";
+    /// The limit is zero, so nothing would ever be served.
+    ZeroLimit = 5117, "Write a limit above zero; to shut a workspace out, remove its keys.";
+    /// The number is outside the bounds of a configuration.
+    OutOfBounds = 5118, "Write a number inside the bounds named.";
+    /// The two zones are linked twice.
+    DuplicateLink = 5119, "Remove one of the two links.";
+    /// The record in the log is not a configuration record.
+    Garbled = 5120, "See who writes to the configuration stream; the record is skipped.";
+}
+
+/// A line and a column, both from 1.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Mark {
+    /// The line.
+    pub line: u64,
+    /// The column, in characters.
+    pub column: u64,
+}
+
+/// Where a fault is: the path of fields and names from the document's root.
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Place {
+    /// Field names, names of items and indexes of lists.
+    pub steps: Vec<String>,
+    /// Where the text has it, when the document was read from text.
+    pub mark: Option<Mark>,
+}
+
+impl Place {
+    /// The place with these steps.
+    pub fn of(steps: &[&str]) -> Self {
+        Self {
+            steps: steps.iter().map(|step| (*step).to_owned()).collect(),
+            mark: None,
+        }
+    }
+
+    /// The steps joined by dots, such as `workspaces.depot-7.routes.seal.to`.
+    pub fn path(&self) -> String {
+        let steps: Vec<_> = self
+            .steps
+            .iter()
+            .map(|step| step.escape_debug().to_string())
+            .collect();
+        steps.join(".")
+    }
+
+    /// The steps from the root.
+    pub fn iter(&self) -> slice::Iter<'_, String> {
+        self.steps.iter()
+    }
+}
+
+impl Display for Place {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match (self.steps.is_empty(), self.mark) {
+            (true, None) => f.write_str("document"),
+            (true, Some(mark)) => write!(f, "{}:{}", mark.line, mark.column),
+            (false, None) => f.write_str(&self.path()),
+            (false, Some(mark)) => write!(f, "{} at {}:{}", self.path(), mark.line, mark.column),
+        }
+    }
+}
+
+impl Serialize for Place {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+/// One fault.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// Its kind.
+    pub code: Code,
+    /// Where it is.
+    pub place: Place,
+    /// The case at hand, for a person.
+    pub text: String,
+}
+
+impl Fault {
+    /// A fault at the place with these steps.
+    pub fn new(code: Code, steps: &[&str], text: impl Into<String>) -> Self {
+        Self {
+            code,
+            place: Place::of(steps),
+            text: text.into(),
+        }
+    }
+}
+
+impl Display for Fault {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: {}", self.code.number(), self.place, self.text)
+    }
+}
--- a/camphorweir-config/src/record.rs
+++ b/camphorweir-config/src/record.rs
@@ -15,6 +15,8 @@
 
 /// Tells one publication from another; drawn at random by the publisher.
 pub type Nonce = u64;
+/// The place of a record in its stream, from 0 and without holes.
+pub type Offset = u64;
 
 /// One record of the configuration stream.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -56,6 +58,10 @@
     pub nonce: Nonce,
     /// The author of that publication.
     pub author: String,
+    /// One past the last offset that it takes into account. A reader that has every record from there
+    /// on can go on from this checkpoint; one that lacks some can't, since a publication among them
+    /// may have been accepted before the checkpoint landed.
+    pub next: Offset,
     /// Its content.
     pub document: Document,
 }
--- /dev/null
+++ b/camphorweir-config/tests/fold.rs
@@ -0,0 +1,296 @@
+//! The fold: racing publications, late checkpoints, and readers that start at different offsets.
+
+mod common;
+
+use {
+    camphorweir_config::{
+        edit::edits,
+        fault::Code,
+        fold::{Fold, Step},
+        history::{Fate, Winner},
+        model::{Document, Zone},
+        record::{Body, Checkpoint, Edit, Nonce},
+    },
+    common::{cases, document, publication, record},
+    proptest::{collection::vec, prelude::*, sample::Index},
+};
+
+fn whole(nonce: Nonce) -> Vec<u8> {
+    publication(nonce, "ada", 0, edits(&Document::default(), &document()))
+}
+
+fn zone(name: &str) -> Edit {
+    let region = "southeast".to_owned();
+    Edit::Zone(name.to_owned(), Some(Zone { region }))
+}
+
+fn checkpoint(fold: &Fold) -> Checkpoint {
+    fold.checkpoint().unwrap()
+}
+
+#[test]
+fn one_of_two_racing_publications_wins() {
+    let mut fold = Fold::new();
+    assert_eq!(fold.apply(0, &whole(1)), Step::Accepted(1));
+    let ben = publication(2, "ben", 1, vec![zone("x")]);
+    let eve = publication(3, "eve", 1, vec![zone("y")]);
+    assert_eq!(fold.apply(1, &ben), Step::Accepted(2));
+    let winner = Winner {
+        author: "ben".to_owned(),
+        version: 2,
+    };
+    let lost = Step::Conflict {
+        nonce: 3,
+        winner: winner.clone(),
+    };
+    assert_eq!(fold.apply(2, &eve), lost);
+    assert_eq!(fold.apply(3, &ben), Step::Repeated(2));
+    assert_eq!(fold.apply(4, &eve), lost);
+    assert_eq!(fold.fate(2), Some(&Fate::Accepted(2)));
+    assert_eq!(fold.fate(3), Some(&Fate::Conflict(winner)));
+    assert_eq!(fold.fate(4), None);
+    assert!(fold.document().zones.contains_key("x"));
+    assert!(!fold.document().zones.contains_key("y"));
+    assert_eq!((fold.version(), fold.nonce(), fold.author()), (2, 2, "ben"));
+}
+
+#[test]
+fn a_faulty_result_changes_nothing() {
+    let mut fold = Fold::new();
+    fold.apply(0, &whole(1));
+    let step = fold.apply(
+        1,
+        &publication(2, "ben", 1, vec![Edit::Zone("southeast-a".into(), None)]),
+    );
+    let Step::Faulty { nonce, faults } = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(nonce, Some(2));
+    assert!(
+        faults
+            .iter()
+            .all(|fault| fault.code == Code::NoSuchReference)
+    );
+    assert_eq!(fold.version(), 1);
+    assert_eq!(**fold.document(), document());
+    assert_eq!(
+        fold.apply(2, &publication(3, "eve", 1, vec![zone("x")])),
+        Step::Accepted(2)
+    );
+}
+
+#[test]
+fn the_last_version_has_no_successor() {
+    let mut fold = Fold::new();
+    let last = Checkpoint {
+        version: u64::MAX,
+        nonce: 1,
+        author: "ada".to_owned(),
+        next: 0,
+        document: document(),
+    };
+    assert_eq!(fold.adopt(last), Step::Checkpoint(u64::MAX));
+    let step = fold.apply(0, &publication(2, "ben", u64::MAX, vec![]));
+    assert!(matches!(step, Step::Faulty { .. }), "{step:?}");
+}
+
+#[test]
+fn an_unknown_format_stops_the_fold_for_good() {
+    let mut fold = Fold::new();
+    fold.apply(0, &whole(1));
+    let future = rmp_serde::to_vec(&(9_u16, "anything", [1, 2, 3])).unwrap();
+    assert_eq!(fold.apply(1, &future), Step::Unknown(9));
+    assert_eq!(
+        fold.apply(2, &publication(2, "ben", 1, vec![])),
+        Step::Unknown(9)
+    );
+    assert_eq!(fold.adopt(checkpoint(&fold)), Step::Unknown(9));
+    assert_eq!((fold.version(), fold.stopped()), (1, Some(9)));
+    assert_eq!(**fold.document(), document());
+}
+
+#[test]
+fn bytes_that_are_no_record_are_passed_over() {
+    let mut fold = Fold::new();
+    let no_body = rmp_serde::to_vec(&(1_u16,)).unwrap();
+    for (offset, bytes) in [&b""[..], b"\xc1", b"\x90", b"hello", &no_body]
+        .iter()
+        .enumerate()
+    {
+        let step = fold.apply(offset as u64, bytes);
+        assert!(matches!(step, Step::Faulty { nonce: None, .. }), "{step:?}");
+    }
+    assert_eq!(fold.apply(5, &whole(1)), Step::Accepted(1));
+}
+
+#[test]
+fn a_reader_that_starts_late_waits_for_a_checkpoint_that_reaches_back() {
+    let mut whole_reader = Fold::new();
+    whole_reader.apply(0, &whole(1));
+    let early = checkpoint(&whole_reader);
+    let second = publication(2, "ben", 1, vec![zone("x")]);
+    let third = publication(3, "eve", 1, vec![zone("y")]);
+    whole_reader.apply(1, &second);
+    whole_reader.apply(2, &third);
+
+    // Derived before offset 1 and appended late, it says nothing on who won at offset 1.
+    let late_record = record(Body::Checkpoint(early.clone()));
+    let mut reader = Fold::new();
+    assert_eq!(reader.apply(2, &third), Step::Waiting);
+    assert_eq!(reader.apply(3, &late_record), Step::Checkpoint(1));
+    assert!(reader.waiting());
+    assert_eq!(
+        reader.apply(4, &publication(4, "eve", 1, vec![zone("z")])),
+        Step::Waiting
+    );
+
+    // One that reaches back to the first record kept lets it judge all that came since.
+    let mut ready = record(Body::Checkpoint(checkpoint(&whole_reader)));
+    assert_eq!(reader.apply(5, &ready), Step::Checkpoint(2));
+    assert!(!reader.waiting());
+    assert_eq!(reader.document(), whole_reader.document());
+
+    // A reader that has offset 1 goes on from the early one.
+    let mut reader = Fold::new();
+    assert_eq!(reader.apply(1, &second), Step::Waiting);
+    assert_eq!(reader.apply(2, &third), Step::Waiting);
+    assert_eq!(reader.apply(3, &late_record), Step::Checkpoint(2));
+    assert_eq!(reader.fate(2), Some(&Fate::Accepted(2)));
+    ready = late_record;
+    assert_eq!(reader.apply(4, &ready), Step::Stale);
+}
+
+#[test]
+fn a_peer_lifts_a_fold_and_never_lowers_it() {
+    let mut ahead = Fold::new();
+    ahead.apply(0, &whole(1));
+    let old = checkpoint(&ahead);
+    ahead.apply(1, &publication(2, "ben", 1, vec![zone("x")]));
+    let new = checkpoint(&ahead);
+    let mut fold = Fold::new();
+    assert_eq!(fold.adopt(new), Step::Checkpoint(2));
+    assert_eq!(fold.adopt(old), Step::Stale);
+    assert_eq!(fold.next(), 2);
+    assert_eq!(
+        fold.apply(1, &publication(2, "ben", 1, vec![zone("x")])),
+        Step::Stale
+    );
+    assert_eq!(
+        fold.apply(2, &publication(5, "eve", 2, vec![zone("y")])),
+        Step::Accepted(3)
+    );
+    fold.lost(9);
+    assert!(fold.waiting());
+    assert_eq!(
+        fold.apply(9, &publication(6, "eve", 3, vec![])),
+        Step::Waiting
+    );
+}
+
+/// One record to append.
+#[derive(Clone, Debug)]
+enum Op {
+    /// A publication derived from a version that is this much behind, or from one not yet there.
+    Publish { behind: u64, faulty: bool },
+    /// The checkpoint that a whole reader had at some earlier moment.
+    Checkpoint(Index),
+    /// An earlier record once more.
+    Again(Index),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        5 => (0..3_u64, prop::bool::weighted(0.1)).prop_map(|(behind, faulty)| Op::Publish { behind, faulty }),
+        3 => any::<Index>().prop_map(Op::Checkpoint),
+        1 => any::<Index>().prop_map(Op::Again),
+    ]
+}
+
+/// The log that `ops` make, and what a reader of all of it had in force after each record.
+fn log_of(ops: &[Op]) -> (Vec<Vec<u8>>, Vec<Checkpoint>, Fold) {
+    let mut log = vec![whole(0)];
+    let mut fold = Fold::new();
+    fold.apply(0, &log[0]);
+    let mut seen = vec![checkpoint(&fold)];
+    for (index, op) in ops.iter().enumerate() {
+        let nonce = index as u64 + 1;
+        let bytes = match op {
+            Op::Publish { behind, faulty } => {
+                let mut edits = vec![zone(&format!("z{nonce}"))];
+                if *faulty {
+                    edits.push(Edit::Model("log".to_owned(), None));
+                }
+                publication(
+                    nonce,
+                    "ada",
+                    (fold.version() + 1).saturating_sub(*behind),
+                    edits,
+                )
+            }
+            Op::Checkpoint(at) => record(Body::Checkpoint(at.get(&seen).clone())),
+            Op::Again(at) => at.get(&log).clone(),
+        };
+        fold.apply(log.len() as u64, &bytes);
+        log.push(bytes);
+        seen.push(checkpoint(&fold));
+    }
+    (log, seen, fold)
+}
+
+proptest! {
+    #![proptest_config(cases(300))]
+
+    #[test]
+    fn readers_that_have_a_base_agree(
+        ops in vec(op(), 0..40),
+        holes in vec((any::<Index>(), any::<Index>()), 0..3),
+        lifts in vec((any::<Index>(), any::<Index>()), 0..3),
+    ) {
+        let (log, seen, reference) = log_of(&ops);
+        for start in 0..log.len() {
+            let mut reader = Fold::new();
+            let mut version = 0;
+            for (offset, bytes) in log.iter().enumerate().skip(start) {
+                let hidden = |(from, to): &(Index, Index)| {
+                    (from.index(log.len())..to.index(log.len())).contains(&offset)
+                };
+                if !holes.iter().any(hidden) {
+                    reader.apply(offset as u64, bytes);
+                }
+                for (when, what) in &lifts {
+                    if when.index(log.len()) == offset {
+                        reader.adopt(seen[what.index(offset + 1)].clone());
+                    }
+                }
+                prop_assert!(reader.version() >= version, "moved down");
+                version = reader.version();
+                let now = reader.next().min(offset as u64 + 1);
+                if !reader.waiting() && now == offset as u64 + 1 {
+                    let truth = &seen[offset];
+                    prop_assert_eq!(reader.version(), truth.version);
+                    prop_assert_eq!(reader.nonce(), truth.nonce);
+                    prop_assert_eq!(&**reader.document(), &truth.document);
+                }
+            }
+            if start == 0 && holes.is_empty() {
+                prop_assert_eq!(reader.version(), reference.version());
+            }
+        }
+        // What the anchor promises: a reader that starts there reaches the version in force.
+        let mut reader = Fold::new();
+        for (offset, bytes) in log.iter().enumerate().skip(reference.anchor() as usize) {
+            reader.apply(offset as u64, bytes);
+        }
+        prop_assert_eq!(reader.version(), reference.version());
+        prop_assert!(!reader.waiting());
+    }
+
+    #[test]
+    fn no_bytes_make_the_fold_panic(records in vec(vec(any::<u8>(), 0..60), 0..20)) {
+        let mut fold = Fold::new();
+        for (offset, bytes) in records.iter().enumerate() {
+            fold.apply(offset as u64, bytes);
+        }
+        prop_assert_eq!(fold.version(), 0);
+    }
+}
--- /dev/null
+++ b/camphorweir-config/tests/view.rs
@@ -0,0 +1,50 @@
+//! The index for the path of every request.
+
+mod common;
+
+use {
+    camphorweir_config::{
+        model::{Document, Repeat},
+        view::View,
+    },
+    common::{document, key_hash, workspace},
+    std::sync::Arc,
+};
+
+#[test]
+fn keys_names_and_targets_are_found() {
+    let view = View::new(Arc::new(document()), 3);
+    assert_eq!(view.version(), 3);
+    let depot = view.workspace(&key_hash(7)).unwrap();
+    assert_eq!(depot, "depot-7");
+    assert_eq!(view.workspace(&key_hash(8)), None);
+    assert_eq!(view.workspace(""), None);
+
+    let (name, _) = view.pipeline_route(depot, "burn-notes").unwrap();
+    assert_eq!(name, "burn-notes");
+    let (name, _) = view.pipeline_route(depot, "notes").unwrap();
+    assert_eq!(name, "burn-notes");
+    assert!(view.pipeline_route(depot, "seal").is_none());
+    assert!(view.pipeline_route(depot, "ledger").is_none());
+    assert!(view.pipeline_route("depot-8", "notes").is_none());
+
+    let seal = view.service_route(depot, "seal").unwrap();
+    assert_eq!(seal.repeat, Repeat::Never);
+    assert!(view.service_route(depot, "burn-notes").is_none());
+    assert!(view.service_route("depot-8", "seal").is_none());
+
+    assert_eq!(view.engines("log"), ["log-a1", "log-a2"]);
+    assert_eq!(view.servers("ledger"), ["ledger-b1"]);
+    assert!(view.engines("ledger").is_empty());
+}
+
+#[test]
+fn many_workspaces_are_indexed() {
+    let mut many = Document::clone(&document());
+    for seed in 100..13_100 {
+        many.workspaces
+            .insert(format!("depot-{seed}"), workspace(seed));
+    }
+    let view = View::new(Arc::new(many), 1);
+    assert_eq!(view.workspace(&key_hash(13_099)).unwrap(), "depot-13099");
+}
