Decide in one core: paths, attempts, claims, configuration, members

Cause: the entry needs the decisions of the thin path behind Core::handle. Ruled out: a lease on time for never-repeat requests (a paused holder could send after it lapsed); the order of start records in the log decides instead. A takeover of an unfinished start under a higher fencing number was ruled out too: a fence stops the old owner's late sending, but not a second run after a first one that was done and not recorded. Before: the core returned no actions.

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -1,11 +1,40 @@
 //! The decision core: one per entry.
 
 use {
-    crate::{action::Action, clock::Now, event::Event},
-    camphorweir_config::model::ZoneId,
-    camphorweir_wire::ids::{EntryId, Incarnation},
+    crate::{
+        action::{Action, Note},
+        admit, attempt,
+        call::{Answered, Ask, Call, End},
+        claim,
+        clock::Now,
+        event::Event,
+        member,
+        outbox::{Outbox, Parcel},
+        queue::Queue,
+        request::{Body, Head, Request},
+        retry, route,
+        target::{Index, Table},
+        timer::{Heap, Timer},
+    },
+    camphorweir_config::{fold::Fold, model::ZoneId, record, view::View},
+    camphorweir_wire::{
+        claim as records,
+        code::Code,
+        engine::{Order, Reply},
+        ids::{EntryId, Incarnation, Nonce, RequestId},
+        outcome::Refusal,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
+/// How long a stream that is tailed may be silent before its log is taken for unreachable.
+pub(crate) const LOG_SILENCE: Duration = Duration::from_secs(5);
+
 /// What a core is told about its own entry.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -17,28 +46,276 @@
     pub zone: ZoneId,
     /// Seeds the core's random numbers.
     pub seed: u64,
+    /// How long the balancer may send requests after readiness went false.
+    pub grace: Duration,
+}
+
+/// A partition of the claim streams.
+#[derive(Debug, Default)]
+pub(crate) struct Partition {
+    pub(crate) table: claim::Table,
+    /// Whether its end has been reached once.
+    pub(crate) ready: bool,
+    /// When it was last read; `None` after a failure.
+    pub(crate) heard: Option<Duration>,
 }
 
 /// All decisions of one entry.
 #[derive(Debug)]
 pub struct Core {
-    setup: Setup,
+    pub(crate) setup: Setup,
+    pub(crate) now: Now,
+    pub(crate) rng: SmallRng,
+    pub(crate) fold: Fold,
+    pub(crate) view: Option<Arc<View>>,
+    pub(crate) map: route::Map,
+    pub(crate) targets: Table,
+    pub(crate) members: member::Table,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    /// Never-repeat requests by the id of their key.
+    pub(crate) keys: HashMap<u128, BTreeSet<RequestId>>,
+    pub(crate) queue: Queue,
+    pub(crate) budget: retry::Budget,
+    pub(crate) timers: Heap,
+    pub(crate) outbox: Outbox,
+    pub(crate) partitions: Vec<Partition>,
+    /// When the next heartbeat is due.
+    pub(crate) heartbeat: Duration,
+    /// When SIGTERM came.
+    pub(crate) stopping: Option<Duration>,
+    pub(crate) out: Vec<Action>,
 }
 
 impl Core {
     /// A core that knows nothing but its own entry.
     pub fn new(setup: Setup) -> Self {
-        Self { setup }
+        let partitions = (0..records::PARTITIONS).map(|_| Partition::default());
+        Self {
+            rng: SmallRng::seed_from_u64(setup.seed),
+            setup,
+            now: Now::default(),
+            fold: Fold::new(),
+            view: None,
+            map: route::Map::default(),
+            targets: Table::default(),
+            members: member::Table::default(),
+            requests: HashMap::new(),
+            keys: HashMap::new(),
+            queue: Queue::default(),
+            budget: retry::Budget::default(),
+            timers: Heap::default(),
+            outbox: Outbox::default(),
+            partitions: partitions.collect(),
+            heartbeat: Duration::ZERO,
+            stopping: None,
+            out: Vec::new(),
+        }
     }
 
     /// The first actions of a process; called once, before any event.
-    pub fn start(&mut self, _now: Now) -> Vec<Action> {
-        Vec::new()
+    pub fn start(&mut self, now: Now) -> Vec<Action> {
+        self.now = now;
+        self.out.push(Action::Ready(false));
+        self.out.push(Action::Tail(record::STREAM.to_owned(), 0));
+        for partition in 0..records::PARTITIONS {
+            self.out.push(Action::Tail(records::stream(partition), 0));
+        }
+        std::mem::take(&mut self.out)
     }
 
     /// Takes an event in and says what to do.
-    pub fn handle(&mut self, _now: Now, _event: Event) -> Vec<Action> {
-        let _ = &self.setup;
-        Vec::new()
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.now = now;
+        self.dispatch(event);
+        self.fire_timers();
+        self.start_queued();
+        self.flush();
+        std::mem::take(&mut self.out)
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::Arrive(call) => self.arrive(call),
+            Event::Hangup(id) => self.hang_up(id),
+            Event::Linked(target, hello) => self.linked(&target, &hello),
+            Event::Unlinked(target) => self.unlinked(&target),
+            Event::Engine(target, reply) => self.engine(&target, reply),
+            Event::Plain(id, attempt, exchange) => self.exchanged(id, attempt, exchange),
+            Event::Appended(id, _) => self.outbox.landed(id),
+            Event::AppendFailed(id) => self.outbox.failed(id, self.now.mono),
+            Event::Page(stream, page) => self.page(&stream, page),
+            Event::TailFailed(stream) => self.tail_failed(&stream),
+            Event::Listed(instances) => self.listed(&instances),
+            Event::ListFailed => {}
+            Event::Peer(message) => self.peer(message),
+            Event::PeerFailed(_) => {}
+            Event::Stop => self.stop(),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn arrive(&mut self, call: Call) {
+        let Some(view) = self.view.clone() else {
+            let refusal = Refusal::not_run(Code::NoConfiguration, "no configuration is in force");
+            return self.turn_away(call.id, refusal.after(admit::COME_BACK));
+        };
+        let Some(workspace) = view.workspace(&call.key) else {
+            let refusal = Refusal::not_run(Code::Unauthorized, "the key belongs to no workspace");
+            return self.turn_away(call.id, refusal);
+        };
+        match &call.ask {
+            Ask::Tokens(tokens) => self.arrive_stream(&view, workspace, call.id, tokens),
+            Ask::Plain(plain) => self.arrive_plain(&view, workspace, call.id, plain),
+        }
+    }
+
+    fn hang_up(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match request.body {
+            Body::Once(_) => self.hang_up_once(id),
+            Body::Stream(_) | Body::Plain(_) => {
+                self.give_up(id, Code::CallerGone, "the caller went away");
+            }
+        }
+    }
+
+    fn engine(&mut self, id: &str, reply: Reply) {
+        let Some(index) = self.targets.find(id) else {
+            return;
+        };
+        match reply {
+            Reply::Hello(hello) => self.linked(id, &hello),
+            Reply::Opened(opened) => self.opened(index, &opened),
+            Reply::Done(done) => self.done(index, &done),
+            Reply::Refused(refused) => self.refused(index, &refused),
+            Reply::Leaving => self.targets.leaving(index),
+            Reply::Load(load) => self.targets.reported(index, load, self.now.mono),
+            Reply::Holds(holds) => self.targets.holds(index, &holds),
+            Reply::Cached(_) => {}
+        }
+    }
+
+    fn fire_timers(&mut self) {
+        while let Some(timer) = self.timers.pop(self.now.mono) {
+            match timer {
+                Timer::Deadline(id) => self.deadline(id),
+                Timer::Step(id, attempt, sequence) => self.step_late(id, attempt, sequence),
+                Timer::Exchange(id, attempt) => self.exchange_late(id, attempt),
+                Timer::Claim(id) => self.claim_late(id),
+                Timer::Recheck(id) => self.evaluate(id),
+            }
+        }
+    }
+
+    fn deadline(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let Body::Once(_) = request.body {
+            return self.deadline_once(id);
+        }
+        self.give_up(id, Code::DeadlinePassed, "the deadline passed");
+    }
+
+    fn stop(&mut self) {
+        if self.stopping.is_none() {
+            self.stopping = Some(self.now.mono);
+            self.out.push(Action::Ready(false));
+            self.heartbeat = self.now.mono;
+        }
+    }
+
+    fn tick(&mut self) {
+        self.beat();
+        let Some(since) = self.stopping else {
+            return;
+        };
+        let grace_over = self.now.mono >= since + self.setup.grace;
+        if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
+            self.out.push(Action::Exit);
+        }
+    }
+
+    fn flush(&mut self) {
+        for append in self.outbox.flush(self.now.mono) {
+            self.out.push(Action::Append(append));
+        }
+    }
+
+    /// Puts a record into the outbox; one to keep is appended until it lands.
+    pub(crate) fn append(&mut self, stream: String, bytes: Vec<u8>, keep: bool) {
+        self.outbox.push(stream, Parcel { bytes, keep });
+    }
+
+    /// A number drawn at random.
+    pub(crate) fn draw(&mut self) -> Nonce {
+        self.rng.random()
+    }
+
+    /// Answers a request that was not taken in.
+    pub(crate) fn turn_away(&mut self, id: RequestId, refusal: Refusal) {
+        let head = Head::unknown(id, self.now.mono);
+        let ended = head.ended(Some(refusal.code), self.now.mono);
+        self.out.push(Action::Note(Note::Ended(ended)));
+        self.out.push(Action::Reply(id, End::Refused(refusal)));
+    }
+
+    /// Ends a request without a whole answer.
+    pub(crate) fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        self.end(id, Some(refusal.code), End::Refused(refusal));
+    }
+
+    /// Ends a request with an answer of a plain service.
+    pub(crate) fn answer(&mut self, id: RequestId, answered: Answered) {
+        self.budget.earn();
+        self.end(id, None, End::Answered(answered));
+    }
+
+    /// Ends a request: what it holds is released, and the caller is answered.
+    pub(crate) fn end(&mut self, id: RequestId, code: Option<Code>, end: End) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let ended = request.head.ended(code, self.now.mono);
+        self.out.push(Action::Note(Note::Ended(ended)));
+        self.out.push(Action::Reply(id, end));
+        self.release(request);
+    }
+
+    /// Releases what a request that is over holds.
+    pub(crate) fn release(&mut self, request: Request) {
+        let id = request.head.id;
+        match request.body {
+            Body::Stream(stream) => match stream.attempt {
+                Some(attempt) => self.abandon(id, &attempt),
+                None => self.queue.remove(request.head.priority, id),
+            },
+            Body::Plain(plain) => {
+                if let Some((attempt, target)) = plain.attempt {
+                    self.close(target);
+                    self.out.push(Action::Abandon(id, attempt));
+                }
+            }
+            Body::Once(once) => self.forget_key(once.key.id, id),
+        }
+    }
+
+    /// Ends an attempt on every target of its path.
+    pub(crate) fn abandon(&mut self, id: RequestId, attempt: &attempt::Any) {
+        self.settle_step(attempt);
+        for hop in attempt.path().hops() {
+            self.close(hop.target);
+            let target = self.targets.get(hop.target);
+            let order = Order::Cancel(id, attempt.id());
+            self.out.push(Action::Order(target.id.clone(), order));
+        }
+    }
+
+    /// One piece of work less on a target.
+    pub(crate) fn close(&mut self, target: Index) {
+        let target = self.targets.get_mut(target);
+        target.open = target.open.saturating_sub(1);
     }
 }
--- /dev/null
+++ b/camphorweir-policy/src/follow.rs
@@ -0,0 +1,204 @@
+//! What the core follows: the log's streams, the instance list, peers and engine connections.
+
+use {
+    crate::{
+        action::{Action, Note},
+        core::Core,
+        member::HEARTBEAT,
+        route,
+        target::{Change, Link},
+    },
+    camphorweir_config::{record, view::View},
+    camphorweir_wire::{
+        claim,
+        engine::Hello,
+        ids::EntryId,
+        list::{Instance, Role, State},
+        log::Page,
+        peer::{self, Digest},
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+impl Core {
+    /// A part of a tailed stream was read.
+    pub(crate) fn page(&mut self, stream: &str, page: Page) {
+        if stream == record::STREAM {
+            return self.page_of_config(page);
+        }
+        let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
+        if let Some(number) = partition {
+            self.page_of_claims(number as usize, page);
+        }
+    }
+
+    fn page_of_config(&mut self, page: Page) {
+        let before = self.fold.version();
+        if page.oldest > self.fold.next() {
+            self.fold.lost(page.oldest);
+        }
+        for stored in &page.records {
+            self.fold.apply(stored.offset, &stored.body);
+        }
+        if self.fold.version() > before {
+            self.configure();
+        }
+    }
+
+    /// Takes the version in force over.
+    fn configure(&mut self) {
+        let document = Arc::clone(self.fold.document());
+        let version = self.fold.version();
+        self.map = route::Map::new(&self.setup.zone, &document);
+        for change in self.targets.configure(&document, self.now.mono) {
+            self.out.push(match change {
+                Change::Link(id, address) => Action::Link(id, address),
+                Change::Unlink(id) => Action::Unlink(id),
+            });
+        }
+        let first = self.view.is_none();
+        self.view = Some(Arc::new(View::new(document, version)));
+        self.out.push(Action::Note(Note::Configured(version)));
+        if first && self.stopping.is_none() {
+            self.out.push(Action::Ready(true));
+        }
+    }
+
+    fn page_of_claims(&mut self, number: usize, page: Page) {
+        let partition = &mut self.partitions[number];
+        partition.heard = Some(self.now.mono);
+        let mut touched = BTreeSet::new();
+        for stored in &page.records {
+            if let Some(key) = partition.table.apply(stored) {
+                touched.insert(key.id);
+            }
+        }
+        if partition.table.next() >= page.end || page.records.is_empty() {
+            partition.ready = true;
+        }
+        for key in touched {
+            let Some(ids) = self.keys.get(&key).cloned() else {
+                continue;
+            };
+            for id in ids {
+                self.evaluate(id);
+            }
+        }
+    }
+
+    /// A tailed stream could not be read.
+    pub(crate) fn tail_failed(&mut self, stream: &str) {
+        let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
+        if let Some(number) = partition {
+            self.partitions[number as usize].heard = None;
+        }
+    }
+
+    /// The platform's instance list was read.
+    pub(crate) fn listed(&mut self, instances: &[Instance]) {
+        let mut entries: Vec<(EntryId, String, bool)> = Vec::new();
+        for instance in instances {
+            let leaving = instance.state == State::Leaving;
+            match instance.role {
+                Role::Entry if instance.name != self.setup.entry => {
+                    entries.push((instance.name.clone(), instance.address.clone(), leaving));
+                }
+                Role::Entry => {}
+                Role::Target => self.listed_target(&instance.name, leaving),
+            }
+        }
+        self.members.list(&entries, self.now.mono);
+    }
+
+    fn listed_target(&mut self, name: &str, leaving: bool) {
+        if let Some(target) = self.targets.find_mut(name) {
+            if leaving {
+                target.leaving.list_leaving();
+            } else {
+                target.leaving.list_live();
+            }
+        }
+    }
+
+    /// A peer's message came.
+    pub(crate) fn peer(&mut self, message: peer::Message) {
+        match message.body {
+            peer::Body::Digest(digest) => {
+                for (target, incarnation) in &digest.targets_leaving {
+                    self.told_leaving(target, *incarnation);
+                }
+                let now = self.now.mono;
+                self.members
+                    .heard(&message.from, message.incarnation, digest, now);
+            }
+            peer::Body::Ask(..)
+            | peer::Body::Told(..)
+            | peer::Body::Append(_)
+            | peer::Body::Kept(_) => {}
+        }
+    }
+
+    /// A peer heard a target say that it is leaving; only that life of it is meant.
+    fn told_leaving(&mut self, target: &str, incarnation: u64) {
+        let Some(target) = self.targets.find_mut(target) else {
+            return;
+        };
+        if let Link::Up {
+            incarnation: current,
+            ..
+        } = target.link
+            && current == incarnation
+        {
+            target.leaving.say(incarnation);
+        }
+    }
+
+    /// Sends heartbeats to the peers when they are due.
+    pub(crate) fn beat(&mut self) {
+        if self.now.mono < self.heartbeat {
+            return;
+        }
+        self.heartbeat = self.now.mono + HEARTBEAT;
+        let digest = self.digest();
+        for (id, peer) in self.members.iter() {
+            if !peer.address.is_empty() {
+                let body = peer::Body::Digest(digest.clone());
+                self.out
+                    .push(Action::Peer(id.clone(), peer.address.clone(), body));
+            }
+        }
+    }
+
+    fn digest(&self) -> Digest {
+        let targets_leaving = self
+            .targets
+            .iter()
+            .filter_map(|target| Some((target.id.clone(), target.leaving.incarnation()?)))
+            .collect();
+        Digest {
+            zone: self.setup.zone.clone(),
+            version: self.fold.version(),
+            leaving: self.stopping.is_some(),
+            targets_leaving,
+            suspects: Vec::new(),
+            demand: Vec::new(),
+        }
+    }
+
+    /// The connection to an engine is up.
+    pub(crate) fn linked(&mut self, id: &str, hello: &Hello) {
+        if let Some(index) = self.targets.find(id) {
+            self.fail_all(index, "the engine is another incarnation");
+        }
+        self.targets.greet(id, hello, self.now.mono);
+    }
+
+    /// The connection to an engine is lost.
+    pub(crate) fn unlinked(&mut self, id: &str) {
+        let Some(index) = self.targets.find(id) else {
+            return;
+        };
+        self.targets.get_mut(index).link = Link::Down;
+        self.fail_all(index, "the connection was lost");
+    }
+}
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -2,7 +2,26 @@
 #![forbid(unsafe_code)]
 
 pub mod action;
+mod admit;
+pub mod attempt;
 pub mod call;
+pub mod claim;
 pub mod clock;
 pub mod core;
 pub mod event;
+mod follow;
+mod hash;
+pub mod health;
+pub mod leave;
+pub mod member;
+mod once;
+pub mod outbox;
+pub mod path;
+mod pipeline;
+pub mod queue;
+pub mod request;
+pub mod retry;
+pub mod route;
+mod service;
+pub mod target;
+pub mod timer;
--- /dev/null
+++ b/camphorweir-policy/src/path.rs
@@ -0,0 +1,45 @@
+//! A chain of targets that runs every layer of a model once, in order.
+
+use {crate::target::Index, camphorweir_wire::engine::Layers};
+
+/// One target of a path and the layers it runs there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hop {
+    /// The target.
+    pub target: Index,
+    /// The layers it runs.
+    pub layers: Layers,
+}
+
+/// A chain of hops.
+///
+/// Invariant: the hops' layers tile `[0, layers)` of the model with no gap and no overlap;
+/// [`Path::tile`] is the only way to make one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Path {
+    hops: Vec<Hop>,
+}
+
+impl Path {
+    /// A path of these hops, if they tile `[0, layers)`.
+    pub fn tile(layers: u32, hops: Vec<Hop>) -> Option<Self> {
+        let mut at = 0;
+        for hop in &hops {
+            if hop.layers.first != at || hop.layers.end <= at {
+                return None;
+            }
+            at = hop.layers.end;
+        }
+        (at == layers && layers > 0).then_some(Self { hops })
+    }
+
+    /// The hops, first layers first.
+    pub fn hops(&self) -> &[Hop] {
+        &self.hops
+    }
+
+    /// Whether a target is on the path.
+    pub fn contains(&self, target: Index) -> bool {
+        self.hops.iter().any(|hop| hop.target == target)
+    }
+}
--- /dev/null
+++ b/camphorweir-policy/src/pipeline.rs
@@ -0,0 +1,482 @@
+//! Requests for tokens: attempts along a path, resumed on another when a stage fails.
+
+use {
+    crate::{
+        action::{Action, Note},
+        admit::COME_BACK,
+        attempt::{Any, Attempt, Next, Opening, Running},
+        call::{End, Tokens},
+        core::Core,
+        hash,
+        request::{Body, Head, Stream},
+        route::{self, Miss, Want},
+        target::Index,
+        timer::Timer,
+    },
+    camphorweir_config::{
+        model::{Model, Pipeline, Repeat, Route, To, WorkspaceId},
+        view::View,
+    },
+    camphorweir_wire::{
+        code::Code,
+        engine::{Done, Open, Opened, Order, Refused, Step, Why},
+        ids::{AttemptId, RequestId, Token},
+        outcome::{Ran, Refusal},
+        prefix,
+    },
+    std::time::Duration,
+};
+
+/// Attempts of one request.
+const ATTEMPTS: AttemptId = 8;
+/// Shortest time that a step may take before its target is taken for frozen.
+const STEP_MIN: Duration = Duration::from_millis(500);
+/// A step may take this many times what was projected.
+const STEP_FACTOR: u32 = 4;
+/// How long an interrupted answer waits for a path.
+const WAIT_FOR_PATH: Duration = Duration::from_secs(2);
+
+/// Whether a waiting request could start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Start {
+    /// It has started, or it has ended.
+    Over,
+    /// There is no room for it now.
+    Blocked,
+}
+
+impl Core {
+    /// A request for tokens arrived.
+    pub(crate) fn arrive_stream(
+        &mut self,
+        view: &View,
+        workspace: &WorkspaceId,
+        id: RequestId,
+        tokens: &Tokens,
+    ) {
+        let document = view.document();
+        let found = view
+            .pipeline_route(workspace, &tokens.pipeline)
+            .and_then(|(_, route)| {
+                let To::Pipeline(name) = &route.to else {
+                    return None;
+                };
+                let pipeline = document.pipelines.get(name)?;
+                Some((route, pipeline, document.models.get(&pipeline.model)?))
+            });
+        let Some((route, pipeline, model)) = found else {
+            let refusal = Refusal::not_run(Code::NoSuchRoute, "no route to this model");
+            return self.turn_away(id, refusal);
+        };
+        if let Err(refusal) = check_size(pipeline, tokens) {
+            return self.turn_away(id, refusal);
+        }
+        debug_assert_eq!(route.repeat, Repeat::Idempotent);
+        let head = self.head_of_stream(id, workspace, route, tokens);
+        let body = Body::Stream(stream(pipeline, model, tokens));
+        self.enqueue(head, body);
+    }
+
+    fn head_of_stream(
+        &self,
+        id: RequestId,
+        workspace: &WorkspaceId,
+        route: &Route,
+        tokens: &Tokens,
+    ) -> Head {
+        let bytes: Vec<u8> = tokens
+            .prompt
+            .iter()
+            .flat_map(|token| token.to_le_bytes())
+            .collect();
+        let fingerprint = hash::word(&[workspace.as_bytes(), &bytes]);
+        self.head(id, workspace, route, fingerprint)
+    }
+
+    /// Starts waiting requests, the first class first, as far as there is room.
+    pub(crate) fn start_queued(&mut self) {
+        for priority in camphorweir_config::model::Priority::ALL {
+            while let Some(id) = self.queue.pop(priority) {
+                if self.start_request(id) == Start::Blocked {
+                    self.queue.push_front(priority, id);
+                    break;
+                }
+            }
+        }
+    }
+
+    fn start_request(&mut self, id: RequestId) -> Start {
+        match self.requests.get(&id).map(|request| &request.body) {
+            Some(Body::Stream(_)) => self.start_stream(id),
+            Some(Body::Plain(_)) => self.start_plain(id),
+            Some(Body::Once(_)) | None => Start::Over,
+        }
+    }
+
+    fn start_stream(&mut self, id: RequestId) -> Start {
+        let now = self.now.mono;
+        let Some(request) = self.requests.get(&id) else {
+            return Start::Over;
+        };
+        let Body::Stream(stream) = &request.body else {
+            return Start::Over;
+        };
+        let want = Want {
+            model: &stream.model,
+            layers: stream.layers,
+            activation: stream.activation,
+            positions: stream.tokens.len() as u32,
+            tokens: stream.max_tokens - stream.delivered(),
+            avoid: &stream.avoid,
+        };
+        match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
+            Ok(path) => {
+                self.open(id, |attempt| Attempt::new(attempt, path));
+                Start::Over
+            }
+            Err(Miss::Full) => Start::Blocked,
+            Err(Miss::Uncovered) if self.may_wait(id) => Start::Blocked,
+            Err(Miss::Uncovered) => {
+                self.give_up(
+                    id,
+                    Code::NoPath,
+                    "no chain of live targets covers the model",
+                );
+                Start::Over
+            }
+        }
+    }
+
+    /// An answer that was interrupted waits a little for a path; a new request is refused at once.
+    fn may_wait(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        match &request.body {
+            Body::Stream(stream) => stream
+                .interrupted
+                .is_some_and(|at| self.now.mono < at + WAIT_FOR_PATH),
+            Body::Plain(_) | Body::Once(_) => false,
+        }
+    }
+
+    fn open(&mut self, id: RequestId, attempt: impl FnOnce(AttemptId) -> Attempt<Opening>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Body::Stream(stream) = &mut request.body else {
+            return;
+        };
+        let attempt = attempt(request.head.next_attempt(self.now.mono));
+        let prefix = prefix::hashes(&stream.tokens);
+        for hop in attempt.path.hops() {
+            let target = self.targets.get_mut(hop.target);
+            target.open += 1;
+            let open = Open {
+                request: id,
+                attempt: attempt.id,
+                layers: hop.layers,
+                priority: request.head.priority,
+                prefix: prefix.clone(),
+            };
+            let order = Order::Open(open);
+            self.out.push(Action::Order(target.id.clone(), order));
+        }
+        let late = self.now.mono + STEP_MIN;
+        self.timers
+            .set(late, Timer::Step(id, attempt.id, attempt.sequence));
+        stream.attempt = Some(Any::Opening(attempt));
+    }
+
+    /// Takes the attempt out of a request if it is the one named.
+    fn take_attempt(&mut self, id: RequestId, attempt: AttemptId) -> Option<Any> {
+        let stream = self.stream_mut(id)?;
+        if stream.attempt.as_ref()?.id() != attempt {
+            return None;
+        }
+        stream.attempt.take()
+    }
+
+    fn stream_mut(&mut self, id: RequestId) -> Option<&mut Stream> {
+        match &mut self.requests.get_mut(&id)?.body {
+            Body::Stream(stream) => Some(stream),
+            Body::Plain(_) | Body::Once(_) => None,
+        }
+    }
+
+    fn keep_attempt(&mut self, id: RequestId, attempt: Any) {
+        if let Some(stream) = self.stream_mut(id) {
+            stream.attempt = Some(attempt);
+        }
+    }
+
+    /// A hop has opened.
+    pub(crate) fn opened(&mut self, target: Index, opened: &Opened) {
+        let id = opened.request;
+        match self.take_attempt(id, opened.attempt) {
+            Some(Any::Opening(mut attempt)) => {
+                attempt.opened(target, opened.held);
+                let total = self.stream_mut(id).map_or(0, |stream| stream.tokens.len());
+                match attempt.run(total as u32) {
+                    Ok(running) => self.step(id, running),
+                    Err(opening) => self.keep_attempt(id, Any::Opening(opening)),
+                }
+            }
+            Some(running) => self.keep_attempt(id, running),
+            None => {}
+        }
+    }
+
+    /// Sends the first hop's step: the input is tokens.
+    fn step(&mut self, id: RequestId, attempt: Attempt<Running>) {
+        let first = attempt.position() as usize;
+        let last = first + attempt.count() as usize;
+        let Some(stream) = self.stream_mut(id) else {
+            return;
+        };
+        let input = stream.tokens[first..last]
+            .iter()
+            .map(|token| u64::from(*token))
+            .collect();
+        self.send_step(id, attempt, input);
+    }
+
+    fn send_step(&mut self, id: RequestId, attempt: Attempt<Running>, input: Vec<u64>) {
+        let hop = attempt.hop();
+        let limit = self.step_limit(id, &attempt);
+        let target = self.targets.get_mut(hop.target);
+        target.queued += u64::from(attempt.count());
+        let step = Step {
+            request: id,
+            attempt: attempt.id,
+            position: attempt.position(),
+            layers: hop.layers,
+            input,
+        };
+        let order = Order::Step(step);
+        self.out.push(Action::Order(target.id.clone(), order));
+        let timer = Timer::Step(id, attempt.id, attempt.sequence);
+        self.timers.set(self.now.mono + limit, timer);
+        self.keep_attempt(id, Any::Running(attempt));
+    }
+
+    /// How long the step under way may take.
+    fn step_limit(&self, id: RequestId, attempt: &Attempt<Running>) -> Duration {
+        let hop = attempt.hop();
+        let target = self.targets.get(hop.target);
+        let Some(Body::Stream(stream)) = self.requests.get(&id).map(|request| &request.body) else {
+            return STEP_MIN;
+        };
+        let want = Want {
+            model: &stream.model,
+            layers: stream.layers,
+            activation: stream.activation,
+            positions: attempt.count(),
+            tokens: 1,
+            avoid: &[],
+        };
+        let cost = self.map.cost(target, hop.layers, &want, self.now.mono);
+        STEP_MIN + cost.min(Duration::from_secs(60)) * STEP_FACTOR
+    }
+
+    /// An engine computed positions.
+    ///
+    /// Only the answer to the step under way counts; a late, doubled or foreign one is dropped.
+    pub(crate) fn done(&mut self, target: Index, done: &Done) {
+        let id = done.request;
+        let attempt = match self.take_attempt(id, done.attempt) {
+            Some(Any::Running(attempt)) => attempt,
+            Some(opening) => return self.keep_attempt(id, opening),
+            None => return,
+        };
+        if !attempt.expects(target, done) {
+            return self.keep_attempt(id, Any::Running(attempt));
+        }
+        if !attempt.fits(done) {
+            self.keep_attempt(id, Any::Running(attempt));
+            return self.fail(id, target, "the answer does not fit its step");
+        }
+        let answered = self.targets.get_mut(target);
+        answered.queued = answered.queued.saturating_sub(u64::from(attempt.count()));
+        answered.health.succeed();
+        match attempt.advance() {
+            Next::Hop(attempt) => self.send_step(id, attempt, done.output.clone()),
+            Next::Complete(attempt) => self.complete(id, attempt, done.token),
+        }
+    }
+
+    /// All layers have run for a position: its token is delivered.
+    fn complete(&mut self, id: RequestId, attempt: Attempt<Running>, token: Option<Token>) {
+        let now = self.now.mono;
+        let Some(token) = token else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Body::Stream(stream) = &mut request.body else {
+            return;
+        };
+        let stopped = stream.end_token == Some(token);
+        if !stopped {
+            stream.tokens.push(token);
+            request.head.first_token.get_or_insert(now);
+            self.out.push(Action::Token(id, token));
+        }
+        if stopped || stream.delivered() >= stream.max_tokens {
+            let end = End::Finished(stream.finished(stopped));
+            for hop in attempt.path.hops() {
+                self.targets.get_mut(hop.target).health.succeed();
+            }
+            stream.attempt = Some(Any::Running(attempt));
+            self.budget.earn();
+            return self.end(id, None, end);
+        }
+        self.step(id, attempt.decode());
+    }
+
+    /// An engine refused an attempt.
+    pub(crate) fn refused(&mut self, target: Index, refused: &Refused) {
+        let current = self
+            .stream_mut(refused.request)
+            .and_then(|stream| stream.attempt.as_ref())
+            .is_some_and(|any| any.id() == refused.attempt && any.path().contains(target));
+        if !current {
+            return;
+        }
+        if refused.why == Why::Leaving {
+            self.targets.leaving(target);
+        }
+        self.fail(refused.request, target, "the engine refused the attempt");
+    }
+
+    /// A step has not been answered in time: its target is taken for frozen.
+    pub(crate) fn step_late(&mut self, id: RequestId, attempt: AttemptId, sequence: u32) {
+        let late = match self
+            .stream_mut(id)
+            .and_then(|stream| stream.attempt.as_ref())
+        {
+            Some(any) if any.id() == attempt && any.sequence() == sequence => any.waits_for(),
+            Some(_) | None => return,
+        };
+        let Some(first) = late.first().copied() else {
+            return;
+        };
+        for target in &late {
+            self.eject(*target, "a step was not answered in time");
+        }
+        if let Some(stream) = self.stream_mut(id) {
+            stream.avoid.extend(late);
+        }
+        self.fail(id, first, "a step was not answered in time");
+    }
+
+    /// Takes a target out of use for a while.
+    pub(crate) fn eject(&mut self, target: Index, why: &'static str) {
+        let now = self.now.mono;
+        let target = self.targets.get_mut(target);
+        if target.health.fit(now) {
+            target.health.eject(now);
+            let note = Note::Ejected(target.id.clone(), why);
+            self.out.push(Action::Note(note));
+        }
+    }
+
+    /// Every attempt on a target is over, as when its connection is lost.
+    pub(crate) fn fail_all(&mut self, target: Index, why: &'static str) {
+        let mut hit: Vec<RequestId> = self
+            .requests
+            .values()
+            .filter(|request| match &request.body {
+                Body::Stream(stream) => stream
+                    .attempt
+                    .as_ref()
+                    .is_some_and(|any| any.path().contains(target)),
+                Body::Plain(_) | Body::Once(_) => false,
+            })
+            .map(|request| request.head.id)
+            .collect();
+        hit.sort_unstable();
+        for id in hit {
+            self.fail(id, target, why);
+        }
+    }
+
+    /// An attempt failed; another follows on another path, from the next token on.
+    pub(crate) fn fail(&mut self, id: RequestId, target: Index, why: &'static str) {
+        let now = self.now.mono;
+        let Some(stream) = self.stream_mut(id) else {
+            return;
+        };
+        let Some(attempt) = stream.attempt.take() else {
+            return;
+        };
+        stream.avoid.push(target);
+        stream.interrupted = Some(now);
+        let name = self.targets.get(target).id.clone();
+        self.out
+            .push(Action::Note(Note::Failed(id, attempt.id(), name, why)));
+        self.abandon(id, &attempt);
+        if attempt.id() + 1 >= ATTEMPTS || !self.budget.spend() {
+            return self.give_up(id, Code::RetriesSpent, "no retry is left");
+        }
+        if let Some(request) = self.requests.get(&id) {
+            let priority = request.head.priority;
+            self.queue.push_front(priority, id);
+        }
+    }
+
+    /// Ends a request at once, with the time to come back.
+    pub(crate) fn give_up(&mut self, id: RequestId, code: Code, detail: &str) {
+        let started = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.head.started.is_some());
+        let mut refusal = Refusal::not_run(code, detail).after(COME_BACK);
+        if started {
+            refusal.ran = Ran::Unknown;
+        }
+        self.refuse(id, refusal);
+    }
+
+    /// Takes the step under way out of its target's outstanding work.
+    pub(crate) fn settle_step(&mut self, attempt: &Any) {
+        if let Any::Running(running) = attempt {
+            let target = self.targets.get_mut(running.hop().target);
+            target.queued = target.queued.saturating_sub(u64::from(running.count()));
+        }
+    }
+}
+
+fn check_size(pipeline: &Pipeline, tokens: &Tokens) -> Result<(), Refusal> {
+    let prompt = tokens.prompt.len();
+    if prompt == 0 {
+        return Err(Refusal::not_run(Code::Malformed, "the prompt is empty"));
+    }
+    if tokens.max_tokens == 0 {
+        return Err(Refusal::not_run(Code::Malformed, "`max_tokens` is 0"));
+    }
+    if prompt > pipeline.max_prompt as usize || tokens.max_tokens > pipeline.max_tokens {
+        let detail = format!(
+            "the pipeline allows {} prompt tokens and {} answer tokens",
+            pipeline.max_prompt, pipeline.max_tokens
+        );
+        return Err(Refusal::not_run(Code::TooManyTokens, &detail));
+    }
+    Ok(())
+}
+
+fn stream(pipeline: &Pipeline, model: &Model, tokens: &Tokens) -> Stream {
+    Stream {
+        model: pipeline.model.clone(),
+        layers: model.layers,
+        activation: model.activation,
+        end_token: model.end_token,
+        tokens: tokens.prompt.clone(),
+        prompt: tokens.prompt.len() as u32,
+        max_tokens: tokens.max_tokens,
+        attempt: None,
+        avoid: Vec::new(),
+        interrupted: None,
+    }
+}
--- a/camphorweir-wire/src/claim.rs
+++ b/camphorweir-wire/src/claim.rs
@@ -7,12 +7,17 @@
     },
     camphorweir_config::model::WorkspaceId,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// The format that this release writes and the newest that it reads.
 pub const FORMAT: u16 = 1;
 /// Partitions of the claim streams.
-pub const PARTITIONS: u32 = 8;
+pub const PARTITIONS: u32 = 4;
+/// How long after its issue a key may be claimed; retention minus [`SKEW`] must exceed it.
+pub const WINDOW: Duration = Duration::from_secs(24 * 3600);
+/// How far a caller's clock may run ahead of the log service's.
+pub const SKEW: Duration = Duration::from_secs(300);
 
 /// The name of a partition's stream.
 pub fn stream(partition: u32) -> String {
@@ -29,16 +34,16 @@
 }
 
 impl Key {
-    /// The partition that holds the key's records.
+    /// The partition that holds the key's records; it depends on the id alone, so that a key sent
+    /// under another workspace meets the first one.
     pub fn partition(&self) -> u32 {
-        let mut hash = blake3::Hasher::new();
-        hash.update(self.workspace.as_bytes());
-        hash.update(&self.id.to_be_bytes());
-        u32::from_le_bytes(
-            hash.finalize().as_bytes()[..4]
-                .try_into()
-                .unwrap_or_default(),
-        ) % PARTITIONS
+        let folded = self.id ^ (self.id >> 64) ^ (self.id >> 32);
+        (folded & u128::from(u32::MAX)) as u32 % PARTITIONS
+    }
+
+    /// When the key was issued, from its UUIDv7.
+    pub fn issued(&self) -> Duration {
+        Duration::from_millis((self.id >> 80) as u64)
     }
 }
 
@@ -73,6 +78,8 @@
     Void,
     /// The request ran and was answered.
     Done(Answer),
+    /// The request ran and was answered; the answer is too large to keep.
+    Ran,
     /// The request may have run; its owner is gone or lost the target.
     Unknown,
     /// An operator settles it.
