Fuzz several cores against an oracle of the promises

Cause: what must always hold has to be shown under faults, not argued. Ruled out: a simulator of the cluster; the fakes are the log, an engine, a plain service, the list and the peers' connections, each at the core's interface. Before: nothing had run the core.

--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod outbox;
 pub mod path;
 mod pipeline;
+mod query;
 pub mod queue;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/camphorweir-policy/src/query.rs
@@ -0,0 +1,69 @@
+//! What a core tells about itself.
+
+use {
+    crate::{
+        claim::{Standing, Unresolved},
+        core::Core,
+    },
+    camphorweir_config::{model::Version, record, view::View},
+    camphorweir_wire::{claim::Key, codec, ids::Incarnation},
+};
+
+impl Core {
+    /// The version in force, `None` before there is one.
+    pub fn version(&self) -> Option<Version> {
+        self.view.as_deref().map(View::version)
+    }
+
+    /// This life of the entry.
+    pub fn incarnation(&self) -> Incarnation {
+        self.setup.incarnation
+    }
+
+    /// Requests that are not over.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Every key with a live start and no outcome, as far as the log has been read.
+    pub fn unresolved(&self) -> Vec<Unresolved> {
+        let mut all: Vec<Unresolved> = self
+            .partitions
+            .iter()
+            .flat_map(|partition| partition.table.unresolved())
+            .collect();
+        all.sort_by_key(|unresolved| unresolved.key.id);
+        all
+    }
+
+    /// What the log says of a key's outcome: `Some(true)` when it ran, `Some(false)` when an operator
+    /// settled that it did not.
+    pub fn outcome(&self, id: u128) -> Option<bool> {
+        let key = Key {
+            workspace: String::new(),
+            id,
+        };
+        let partition = self.partitions.get(key.partition() as usize)?;
+        match partition.table.standing(id) {
+            Standing::Done(_) => Some(true),
+            Standing::Resolved { ran } => Some(ran),
+            Standing::Free | Standing::Started(_) => None,
+        }
+    }
+
+    /// The version in force as a record that may be appended again; `None` before there is one.
+    pub fn checkpoint(&self) -> Option<Vec<u8>> {
+        let checkpoint = self.fold.checkpoint()?;
+        Some(codec::encode(&record::Record {
+            format: record::FORMAT,
+            body: record::Body::Checkpoint(checkpoint),
+        }))
+    }
+
+    /// Whether a target is taken to be leaving.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        self.targets
+            .find(target)
+            .is_some_and(|index| self.targets.get(index).leaving.is_leaving())
+    }
+}
--- /dev/null
+++ b/camphorweir-policy/tests/always/main.rs
@@ -0,0 +1,6 @@
+//! What must always hold, under faults, with several cores and small fakes.
+
+mod fuzz;
+mod moves;
+mod thin;
+mod world;
--- /dev/null
+++ b/camphorweir-policy/tests/always/thin.rs
@@ -0,0 +1,31 @@
+//! One request of each kind through every core.
+
+use {
+    crate::world::{World, oracle::Sent},
+    camphorweir_policy::call::End,
+    std::time::Duration,
+};
+
+#[test]
+fn each_kind_is_answered_through_every_entry() {
+    let mut world = World::new(1);
+    for number in 0..3 {
+        let prompt = (0..40).map(|token| token + number as u32).collect();
+        world.prompt(number, prompt, 20);
+        world.lookup(number);
+        let key = world.new_key();
+        world.seal(number, key, 7);
+    }
+    world.run(Duration::from_secs(2));
+    assert!(world.oracle.open().is_empty());
+    for call in world.oracle.calls.values() {
+        let whole = match call.sent {
+            Sent::Tokens(_) => matches!(call.end, Some(End::Finished(_))),
+            _ => matches!(call.end, Some(End::Answered(_))),
+        };
+        assert!(whole, "{call:?}");
+    }
+    for engine in world.engines.values() {
+        assert_eq!(engine.open(), 0, "an attempt was left behind");
+    }
+}
--- /dev/null
+++ b/camphorweir-policy/tests/always/world/engine.rs
@@ -0,0 +1,233 @@
+//! A layer-range engine in memory whose tokens depend on every layer of every position.
+
+use {
+    camphorweir_wire::{
+        engine::{
+            BLOCK, Done, Hello, Holds, Layers, Open, Opened, Order, Refused, Reply, Step, Why,
+        },
+        ids::{AttemptId, RequestId, Token},
+    },
+    std::collections::HashMap,
+};
+
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a.rotate_left(23) ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z ^ (z >> 27)
+}
+
+fn run_layer(state: u64, input: u64, layer: u32) -> u64 {
+    mix(mix(state, input), u64::from(layer) + 1)
+}
+
+fn token(output: u64) -> Token {
+    32 + (output % 95) as Token
+}
+
+/// The right answer, worked out alone.
+pub(crate) fn expected(layers: u32, prompt: &[Token], count: u32) -> Vec<Token> {
+    let mut tokens = prompt.to_vec();
+    let mut states = vec![0; layers as usize];
+    let mut last = 0;
+    for token in prompt {
+        last = position(&mut states, 0, u64::from(*token));
+    }
+    for _ in 0..count {
+        let next = token(last);
+        tokens.push(next);
+        last = position(&mut states, 0, u64::from(next));
+    }
+    tokens.split_off(prompt.len())
+}
+
+fn position(states: &mut [u64], first: u32, input: u64) -> u64 {
+    let mut x = input;
+    for (state, layer) in states.iter_mut().zip(first..) {
+        *state = run_layer(*state, x, layer);
+        x = *state;
+    }
+    x
+}
+
+struct Attempt {
+    layers: Layers,
+    prefix: Vec<u64>,
+    position: u32,
+    held: u32,
+    states: Vec<u64>,
+}
+
+/// The fake of an engine.
+pub(crate) struct Engine {
+    pub(crate) layers: Layers,
+    pub(crate) model_layers: u32,
+    pub(crate) incarnation: u64,
+    pub(crate) up: bool,
+    pub(crate) frozen: bool,
+    pub(crate) leaving: bool,
+    /// Answers to steps that are lost.
+    pub(crate) drop_answers: u32,
+    /// Answers to steps that come twice.
+    pub(crate) double_answers: u32,
+    /// Goes down when it meets a prompt that begins with this token.
+    pub(crate) poison: Option<Token>,
+    attempts: HashMap<(usize, RequestId, AttemptId), Attempt>,
+    cache: HashMap<(u64, Layers), Vec<u64>>,
+}
+
+impl Engine {
+    pub(crate) fn new(layers: Layers, model_layers: u32) -> Self {
+        Self {
+            layers,
+            model_layers,
+            incarnation: 1,
+            up: true,
+            frozen: false,
+            leaving: false,
+            drop_answers: 0,
+            double_answers: 0,
+            poison: None,
+            attempts: HashMap::new(),
+            cache: HashMap::new(),
+        }
+    }
+
+    /// Starts again with nothing in memory.
+    pub(crate) fn restart(&mut self) {
+        self.incarnation += 1;
+        self.up = true;
+        self.frozen = false;
+        self.leaving = false;
+        self.attempts.clear();
+        self.cache.clear();
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            incarnation: self.incarnation,
+            holds: Holds {
+                model: "m".to_owned(),
+                layers: self.layers,
+                fence: 0,
+                loading: false,
+            },
+            kind: "k".to_owned(),
+        }
+    }
+
+    /// Attempts that are open, for telling that none is left behind.
+    pub(crate) fn open(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Forgets the attempts of an entry whose connection is lost.
+    pub(crate) fn forget(&mut self, entry: usize) {
+        self.attempts.retain(|(owner, ..), _| *owner != entry);
+    }
+
+    pub(crate) fn order(&mut self, entry: usize, order: Order) -> Vec<Reply> {
+        match order {
+            Order::Open(open) => vec![self.open_attempt(entry, open)],
+            Order::Step(step) => self.step(entry, &step),
+            Order::Cancel(request, attempt) => {
+                self.attempts.remove(&(entry, request, attempt));
+                Vec::new()
+            }
+            Order::Hold(_) => Vec::new(),
+        }
+    }
+
+    fn open_attempt(&mut self, entry: usize, open: Open) -> Reply {
+        let (request, attempt) = (open.request, open.attempt);
+        if self.leaving {
+            let why = Why::Leaving;
+            return Reply::Refused(Refused {
+                request,
+                attempt,
+                why,
+            });
+        }
+        let held = open
+            .prefix
+            .iter()
+            .take_while(|hash| self.cache.contains_key(&(**hash, open.layers)))
+            .count() as u32
+            * BLOCK;
+        let state = Attempt {
+            layers: open.layers,
+            prefix: open.prefix,
+            position: 0,
+            held,
+            states: vec![0; (open.layers.end - open.layers.first) as usize],
+        };
+        self.attempts.insert((entry, request, attempt), state);
+        Reply::Opened(Opened {
+            request,
+            attempt,
+            held,
+        })
+    }
+
+    fn step(&mut self, entry: usize, step: &Step) -> Vec<Reply> {
+        let (request, attempt) = (step.request, step.attempt);
+        let poisoned = step.layers.first == 0
+            && step.position == 0
+            && self.poison.is_some()
+            && step.input.first().map(|token| *token as Token) == self.poison;
+        if poisoned {
+            self.up = false;
+            return Vec::new();
+        }
+        let refuse = |why| {
+            vec![Reply::Refused(Refused {
+                request,
+                attempt,
+                why,
+            })]
+        };
+        let Some(state) = self.attempts.get_mut(&(entry, request, attempt)) else {
+            return refuse(Why::UnknownAttempt);
+        };
+        if state.layers != step.layers {
+            return refuse(Why::WrongLayers);
+        }
+        if step.position != state.position {
+            let block = step.position / BLOCK;
+            if !step.position.is_multiple_of(BLOCK) || step.position > state.held || block == 0 {
+                return refuse(Why::UnknownAttempt);
+            }
+            let key = (state.prefix[block as usize - 1], state.layers);
+            state.states.clone_from(&self.cache[&key]);
+            state.position = step.position;
+        }
+        let mut output = Vec::new();
+        for input in &step.input {
+            output.push(position(&mut state.states, state.layers.first, *input));
+            state.position += 1;
+            let block = (state.position / BLOCK) as usize;
+            if state.position % BLOCK == 0 && block <= state.prefix.len() {
+                let key = (state.prefix[block - 1], state.layers);
+                self.cache.insert(key, state.states.clone());
+            }
+        }
+        let last = step.layers.end == self.model_layers;
+        let token = last.then(|| token(*output.last().expect("a step has input")));
+        let done = Reply::Done(Done {
+            request,
+            attempt,
+            position: step.position,
+            layers: step.layers,
+            output: if last { Vec::new() } else { output },
+            token,
+        });
+        if self.drop_answers > 0 {
+            self.drop_answers -= 1;
+            return Vec::new();
+        }
+        if self.double_answers > 0 {
+            self.double_answers -= 1;
+            return vec![done.clone(), done];
+        }
+        vec![done]
+    }
+}
