Stand in for the platform and the targets

Cause: the whole path needs a log service, an instance list, a weight store, layer-range engines and a plain service to run against, with faults on demand. Ruled out: a mock at the interfaces only; the process tests need real sockets. A computation without state per layer; a prefix cache could not be judged by it. Before: an empty package. Conclusion: the entry can be built against them; process behaviour under signals is not tested yet.

--- a/camphorweir-standin/src/lib.rs
+++ b/camphorweir-standin/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Stand-ins for the platform's services and the targets, each in-process or as a process.
+#![forbid(unsafe_code)]
+
+mod attempt;
+mod batch;
+mod cache;
+pub mod chain;
+pub mod engine;
+pub mod list;
+pub mod log;
+mod rate;
+pub mod server;
+pub mod service;
+pub mod settings;
+mod state;
+mod stream;
+pub mod weights;
--- /dev/null
+++ b/camphorweir-standin/src/weights.rs
@@ -0,0 +1,134 @@
+//! The weight store.
+
+use {
+    crate::{
+        rate::Bucket,
+        server::{self, Answer, Error, Links, Net, Role, json, lock, status},
+    },
+    hyper::{
+        Method, Request, StatusCode, body::Incoming, header::HeaderValue, header::RETRY_AFTER,
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// A running weight store.
+pub type Handle = server::Handle<Store>;
+
+/// Settings of a weight store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Loads started in a second; 0 sets no limit.
+    #[serde(default)]
+    pub loads_per_second: f64,
+    /// Time to load one layer, in milliseconds.
+    #[serde(default)]
+    pub layer_ms: u64,
+}
+
+/// Faults of a weight store.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Faults of the network.
+    pub net: Net,
+}
+
+/// What a weight store has counted.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Stats {
+    /// Loads started.
+    pub loads: u64,
+    /// Loads refused by the limit.
+    pub refused: u64,
+}
+
+/// A weight store.
+#[derive(Debug)]
+pub struct Store {
+    layer: Duration,
+    bucket: Mutex<Bucket>,
+    stats: Mutex<Stats>,
+    faults: Mutex<Faults>,
+}
+
+/// Starts a weight store.
+///
+/// # Errors
+///
+/// [`Error`] when the address can't be bound.
+pub async fn spawn(settings: Settings) -> Result<Handle, Error> {
+    let store = Store {
+        layer: Duration::from_millis(settings.layer_ms),
+        bucket: Mutex::new(Bucket::new(settings.loads_per_second)),
+        stats: Mutex::default(),
+        faults: Mutex::default(),
+    };
+    server::start(
+        settings.address,
+        Arc::new(Links::default()),
+        Arc::new(store),
+    )
+    .await
+}
+
+impl Handle {
+    /// What it has counted.
+    pub fn stats(&self) -> Stats {
+        lock(&self.role.stats).clone()
+    }
+}
+
+/// `MODEL/FIRST-END` as the number of layers.
+fn layers(path: &str) -> Option<u32> {
+    let (_, range) = path.strip_prefix("/weights/")?.split_once('/')?;
+    let (first, end) = range.split_once('-')?;
+    let layers = end.parse::<u32>().ok()?.checked_sub(first.parse().ok()?)?;
+    (layers > 0).then_some(layers)
+}
+
+impl Role for Store {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Mutex<Faults> {
+        &self.faults
+    }
+
+    fn net(faults: &Faults) -> &Net {
+        &faults.net
+    }
+
+    fn report(&self, name: &str) -> Option<Value> {
+        (name == "stats").then(|| json!(*lock(&self.stats)))
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>, _from: Option<String>) -> Answer {
+        let Some(layers) = layers(request.uri().path()) else {
+            return Some(status(StatusCode::NOT_FOUND));
+        };
+        if request.method() != Method::GET {
+            return Some(status(StatusCode::METHOD_NOT_ALLOWED));
+        }
+        if !lock(&self.bucket).take() {
+            lock(&self.stats).refused += 1;
+            let mut answer = status(StatusCode::TOO_MANY_REQUESTS);
+            let wait = HeaderValue::from_static("1");
+            answer.headers_mut().insert(RETRY_AFTER, wait);
+            return Some(answer);
+        }
+        lock(&self.stats).loads += 1;
+        sleep(self.layer * layers).await;
+        Some(json(&json!({ "layers": layers })))
+    }
+
+    async fn drain(self: Arc<Self>) {}
+}
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod log;
 pub mod outcome;
 pub mod peer;
+pub mod prefix;
--- /dev/null
+++ b/camphorweir-wire/src/prefix.rs
@@ -0,0 +1,26 @@
+//! Hashes by which prompts that begin alike are told to share blocks.
+
+use crate::{engine::BLOCK, ids::Token};
+
+/// One hash for every whole block of a prompt, each over all tokens up to the block's end.
+///
+/// The work is linear in the prompt: the hasher goes on from block to block.
+pub fn hashes(prompt: &[Token]) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    prompt
+        .chunks_exact(BLOCK as usize)
+        .map(|block| {
+            for token in block {
+                hasher.update(&token.to_le_bytes());
+            }
+            first_word(hasher.finalize().as_bytes())
+        })
+        .collect()
+}
+
+fn first_word(bytes: &[u8; 32]) -> u64 {
+    bytes[..8]
+        .iter()
+        .rev()
+        .fold(0, |word, byte| word << 8 | u64::from(*byte))
+}
