Let stand-ins hang, check their settings and prove their stops

Cause: a frozen platform service, a connection lost at a head, and settings that contradict themselves could not be made or were taken silently. Ruled out: a delay in place of a hang; its requests would go on at a set time and not when the fault ends. The process has one path for all roles in place of an enum of handles.

--- a/camphorweir-standin/src/engine.rs
+++ b/camphorweir-standin/src/engine.rs
@@ -192,8 +192,9 @@
 ///
 /// # Errors
 ///
-/// [`Error`] when the address can't be bound.
+/// [`Error`] when the address can't be bound, or the model doesn't have the layers.
 pub async fn spawn(settings: Settings) -> Result<Handle, Error> {
+    check(&settings)?;
     let links = Arc::new(Links::default());
     let address = settings.address;
     let engine = Arc::new(Engine {
@@ -213,6 +214,22 @@
     Ok(handle)
 }
 
+fn check(settings: &Settings) -> Result<(), Error> {
+    let Settings {
+        model,
+        models,
+        first,
+        end,
+        ..
+    } = settings;
+    let known = models.get(model).is_some_and(|layers| end <= layers);
+    if known && first < end {
+        return Ok(());
+    }
+    let reason = format!("`models` knows no layers {first}..{end} of `{model}`");
+    Err(Error::Settings { reason })
+}
+
 impl Handle {
     /// Every step that ran, oldest first.
     pub fn audit(&self) -> Vec<Run> {
--- a/camphorweir-standin/src/main.rs
+++ b/camphorweir-standin/src/main.rs
@@ -4,12 +4,15 @@
 use {
     bpaf::Bpaf,
     camphorweir_standin::{
-        server,
-        settings::{self, Settings},
+        engine, list, log,
+        server::{self, Handle, Role},
+        service,
+        settings::Settings,
+        weights,
     },
     snafu::{ResultExt, Snafu},
     std::{io, path::PathBuf, process::ExitCode},
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
 /// Runs a stand-in for one of the platform's services or a target.
@@ -45,10 +48,23 @@
 }
 
 async fn run(options: Options) -> Result<(), Error> {
-    let mut term = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let term = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut settings = read(options.settings)?;
     settings.exit_on_crash();
-    let handle = settings::spawn(settings).await.context(StartSnafu)?;
+    match settings {
+        Settings::Log(settings) => serve(log::spawn(settings).await, term).await,
+        Settings::List(settings) => serve(list::spawn(settings).await, term).await,
+        Settings::Weights(settings) => serve(weights::spawn(settings).await, term).await,
+        Settings::Engine(settings) => serve(engine::spawn(settings).await, term).await,
+        Settings::Service(settings) => serve(service::spawn(settings).await, term).await,
+    }
+}
+
+async fn serve<R: Role>(
+    started: Result<Handle<R>, server::Error>,
+    mut term: Signal,
+) -> Result<(), Error> {
+    let handle = started.context(StartSnafu)?;
     println!("listening {}", handle.address());
     term.recv().await;
     handle.stop().await;
--- a/camphorweir-standin/src/server.rs
+++ b/camphorweir-standin/src/server.rs
@@ -58,6 +58,12 @@
         /// What the system says.
         source: io::Error,
     },
+    /// The settings contradict themselves.
+    #[snafu(display("{reason}"))]
+    Settings {
+        /// How.
+        reason: String,
+    },
 }
 
 /// Faults of the network that every stand-in can make.
@@ -85,6 +91,8 @@
     Refuse,
     /// It drops connections.
     Drop,
+    /// It stands still, and goes on with what arrived when this ends; a stop waits for that.
+    Hang,
 }
 
 impl Net {
@@ -139,6 +147,8 @@
 #[derive(Debug, Default)]
 pub struct Links {
     links: Mutex<HashMap<u64, Arc<Link>>>,
+    /// The faults were set anew.
+    changed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -312,7 +322,7 @@
     }
     let from = header(&request, FROM);
     *lock(&link.from) = from.clone();
-    let net = R::net(&lock(role.faults())).clone();
+    let net = awake(&*role, &links, from.as_deref()).await;
     if net.drops(from.as_deref()) {
         return None;
     }
@@ -325,6 +335,18 @@
     role.answer(request, from).await
 }
 
+/// Waits while the service stands still for this client.
+async fn awake<R: Role>(role: &R, links: &Links, from: Option<&str>) -> Net {
+    loop {
+        let changed = links.changed.notified();
+        let net = R::net(&lock(role.faults())).clone();
+        if net.down != Down::Hang || !net.applies(from) {
+            return net;
+        }
+        changed.await;
+    }
+}
+
 async fn own<R: Role>(
     role: Arc<R>,
     links: Arc<Links>,
@@ -353,6 +375,7 @@
     *lock(role.faults()) = faults;
     links.drop_where(|from| net.drops(from));
     role.changed();
+    links.changed.notify_waiters();
 }
 
 /// Takes one of a counted fault.
--- a/camphorweir-standin/src/service.rs
+++ b/camphorweir-standin/src/service.rs
@@ -71,6 +71,8 @@
     pub net: Net,
     /// Calls refused with 503 and `camphorweir-ran: no`.
     pub refuse: u32,
+    /// Calls whose connection is dropped at their head, while the body may still be on its way.
+    pub drop_head: u32,
     /// Calls that don't run and whose connection is dropped.
     pub drop_before: u32,
     /// Calls that run and are answered with a bare 503.
@@ -123,13 +125,6 @@
     Fenced,
 }
 
-enum Fate {
-    Answered,
-    Failed,
-    Dropped,
-    Cut,
-}
-
 /// Starts a plain service.
 ///
 /// # Errors
@@ -183,33 +178,10 @@
         self.links.drop_all();
     }
 
-    /// What becomes of the answer of a call that ran.
-    fn fate(&self, from: Option<&str>) -> (Fate, Duration) {
+    /// Takes one of a counted fault, where faults apply to the client.
+    fn strikes(&self, from: Option<&str>, count: fn(&mut Faults) -> &mut u32) -> bool {
         let mut faults = lock(&self.faults);
-        let run = Duration::from_millis(faults.run_ms);
-        if !faults.net.applies(from) {
-            return (Fate::Answered, run);
-        }
-        let fate = if take(&mut faults.fail_after) {
-            Fate::Failed
-        } else if take(&mut faults.drop_after) {
-            Fate::Dropped
-        } else if take(&mut faults.cut_answer) {
-            Fate::Cut
-        } else {
-            Fate::Answered
-        };
-        (fate, run)
-    }
-
-    /// Whether a call is refused, and whether it is dropped, before it runs.
-    fn stopped(&self, from: Option<&str>) -> (bool, bool) {
-        let mut faults = lock(&self.faults);
-        if !faults.net.applies(from) {
-            return (false, false);
-        }
-        let refused = take(&mut faults.refuse);
-        (refused, !refused && take(&mut faults.drop_before))
+        faults.net.applies(from) && take(count(&mut faults))
     }
 
     fn poisoned(&self, body: &[u8]) -> bool {
@@ -222,12 +194,15 @@
         let key = header(&request, "idempotency-key");
         let fence = header(&request, FENCE).and_then(|fence| fence.parse().ok());
         let path = request.uri().to_string();
+        let from = from.as_deref();
+        if self.strikes(from, |faults| &mut faults.drop_head) {
+            return None;
+        }
         let body = collect(request).await?;
-        let (refused, dropped) = self.stopped(from.as_deref());
-        if refused {
+        if self.strikes(from, |faults| &mut faults.refuse) {
             return Some(refusal(StatusCode::SERVICE_UNAVAILABLE));
         }
-        if dropped {
+        if self.strikes(from, |faults| &mut faults.drop_before) {
             return None;
         }
         let run = match self.begin(key, path, fence) {
@@ -239,14 +214,18 @@
             self.crash();
             return None;
         }
-        let (fate, time) = self.fate(from.as_deref());
-        sleep(time).await;
-        match fate {
-            Fate::Answered => Some(json(&run)),
-            Fate::Failed => Some(status(StatusCode::SERVICE_UNAVAILABLE)),
-            Fate::Dropped => None,
-            Fate::Cut => Some(cut(&run)),
+        let time = lock(&self.faults).run_ms;
+        sleep(Duration::from_millis(time)).await;
+        if self.strikes(from, |faults| &mut faults.fail_after) {
+            return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        if self.strikes(from, |faults| &mut faults.drop_after) {
+            return None;
+        }
+        if self.strikes(from, |faults| &mut faults.cut_answer) {
+            return Some(cut(&run));
         }
+        Some(json(&run))
     }
 }
 
--- a/camphorweir-standin/tests/service.rs
+++ b/camphorweir-standin/tests/service.rs
@@ -25,6 +25,7 @@
     let body = br#"{"run":1,"key":"k1","path":"/seal?batch=7","fence":null}"#;
     assert_eq!(&answer.body()[..], body);
     service.set_faults(Faults {
+        drop_head: 1,
         refuse: 1,
         drop_before: 1,
         fail_after: 1,
@@ -32,6 +33,7 @@
         cut_answer: 1,
         ..Faults::default()
     });
+    assert!(call(address, "k0").await.is_none());
     let refused = call(address, "k2").await.unwrap();
     assert_eq!(refused.status(), 503);
     assert_eq!(refused.headers()["camphorweir-ran"], "no");
