Prove the late reports of the stand-in engine

Cause: age of load reports and gaps in cache events were built without a test. Ruled out: reading them in the other tests; those skip reports on purpose. Conclusion: every knob that the settings of an engine name for reports is seen to act.

--- a/camphorweir-standin/tests/engine.rs
+++ b/camphorweir-standin/tests/engine.rs
@@ -238,3 +238,42 @@
     assert_ne!(a.incarnation(), before);
     assert!(a.audit().is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn reports_are_late_and_cache_events_have_gaps() {
+    let mut settings = settings(0, LAYERS);
+    settings.report_age_ms = 250;
+    settings.cached_gap = 2;
+    let engine = engine::spawn(settings).await.unwrap();
+    let all = layers(0, LAYERS);
+    let mut link = Link::open(engine.address()).await;
+    let mut sequences = Vec::new();
+    for request in 0..3 {
+        let prompt = vec![request as Token; 16];
+        let hashes = prefix::hashes(&prompt);
+        let input = vec![request; 16];
+        link.order(vec![
+            Order::Open(open(request, all, hashes.clone())),
+            Order::Step(step(request, all, 0, input)),
+        ])
+        .await;
+        while !matches!(link.reply().await, Some(Reply::Done(_))) {}
+        loop {
+            match link.reply().await {
+                Some(Reply::Cached(cached)) => {
+                    assert_eq!(cached.added, hashes);
+                    sequences.push(cached.sequence);
+                    break;
+                }
+                Some(Reply::Load(load)) => {
+                    assert!(load.age_ms >= 250);
+                    if request == 1 && load.open == 2 {
+                        break;
+                    }
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert_eq!(sequences, [1, 3]);
+}
