--- a/camphorweir-config/src/fault.rs
+++ b/camphorweir-config/src/fault.rs
@@ -1,11 +1,9 @@
 //! Faults of a configuration file, each with a number, its place and the case at hand.
 
 use {
+    crate::check::name_is_usable,
     serde::Serialize,
-    std::{
-        fmt::{self, Display, Formatter},
-        slice,
-    },
+    std::fmt::{self, Display, Formatter},
 };
 
 macro_rules! codes {
@@ -132,20 +130,19 @@
         }
     }
 
-    /// The steps joined by dots, such as `workspaces.depot-7.routes.seal.to`.
+    /// The steps joined by dots, such as `workspaces.depot-7.routes.seal.to`; a step that is no usable
+    /// name stands in quotes.
     pub fn path(&self) -> String {
-        let steps: Vec<_> = self
-            .steps
-            .iter()
-            .map(|step| step.escape_debug().to_string())
-            .collect();
+        let steps: Vec<_> = self.steps.iter().map(|step| step_text(step)).collect();
         steps.join(".")
     }
+}
 
-    /// The steps from the root.
-    pub fn iter(&self) -> slice::Iter<'_, String> {
-        self.steps.iter()
+fn step_text(step: &str) -> String {
+    if name_is_usable(step) {
+        return step.to_owned();
     }
+    format!("{step:?}")
 }
 
 impl Display for Place {
--- /dev/null
+++ b/camphorweir-config/src/print.rs
@@ -0,0 +1,30 @@
+//! A document as YAML text, the same text for the same document.
+
+use {
+    crate::model::Document,
+    serde_saphyr::ser_error,
+    snafu::{ResultExt, Snafu},
+};
+
+/// A document that has no text.
+#[derive(Debug, Snafu)]
+#[snafu(display("the document can't be printed: {source}"))]
+pub struct Error {
+    /// What the printer says.
+    source: ser_error::Error,
+}
+
+/// Prints a document: sections and fields in a fixed order, items by name, a field a line.
+///
+/// [`parse::text`](crate::parse::text) reads the same document back, if its numbers are finite.
+///
+/// # Errors
+///
+/// [`Error`] when the printer fails; none is known for a document that has no faults.
+pub fn text(document: &Document) -> Result<String, Error> {
+    let options = serde_saphyr::ser_options! {
+        compact_list_indent: false,
+        prefer_block_scalars: false,
+    };
+    serde_saphyr::to_string_with_options(document, options).context(Snafu)
+}
