Add the operators' command line: check, diff, explain, print, publish

Cause: operators need the file's faults, the words of a change and a certain answer to each publication. Ruled out: taking a lost append answer for a failure; the record may have landed or land later, so the same nonce is appended and looked for until its fate is known or the time is up.

--- a/camphorweir-config/src/describe.rs
+++ b/camphorweir-config/src/describe.rs
@@ -100,14 +100,21 @@
     for path in paths {
         match (old.get(path), new.get(path)) {
             (Some(old), Some(new)) if old != new => changed.push(format!("{path} {old} -> {new}")),
-            (Some(old), None) => changed.push(format!("{path} {old} removed")),
-            (None, Some(new)) => changed.push(format!("{path} {new} added")),
+            (Some(old), None) => changed.push(joined(path, old, "removed")),
+            (None, Some(new)) => changed.push(joined(path, new, "added")),
             _ => {}
         }
     }
     changed
 }
 
+fn joined(path: &str, value: &str, what: &str) -> String {
+    match value {
+        "" => format!("{path} {what}"),
+        _ => format!("{path} {value} {what}"),
+    }
+}
+
 fn fields_of<T: Serialize>(item: &T) -> BTreeMap<String, String> {
     let mut fields = BTreeMap::new();
     // An item always has a JSON form; numbers that JSON lacks show as null.
--- a/camphorweir-config/src/fold.rs
+++ b/camphorweir-config/src/fold.rs
@@ -128,6 +128,18 @@
         self.history.fate(nonce)
     }
 
+    /// Who published the version that followed `base`, or the version in force when that is not
+    /// remembered.
+    pub fn winner_over(&self, base: Version) -> Winner {
+        let in_force = || Winner {
+            author: self.known.author.clone(),
+            version: self.known.version,
+        };
+        let next = base.checked_add(1);
+        next.and_then(|version| self.history.winner(version))
+            .unwrap_or_else(in_force)
+    }
+
     /// The oldest offset that a new reader has to find to reach the version in force; before the
     /// record there is dropped, a checkpoint has to be appended.
     pub fn anchor(&self) -> Offset {
@@ -323,14 +335,7 @@
         if let Some(Fate::Accepted(version)) = self.history.fate(nonce) {
             return Step::Repeated(*version);
         }
-        let in_force = Winner {
-            author: self.known.author.clone(),
-            version: self.known.version,
-        };
-        let winner = base
-            .checked_add(1)
-            .and_then(|version| self.history.winner(version))
-            .unwrap_or(in_force);
+        let winner = self.winner_over(base);
         self.history.refused(nonce, Fate::Conflict(winner.clone()));
         Step::Conflict { nonce, winner }
     }
--- a/camphorweir-config/src/parse.rs
+++ b/camphorweir-config/src/parse.rs
@@ -37,8 +37,8 @@
 /// All faults with their lines.
 pub fn checked(text: &str) -> Result<Document, Vec<Fault>> {
     let (document, mut faults, tree) = document_of(text).map_err(|fault| vec![fault])?;
-    let whole = faults.is_empty();
     // What could not be read is missing from the document, so what refers to it is no fault.
+    let whole = !faults.iter().any(hides);
     let stands = |fault: &Fault| whole || !is_absence(fault.code);
     let found = check::document(&document).into_iter().filter(stands);
     faults.extend(found.take(MAX_FAULTS));
@@ -55,6 +55,15 @@
     Err(faults)
 }
 
+/// Whether something that may be referred to is missing from the document because of the fault.
+fn hides(fault: &Fault) -> bool {
+    match fault.code {
+        Code::UnknownField => fault.place.steps.len() == 1,
+        Code::DuplicateKey => false,
+        _ => true,
+    }
+}
+
 fn is_absence(code: Code) -> bool {
     matches!(code, Code::NoSuchReference | Code::LayersGap)
 }
--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! The operators' command line of camphorweir as a library: each command gives a [`report::Report`].
+//!
+//! ```
+//! use camphorweir::{args, exit::Exit};
+//!
+//! let command = args::command().run_inner(&["explain", "5003"]).unwrap();
+//! let report = camphorweir::run(command);
+//! assert_eq!(report.exit, Exit::Done);
+//! assert!(report.text.starts_with("5003 PublishConflict"));
+//! ```
+#![forbid(unsafe_code)]
+
+pub mod args;
+mod diff;
+pub mod exit;
+mod explain;
+mod file;
+pub mod log;
+mod publish;
+pub mod report;
+
+use {args::Command, report::Report};
+
+/// Carries out a command.
+pub fn run(command: Command) -> Report {
+    match command {
+        Command::Check { json, file } => file::check(&file, json),
+        Command::Diff { json, old, new } => diff::diff(&old, &new, json),
+        Command::Explain { json, code } => explain::explain(code, json),
+        Command::Print { file } => file::print(&file),
+        Command::Publish(options) => publish::publish(&options),
+    }
+}
--- /dev/null
+++ b/camphorweir/tests/commands.rs
@@ -0,0 +1,133 @@
+//! The commands that need no service, and the process itself.
+
+use {
+    camphorweir::{args, exit::Exit, report::Report},
+    camphorweir_config::fault,
+    camphorweir_wire::code,
+    serde_json::Value,
+    std::process::{Command, Output},
+};
+
+const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/small.yaml");
+const OTHER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/other.yaml");
+const FAULTY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/faulty.yaml");
+
+fn run(words: &[&str]) -> Report {
+    camphorweir::run(args::command().run_inner(words).unwrap())
+}
+
+fn process(words: &[&str]) -> (Option<i32>, String, String) {
+    let command = Command::new(env!("CARGO_BIN_EXE_camphorweir"))
+        .args(words)
+        .output();
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = command.unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (status.code(), text(stdout), text(stderr))
+}
+
+#[test]
+fn check_names_every_fault_with_its_place() {
+    let (code, out, err) = process(&["check", FAULTY]);
+    assert_eq!((code, &*out), (Some(2), ""));
+    let lines: Vec<_> = err.lines().collect();
+    assert_eq!(lines.len(), 3, "{err}");
+    for (line, place) in lines.iter().zip([
+        "5103 zones.southeast-a.weight",
+        "5109 targets.ledger-a1.address",
+        "5108 workspaces",
+    ]) {
+        assert!(line.contains(place), "{line}");
+    }
+    let (code, out, _) = process(&["check", "--json", FAULTY]);
+    let value: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(code, Some(2));
+    assert_eq!(value["faults"].as_array().unwrap().len(), 3);
+    assert_eq!(value["faults"][0]["code"], 5103);
+}
+
+#[test]
+fn print_is_stable() {
+    let once = run(&["print", FILE]).text;
+    let path = std::env::temp_dir().join(format!("camphorweir-print-{}.yaml", std::process::id()));
+    std::fs::write(&path, &once).unwrap();
+    let twice = run(&["print", path.to_str().unwrap()]).text;
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(once, twice);
+}
+
+#[test]
+fn diff_says_what_changes_and_warns() {
+    let report = run(&["diff", FILE, OTHER]);
+    let expected = "\
+changes target lookup-b1: address 10.0.1.9:7000 -> 10.0.1.8:7000
+changes workspace depot-7: limits.requests 50.0 -> 40.0
+warning: target lookup-b1 moves from 10.0.1.9:7000 to 10.0.1.8:7000: work that runs at the old address moves or fails
+warning: workspace depot-7 has its limit requests lowered from 50 to 40: callers above it are refused";
+    assert_eq!(report.text, expected);
+    assert_eq!(run(&["diff", FILE, FILE]).text, "no changes");
+    assert_eq!(run(&["diff", FILE, FAULTY]).exit, Exit::Faulty);
+}
+
+#[test]
+fn every_code_is_explained_once() {
+    let report = run(&["explain", "--json"]);
+    let entries: Vec<Value> = serde_json::from_str(&report.text).unwrap();
+    assert_eq!(
+        entries.len(),
+        code::Code::ALL.len() + fault::Code::ALL.len()
+    );
+    for pair in entries.windows(2) {
+        assert!(pair[0]["code"].as_u64() < pair[1]["code"].as_u64());
+    }
+    let report = run(&["explain", "1"]);
+    assert_eq!(report.exit, Exit::NotFound);
+}
+
+#[test]
+fn failures_have_exit_codes_of_their_own() {
+    assert_eq!(process(&["check", FILE]).0, Some(0));
+    assert_eq!(process(&["check"]).0, Some(1));
+    assert_eq!(process(&["check", "/nowhere/at/all.yaml"]).0, Some(5));
+    assert_eq!(process(&["check", env!("CARGO_MANIFEST_DIR")]).0, Some(5));
+    assert_eq!(process(&["explain", "1"]).0, Some(6));
+    let publish = [
+        "publish",
+        FILE,
+        "--author",
+        "ada",
+        "--timeout",
+        "1",
+        "--log",
+    ];
+    let with = |url| process(&[&publish[..], &[url]].concat()).0;
+    assert_eq!(with("ftp://127.0.0.1:1"), Some(1));
+    assert_eq!(with("http://127.0.0.1:1"), Some(4));
+    assert_eq!(
+        process(&[
+            "publish",
+            FAULTY,
+            "--author",
+            "ada",
+            "--log",
+            "http://127.0.0.1:1"
+        ])
+        .0,
+        Some(2)
+    );
+}
+
+#[test]
+fn every_command_has_help_with_an_example() {
+    for command in ["check", "diff", "explain", "print", "publish"] {
+        let (code, out, _) = process(&[command, "--help"]);
+        assert_eq!(code, Some(0));
+        assert!(
+            out.contains(&format!("Example: camphorweir {command}")),
+            "{out}"
+        );
+    }
+}
