Add the entry process, thin

Cause: the core's actions had no process to carry them out. Before: a placeholder crate. After: settings, the core's task, the callers' listener, links to engines, plain exchanges, the log, the instance list, peers, metrics and the planned stop. The core is a stub here, so nothing is answered end to end yet.

--- /dev/null
+++ b/camphorweir-entry/src/process.rs
@@ -0,0 +1,252 @@
+//! A whole entry: puts the parts together, and takes them down in order.
+
+use {
+    crate::{
+        admin, call,
+        clock::Clock,
+        driver::{Driver, Outside},
+        fetch::Fetch,
+        list,
+        peer::{Inbox, Post},
+        port,
+        server::Server,
+        settings::Settings,
+        streams::Service,
+        supervise::Tree,
+        telemetry::Metrics,
+    },
+    camphorweir_policy::{
+        core::{Core, Setup},
+        event::Event,
+    },
+    camphorweir_wire::{code::Code, ids::Incarnation},
+    snafu::Snafu,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// Added to the idle limit for the last answers to be written out.
+const DRAIN_MARGIN: Duration = Duration::from_secs(1);
+
+/// Why an entry can't start or can't go on.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{} {}: {what}", code.number(), code.name()))]
+pub struct Failure {
+    /// The numbered result.
+    pub code: Code,
+    /// The case at hand, for a person.
+    pub what: String,
+}
+
+/// An entry that is up.
+#[derive(Debug)]
+pub struct Entry {
+    addresses: Addresses,
+    grace: Duration,
+    drain: Duration,
+    server: Server,
+    port: port::Port,
+    closing: watch::Sender<bool>,
+    ready: watch::Receiver<bool>,
+    finished: watch::Receiver<bool>,
+    fatal: mpsc::Receiver<Code>,
+}
+
+/// The addresses that an entry has bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// Callers and the balancer's checks.
+    pub callers: SocketAddr,
+    /// Other entries.
+    pub peers: SocketAddr,
+    /// Operators and the metrics scrape.
+    pub admin: SocketAddr,
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// [`Failure`] when an address can't be bound or metrics can't be set up.
+pub async fn start(settings: Settings) -> Result<Entry, Failure> {
+    let callers = bind(settings.listen.callers).await?;
+    let peers = bind(settings.listen.peers).await?;
+    let operators = bind(settings.listen.admin).await?;
+    let addresses = Addresses {
+        callers: address(&callers)?,
+        peers: address(&peers)?,
+        admin: address(&operators)?,
+    };
+    let metrics = Metrics::new().map_err(|error| failure(Code::Internal, &error))?;
+    let (tree, fatal) = Tree::new();
+    let (port, inputs) = port::channel();
+    let (closing, closed) = watch::channel(false);
+    let (ready_now, ready) = watch::channel(false);
+    let (finished_now, finished) = watch::channel(false);
+    let incarnation: Incarnation = rand::random();
+    let fetch = Fetch::new(&settings.entry);
+    let key = settings.keys.peers;
+
+    let entry = settings.entry.clone();
+    let outside = Outside {
+        port: port.clone(),
+        clock: Clock::start(),
+        streams: Service::new(fetch.clone(), &settings.platform.log.to_string()),
+        post: Post::new(fetch.clone(), port.clone(), key, entry.clone(), incarnation),
+        metrics: metrics.clone(),
+        max_answer: settings.limits.answer,
+        ready: ready_now,
+        finished: finished_now,
+    };
+    let seed = rand::random();
+    let setup = Setup {
+        entry,
+        incarnation,
+        zone: settings.zone.clone(),
+        seed,
+    };
+    tree.only("core", Driver::new(Core::new(setup), outside).run(inputs));
+
+    let desk = call::Desk {
+        port: port.clone(),
+        limits: settings.limits,
+        ready: ready.clone(),
+    };
+    let server = Server::new(desk, closed);
+    let (accepting, listener) = (server.clone(), callers);
+    tree.child("callers", move || {
+        let (server, listener) = (accepting.clone(), listener.clone());
+        async move { server.accept(listener).await }
+    });
+
+    let inbox = Inbox::new(port.clone(), key);
+    tree.child("peers", move || {
+        let inbox = inbox.clone();
+        admin::serve(peers.clone(), move |request| {
+            let inbox = inbox.clone();
+            async move { inbox.answer(request).await }
+        })
+    });
+
+    let desk = admin::Desk {
+        ready: ready.clone(),
+        metrics,
+    };
+    tree.child("admin", move || {
+        let desk = desk.clone();
+        admin::serve(operators.clone(), move |request| {
+            let desk = desk.clone();
+            async move { desk.answer(request).await }
+        })
+    });
+
+    let (listing, url) = (port.clone(), settings.platform.instances.to_string());
+    tree.child("instances", move || {
+        list::run(fetch.clone(), url.clone(), listing.clone())
+    });
+
+    log::info!(
+        entry = settings.entry.as_str(),
+        zone = settings.zone.as_str(),
+        callers:% = addresses.callers,
+        peers:% = addresses.peers,
+        admin:% = addresses.admin;
+        "entry up"
+    );
+    Ok(Entry {
+        addresses,
+        grace: settings.balancer_grace,
+        drain: settings.limits.idle + DRAIN_MARGIN,
+        server,
+        port,
+        closing,
+        ready,
+        finished,
+        fatal,
+    })
+}
+
+impl Entry {
+    /// What it has bound.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Whether the readiness check says yes.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
+    /// Runs until `stop` comes, and then until nothing is left to do.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when a part of the entry can't be kept up.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<(), Failure> {
+        let code = tokio::select! {
+            code = self.fatal.recv() => code,
+            () = stop => None,
+        };
+        if let Some(code) = code {
+            return Err(fallen(code));
+        }
+        log::info!("stopping");
+        // The core's task outlives every other; when it is gone the tree has reported it.
+        let _ = self.port.event(Event::Stop).await;
+        let Self {
+            mut fatal,
+            grace,
+            drain,
+            server,
+            closing,
+            mut ready,
+            mut finished,
+            ..
+        } = self;
+        let stopping = async {
+            // The balancer sees the readiness check fail first; then the listener closes.
+            let _ = ready.wait_for(|ready| !*ready).await;
+            sleep(grace).await;
+            closing.send_replace(true);
+            let _ = finished.wait_for(|finished| *finished).await;
+            timeout(drain, server.drained()).await
+        };
+        tokio::select! {
+            Some(code) = fatal.recv() => Err(fallen(code)),
+            drained = stopping => {
+                log::info!(drained = drained.is_ok(); "stopped");
+                log::logger().flush();
+                Ok(())
+            }
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<Arc<TcpListener>, Failure> {
+    let bound = TcpListener::bind(address).await;
+    bound.map(Arc::new).map_err(|error| Failure {
+        code: Code::AddressInUse,
+        what: format!("{address}: {error}"),
+    })
+}
+
+fn address(listener: &TcpListener) -> Result<SocketAddr, Failure> {
+    listener
+        .local_addr()
+        .map_err(|error| failure(Code::AddressInUse, &error))
+}
+
+fn failure(code: Code, what: &impl ToString) -> Failure {
+    Failure {
+        code,
+        what: what.to_string(),
+    }
+}
+
+fn fallen(code: Code) -> Failure {
+    failure(code, &"a part of the entry can't be kept up")
+}
--- /dev/null
+++ b/camphorweir-entry/src/server.rs
@@ -0,0 +1,167 @@
+//! The callers' listener: accepts connections, bounds what each may cost, and drains them at the end.
+
+use {
+    crate::{
+        call::{self, Desk},
+        conn::{Pulse, Watched, numbered},
+    },
+    camphorweir_wire::code::Code,
+    hyper::service::service_fn,
+    hyper_util::{
+        rt::{TokioExecutor, TokioTimer},
+        server::conn::auto,
+    },
+    std::{convert::Infallible, io, sync::Arc, time::Duration},
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// Streams at once on one HTTP/2 connection.
+const STREAMS: u32 = 128;
+/// Flow-control windows of HTTP/2, for a stream and for a connection, in bytes.
+const WINDOWS: (u32, u32) = (64 << 10, 1 << 20);
+/// Bytes of an answer that wait to be written, for each HTTP/2 stream.
+const SEND_BUFFER: usize = 64 << 10;
+/// Added to the bound on the head, so that most oversized heads get to our own check.
+const HEAD_MARGIN: usize = 8 << 10;
+/// Pause after a failed accept, as when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Refusals of connections that are being written.
+const REFUSALS: usize = 64;
+/// Longest time to write such a refusal.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Looks for stalls in the time that the settings allow for one.
+const LOOKS: u32 = 4;
+
+/// The connections of a listener.
+#[derive(Clone, Debug)]
+pub struct Server {
+    desk: Desk,
+    slots: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+    closing: watch::Receiver<bool>,
+}
+
+impl Server {
+    /// A server that drains when `closing` turns true.
+    pub fn new(desk: Desk, closing: watch::Receiver<bool>) -> Self {
+        let slots = Arc::new(Semaphore::new(desk.limits.connections));
+        let refusals = Arc::new(Semaphore::new(REFUSALS));
+        Self {
+            desk,
+            slots,
+            refusals,
+            closing,
+        }
+    }
+
+    /// Accepts connections until it is closing.
+    pub async fn accept(self, listener: Arc<TcpListener>) {
+        let mut closing = self.closing.clone();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                _ = closing.wait_for(|closing| *closing) => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.take(stream),
+                Err(error) => pause(&error).await,
+            }
+        }
+    }
+
+    /// Returns when every connection has ended.
+    pub async fn drained(&self) {
+        let all = u32::try_from(self.desk.limits.connections).unwrap_or(u32::MAX);
+        // The semaphore is never closed.
+        let _ = self.slots.acquire_many(all).await;
+    }
+
+    fn take(&self, stream: TcpStream) {
+        match self.slots.clone().try_acquire_owned() {
+            Ok(slot) => drop(tokio::spawn(serve(self.clone(), stream, slot))),
+            Err(_) => self.refuse(stream),
+        }
+    }
+
+    /// One connection too many: it is told so, if there aren't too many of these as well.
+    fn refuse(&self, mut stream: TcpStream) {
+        let Ok(slot) = self.refusals.clone().try_acquire_owned() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let answer = numbered(Code::TooManyConnections);
+            // A caller that doesn't take its refusal is dropped all the same.
+            let _ = timeout(REFUSAL_TIME, async {
+                stream.write_all(&answer).await?;
+                stream.shutdown().await
+            })
+            .await;
+            drop(slot);
+        });
+    }
+}
+
+async fn pause(error: &io::Error) {
+    log::warn!(reason:% = error; "accept failed");
+    sleep(ACCEPT_PAUSE).await;
+}
+
+async fn serve(server: Server, stream: TcpStream, slot: OwnedSemaphorePermit) {
+    let Server {
+        desk, mut closing, ..
+    } = server;
+    let limits = desk.limits;
+    let pulse = Pulse::new();
+    // Without it answers only come later.
+    let _ = stream.set_nodelay(true);
+    let busy = pulse.busy.clone();
+    let service = service_fn(move |request| {
+        let (desk, busy) = (desk.clone(), busy.clone());
+        async move { Ok::<_, Infallible>(call::answer(&desk, &busy, request).await) }
+    });
+    let builder = builder(limits.head, limits.head_time);
+    let io = Watched::new(stream, pulse.clone());
+    let connection = builder.serve_connection(io, service);
+    tokio::pin!(connection);
+    let mut draining = false;
+    loop {
+        tokio::select! {
+            // Faults of a connection are its caller's own.
+            _ = connection.as_mut() => break,
+            _ = closing.wait_for(|closing| *closing), if !draining => {
+                draining = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = sleep(limits.idle / LOOKS) => {
+                if pulse.stalled(limits.idle) {
+                    break;
+                }
+            }
+        }
+    }
+    drop(slot);
+}
+
+fn builder(head: usize, head_time: Duration) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_time)
+        .max_buf_size(head + HEAD_MARGIN);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS)
+        .initial_stream_window_size(WINDOWS.0)
+        .initial_connection_window_size(WINDOWS.1)
+        .max_send_buf_size(SEND_BUFFER)
+        .max_header_list_size(u32::try_from(head + HEAD_MARGIN).unwrap_or(u32::MAX));
+    builder
+}
