--- a/camphorweir-entry/src/call.rs
+++ b/camphorweir-entry/src/call.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         clock,
+        conn::Pulse,
         openai::{self, Ask, Shape, Style},
-        port::{Arrival, Busy, Caller, Input, Kept, Port, TOKENS, Watch},
+        port::{Arrival, Caller, Input, Kept, Port, TOKENS, Watch},
         refuse,
         settings::Limits,
         sse::{Answer, Stream, broken},
@@ -24,7 +25,7 @@
         header::{ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, HeaderName, HeaderValue},
         http::request::Parts,
     },
-    std::sync::{Arc, atomic::AtomicUsize},
+    std::sync::Arc,
     tokio::{
         sync::{mpsc, oneshot, watch},
         time::timeout,
@@ -59,7 +60,7 @@
 }
 
 /// Answers one request.
-pub async fn answer(desk: &Desk, busy: &Arc<AtomicUsize>, request: Request<Incoming>) -> Reply {
+pub async fn answer(desk: &Desk, pulse: &Pulse, request: Request<Incoming>) -> Reply {
     let id: RequestId = rand::random();
     let (head, body) = request.into_parts();
     match route(desk, &head) {
@@ -70,9 +71,9 @@
             Err(refusal) => refused(id, &refusal),
             Ok(body) => match place {
                 Place::Service { route, path } => {
-                    plain(desk, busy, id, &head, route, path, body).await
+                    plain(desk, pulse, id, &head, route, path, body).await
                 }
-                Place::Tokens(style) => tokens(desk, busy, id, &head, style, &body).await,
+                Place::Tokens(style) => tokens(desk, pulse, id, &head, style, &body).await,
                 Place::Health | Place::Ready => check(true),
             },
         },
@@ -144,7 +145,7 @@
 /// Hands a request to the core.
 async fn submit(
     desk: &Desk,
-    busy: &Arc<AtomicUsize>,
+    pulse: &Pulse,
     call: Call,
     kept: Option<Arc<Kept>>,
 ) -> Result<Answer, Refusal> {
@@ -154,7 +155,7 @@
     let caller = Caller {
         tokens,
         end,
-        busy: Busy::new(busy),
+        busy: pulse.busy(),
     };
     let arrival = Input::Arrive(Box::new(Arrival { call, caller, kept }));
     let sent = desk.port.send(arrival).await;
@@ -168,7 +169,7 @@
 
 async fn tokens(
     desk: &Desk,
-    busy: &Arc<AtomicUsize>,
+    pulse: &Pulse,
     id: RequestId,
     head: &Parts,
     style: Style,
@@ -191,7 +192,7 @@
         key: key(&head.headers),
         ask: policy::Ask::Tokens(tokens),
     };
-    match submit(desk, busy, call, None).await {
+    match submit(desk, pulse, call, None).await {
         Err(refusal) => refused(id, &refusal),
         Ok(answer) if stream => streamed(shape, answer).await,
         Ok(answer) => collected(&shape, answer).await,
@@ -250,7 +251,7 @@
 
 async fn plain(
     desk: &Desk,
-    busy: &Arc<AtomicUsize>,
+    pulse: &Pulse,
     id: RequestId,
     head: &Parts,
     route: String,
@@ -277,7 +278,7 @@
         headers,
         body,
     };
-    let mut answer = match submit(desk, busy, call, Some(Arc::new(kept))).await {
+    let mut answer = match submit(desk, pulse, call, Some(Arc::new(kept))).await {
         Err(refusal) => return refused(id, &refusal),
         Ok(answer) => answer,
     };
--- a/camphorweir-entry/src/port.rs
+++ b/camphorweir-entry/src/port.rs
@@ -1,6 +1,7 @@
 //! What the tasks of the process tell the core's task, and what a caller's request leaves with it.
 
 use {
+    crate::conn::Busy,
     bytes::Bytes,
     camphorweir_config::model::TargetId,
     camphorweir_policy::{
@@ -12,10 +13,7 @@
         ids::{RequestId, Token},
     },
     hyper::{HeaderMap, Method},
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    std::sync::Arc,
     tokio::sync::{
         mpsc::{self, error::TrySendError},
         oneshot,
@@ -91,24 +89,6 @@
     pub body: Bytes,
 }
 
-/// Counts the answers that a connection waits for; dropping it counts down.
-#[derive(Debug)]
-pub struct Busy(Arc<AtomicUsize>);
-
-impl Busy {
-    /// Counts one more.
-    pub fn new(count: &Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count.clone())
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// The core's task is gone, so the process is ending.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Closed;
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         call::{self, Desk},
-        conn::{Pulse, Watched, numbered},
+        conn::{Pulse, Watched, close, numbered},
     },
     camphorweir_wire::code::Code,
     hyper::service::service_fn,
@@ -120,34 +120,46 @@
     let pulse = Pulse::new();
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
-    let busy = pulse.busy.clone();
+    let stream = Arc::new(stream);
+    let beat = pulse.clone();
     let service = service_fn(move |request| {
-        let (desk, busy) = (desk.clone(), busy.clone());
-        async move { Ok::<_, Infallible>(call::answer(&desk, &busy, request).await) }
+        let (desk, pulse) = (desk.clone(), beat.clone());
+        async move {
+            let _mark = pulse.request();
+            Ok::<_, Infallible>(call::answer(&desk, &pulse, request).await)
+        }
     });
     let builder = builder(limits.head, limits.head_time);
-    let io = Watched::new(stream, pulse.clone());
-    let connection = builder.serve_connection(io, service);
-    tokio::pin!(connection);
+    let io = Watched::new(stream.clone(), pulse.clone());
+    // On the heap, so that it is gone before the connection is closed.
+    let mut connection = Box::pin(builder.serve_connection(io, service));
     let mut draining = false;
-    loop {
+    let late = loop {
         tokio::select! {
             // Faults of a connection are its caller's own.
-            _ = connection.as_mut() => break,
+            ended = connection.as_mut() => break ended.is_err_and(|error| timed_out(&*error)),
             _ = closing.wait_for(|closing| *closing), if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep(limits.idle / LOOKS) => {
                 if pulse.stalled(limits.idle) {
-                    break;
+                    break true;
                 }
             }
         }
-    }
+    };
+    drop(connection);
+    close(stream, &pulse, late).await;
     drop(slot);
 }
 
+fn timed_out(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
+    error
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_timeout)
+}
+
 fn builder(head: usize, head_time: Duration) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -172,7 +172,7 @@
 /// Every fault of the text.
 pub fn parse(text: &str, folder: &Path) -> Result<Settings, Vec<Fault>> {
     let mut faults = Vec::new();
-    let mut root = yaml::read(text).map_err(|fault| vec![fault])?;
+    let mut root = yaml::read(text, &mut faults).map_err(|fault| vec![fault])?;
     let settings = read_all(&mut root, folder, &mut faults);
     root.finish(&mut faults);
     faults.sort_by_key(|fault| (fault.line, fault.column));
--- a/camphorweir-entry/src/yaml.rs
+++ b/camphorweir-entry/src/yaml.rs
@@ -6,7 +6,7 @@
         Deserialize, Deserializer,
         de::{IgnoredAny, MapAccess, SeqAccess, Visitor},
     },
-    serde_saphyr::{Location, Spanned},
+    serde_saphyr::{DuplicateKeyPolicy, Location, Spanned, options},
     std::fmt,
 };
 
@@ -125,13 +125,23 @@
     fields: Vec<(Spanned<String>, Spanned<Node>)>,
 }
 
-/// Reads a document whose root is a mapping.
+/// Reads a document whose root is a mapping; a field that is there twice is one more fault.
 ///
 /// # Errors
 ///
 /// The fault for which it can't be read at all.
-pub fn read(text: &str) -> Result<Group, Fault> {
-    let root = serde_saphyr::from_str::<Spanned<Node>>(text).map_err(unreadable)?;
+pub fn read(text: &str, faults: &mut Vec<Fault>) -> Result<Group, Fault> {
+    let root = match serde_saphyr::from_str::<Spanned<Node>>(text) {
+        Ok(root) => root,
+        Err(error) => {
+            // Read on past a field that is there twice, to find the other faults as well.
+            let options = options! { duplicate_keys: DuplicateKeyPolicy::FirstWins };
+            let root = serde_saphyr::from_str_with_options(text, options).map_err(unreadable)?;
+            let place = error.location().unwrap_or(Location::UNKNOWN);
+            faults.push(fault(place, "", "a field is there twice"));
+            root
+        }
+    };
     let place = root.referenced;
     match root.value {
         Node::Map(fields) => Ok(Group {
@@ -165,7 +175,7 @@
         parse: impl FnOnce(&str) -> Result<T, String>,
         faults: &mut Vec<Fault>,
     ) -> Option<T> {
-        let node = self.take(name, faults)?;
+        let node = self.take(name)?;
         let result = match &node.value {
             Node::Scalar(text) => parse(text),
             _ => Err("a single value is expected".to_owned()),
@@ -183,7 +193,7 @@
             place,
             fields: Vec::new(),
         };
-        let Some(node) = self.take(name, faults) else {
+        let Some(node) = self.take(name) else {
             return empty(self.place);
         };
         match node.value {
@@ -212,25 +222,10 @@
         }
     }
 
-    fn take(&mut self, name: &str, faults: &mut Vec<Fault>) -> Option<Spanned<Node>> {
-        let index = self
-            .fields
-            .iter()
-            .position(|(field, _)| field.value == name)?;
-        let (_, node) = self.fields.remove(index);
-        while let Some(index) = self
-            .fields
-            .iter()
-            .position(|(field, _)| field.value == name)
-        {
-            let (again, _) = self.fields.remove(index);
-            faults.push(fault(
-                again.referenced,
-                &self.join(name),
-                "this field is there twice",
-            ));
-        }
-        Some(node)
+    fn take(&mut self, name: &str) -> Option<Spanned<Node>> {
+        let named = |(field, _): &(Spanned<String>, _)| field.value == name;
+        let index = self.fields.iter().position(named)?;
+        Some(self.fields.remove(index).1)
     }
 
     fn join(&self, name: &str) -> String {
