--- a/camphorweir-entry/src/call.rs
+++ b/camphorweir-entry/src/call.rs
@@ -20,9 +20,11 @@
     },
     http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited},
     hyper::{
-        HeaderMap, Method, Request, Response, StatusCode, Uri,
+        HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
         body::{Body, Incoming},
-        header::{ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, HeaderName, HeaderValue},
+        header::{
+            ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue,
+        },
         http::request::Parts,
     },
     std::sync::Arc,
@@ -61,6 +63,18 @@
 
 /// Answers one request.
 pub async fn answer(desk: &Desk, pulse: &Pulse, request: Request<Incoming>) -> Reply {
+    let version = request.version();
+    let mut reply = serve(desk, pulse, request).await;
+    if version <= Version::HTTP_11 && !*desk.ready.borrow() {
+        // The caller's next connection goes, by the balancer, to an entry that is ready.
+        reply
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn serve(desk: &Desk, pulse: &Pulse, request: Request<Incoming>) -> Reply {
     let id: RequestId = rand::random();
     let (head, body) = request.into_parts();
     match route(desk, &head) {
--- a/camphorweir-entry/src/forward.rs
+++ b/camphorweir-entry/src/forward.rs
@@ -67,7 +67,7 @@
     fn take(&self, address: &str) -> Option<Line> {
         let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = lines.get_mut(address)?;
-        idle.retain(|line| line.since.elapsed() < MAX_IDLE && line.sender.is_ready());
+        idle.retain(|line| line.since.elapsed() < MAX_IDLE && !line.sender.is_closed());
         idle.pop()
     }
 
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -10,7 +10,7 @@
         peer::{Inbox, Post},
         port,
         server::Server,
-        settings::Settings,
+        settings::{Listen, Settings},
         streams::Service,
         supervise::Tree,
         telemetry::Metrics,
@@ -19,7 +19,7 @@
         core::{Core, Setup},
         event::Event,
     },
-    camphorweir_wire::{code::Code, ids::Incarnation},
+    camphorweir_wire::code::Code,
     snafu::Snafu,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -67,30 +67,30 @@
     pub admin: SocketAddr,
 }
 
+/// The three listeners, bound before anything else starts.
+struct Listeners {
+    callers: Arc<TcpListener>,
+    peers: Arc<TcpListener>,
+    admin: Arc<TcpListener>,
+}
+
 /// Starts an entry.
 ///
 /// # Errors
 ///
 /// [`Failure`] when an address can't be bound or metrics can't be set up.
 pub async fn start(settings: Settings) -> Result<Entry, Failure> {
-    let callers = bind(settings.listen.callers).await?;
-    let peers = bind(settings.listen.peers).await?;
-    let operators = bind(settings.listen.admin).await?;
-    let addresses = Addresses {
-        callers: address(&callers)?,
-        peers: address(&peers)?,
-        admin: address(&operators)?,
-    };
+    let listeners = Listeners::bind(settings.listen).await?;
+    let addresses = listeners.addresses()?;
     let metrics = Metrics::new().map_err(|error| failure(Code::Internal, &error))?;
     let (tree, fatal) = Tree::new();
     let (port, inputs) = port::channel();
     let (closing, closed) = watch::channel(false);
     let (ready_now, ready) = watch::channel(false);
     let (finished_now, finished) = watch::channel(false);
-    let incarnation: Incarnation = rand::random();
+    let (incarnation, seed) = (rand::random(), rand::random());
     let fetch = Fetch::new(&settings.entry);
     let key = settings.keys.peers;
-
     let entry = settings.entry.clone();
     let outside = Outside {
         port: port.clone(),
@@ -102,7 +102,6 @@
         ready: ready_now,
         finished: finished_now,
     };
-    let seed = rand::random();
     let setup = Setup {
         entry,
         incarnation,
@@ -110,45 +109,73 @@
         seed,
     };
     tree.only("core", Driver::new(Core::new(setup), outside).run(inputs));
-
     let desk = call::Desk {
         port: port.clone(),
         limits: settings.limits,
         ready: ready.clone(),
     };
     let server = Server::new(desk, closed);
-    let (accepting, listener) = (server.clone(), callers);
-    tree.child("callers", move || {
-        let (server, listener) = (accepting.clone(), listener.clone());
-        async move { server.accept(listener).await }
-    });
+    keep_callers(&tree, server.clone(), listeners.callers);
+    keep_peers(&tree, Inbox::new(port.clone(), key), listeners.peers);
+    keep_admin(
+        &tree,
+        admin::Desk {
+            ready: ready.clone(),
+            metrics,
+        },
+        listeners.admin,
+    );
+    keep_list(
+        &tree,
+        fetch,
+        settings.platform.instances.to_string(),
+        port.clone(),
+    );
+    log_start(&settings, addresses);
+    Ok(Entry {
+        addresses,
+        grace: settings.balancer_grace,
+        drain: settings.limits.idle + DRAIN_MARGIN,
+        server,
+        port,
+        closing,
+        ready,
+        finished,
+        fatal,
+    })
+}
 
-    let inbox = Inbox::new(port.clone(), key);
+fn keep_callers(tree: &Tree, server: Server, listener: Arc<TcpListener>) {
+    tree.child("callers", move || server.clone().accept(listener.clone()));
+}
+
+fn keep_peers(tree: &Tree, inbox: Inbox, listener: Arc<TcpListener>) {
     tree.child("peers", move || {
         let inbox = inbox.clone();
-        admin::serve(peers.clone(), move |request| {
+        admin::serve(listener.clone(), move |request| {
             let inbox = inbox.clone();
             async move { inbox.answer(request).await }
         })
     });
+}
 
-    let desk = admin::Desk {
-        ready: ready.clone(),
-        metrics,
-    };
+fn keep_admin(tree: &Tree, desk: admin::Desk, listener: Arc<TcpListener>) {
     tree.child("admin", move || {
         let desk = desk.clone();
-        admin::serve(operators.clone(), move |request| {
+        admin::serve(listener.clone(), move |request| {
             let desk = desk.clone();
             async move { desk.answer(request).await }
         })
     });
+}
 
-    let (listing, url) = (port.clone(), settings.platform.instances.to_string());
+fn keep_list(tree: &Tree, fetch: Fetch, url: String, port: port::Port) {
     tree.child("instances", move || {
-        list::run(fetch.clone(), url.clone(), listing.clone())
+        list::run(fetch.clone(), url.clone(), port.clone())
     });
+}
 
+fn log_start(settings: &Settings, addresses: Addresses) {
     log::info!(
         entry = settings.entry.as_str(),
         zone = settings.zone.as_str(),
@@ -157,17 +184,24 @@
         admin:% = addresses.admin;
         "entry up"
     );
-    Ok(Entry {
-        addresses,
-        grace: settings.balancer_grace,
-        drain: settings.limits.idle + DRAIN_MARGIN,
-        server,
-        port,
-        closing,
-        ready,
-        finished,
-        fatal,
-    })
+}
+
+impl Listeners {
+    async fn bind(listen: Listen) -> Result<Self, Failure> {
+        Ok(Self {
+            callers: bind(listen.callers).await?,
+            peers: bind(listen.peers).await?,
+            admin: bind(listen.admin).await?,
+        })
+    }
+
+    fn addresses(&self) -> Result<Addresses, Failure> {
+        Ok(Addresses {
+            callers: address(&self.callers)?,
+            peers: address(&self.peers)?,
+            admin: address(&self.admin)?,
+        })
+    }
 }
 
 impl Entry {
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -6,6 +6,7 @@
         conn::{Pulse, Watched, close, numbered},
     },
     camphorweir_wire::code::Code,
+    futures::FutureExt,
     hyper::service::service_fn,
     hyper_util::{
         rt::{TokioExecutor, TokioTimer},
@@ -16,7 +17,7 @@
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore, watch},
-        time::{sleep, timeout},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -34,6 +35,8 @@
 const REFUSALS: usize = 64;
 /// Longest time to write such a refusal.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// A connection is not drained before this age, so that its first request is served.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
 /// Looks for stalls in the time that the settings allow for one.
 const LOOKS: u32 = 4;
 
@@ -65,7 +68,7 @@
         loop {
             let accepted = tokio::select! {
                 biased;
-                _ = closing.wait_for(|closing| *closing) => return,
+                _ = closing.wait_for(|closing| *closing) => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -73,6 +76,10 @@
                 Err(error) => pause(&error).await,
             }
         }
+        // Callers that were connected before the listener closes are served as well.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            self.take(stream);
+        }
     }
 
     /// Returns when every connection has ended.
@@ -133,12 +140,12 @@
     let io = Watched::new(stream.clone(), pulse.clone());
     // On the heap, so that it is gone before the connection is closed.
     let mut connection = Box::pin(builder.serve_connection(io, service));
-    let mut draining = false;
+    let (opened, mut draining) = (Instant::now(), false);
     let late = loop {
         tokio::select! {
             // Faults of a connection are its caller's own.
             ended = connection.as_mut() => break ended.is_err_and(|error| timed_out(&*error)),
-            _ = closing.wait_for(|closing| *closing), if !draining => {
+            () = drain(&mut closing, opened), if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -154,6 +161,13 @@
     drop(slot);
 }
 
+/// Returns when a connection is to end after the request in hand.
+async fn drain(closing: &mut watch::Receiver<bool>, opened: Instant) {
+    // Without its sender the process is ending anyway.
+    let _ = closing.wait_for(|closing| *closing).await;
+    sleep_until(opened + FIRST_REQUEST).await;
+}
+
 fn timed_out(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
     error
         .downcast_ref::<hyper::Error>()
--- /dev/null
+++ b/camphorweir-entry/tests/inner.rs
@@ -0,0 +1,137 @@
+//! The listeners of peers and of operators.
+
+mod common;
+
+use {
+    camphorweir_config::model::Priority,
+    camphorweir_entry::{
+        admin,
+        clock::wall,
+        peer::Inbox,
+        port::{self, Input},
+        seal::seal,
+        settings::Secret,
+        telemetry::Metrics,
+    },
+    camphorweir_policy::{
+        action::{Ended, Note},
+        event::Event,
+    },
+    camphorweir_wire::{
+        code::Code,
+        codec,
+        peer::{Body, Digest, Message},
+    },
+    common::{body, header, open, rest, status},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::watch},
+};
+
+async fn listener() -> (Arc<TcpListener>, SocketAddr) {
+    let listener = Arc::new(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+async fn ask(address: SocketAddr, line: &str, body: &[u8]) -> String {
+    let length = body.len();
+    let head = format!(
+        "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    rest(&mut open(address, &[head.as_bytes(), body].concat()).await).await
+}
+
+#[tokio::test]
+async fn peers_take_only_sealed_letters_and_each_once() {
+    let key = Secret::new([1; 32]);
+    let (port, mut inputs) = port::channel();
+    let inbox = Inbox::new(port, key);
+    let (listener, address) = listener().await;
+    tokio::spawn(admin::serve(listener, move |request| {
+        let inbox = inbox.clone();
+        async move { inbox.answer(request).await }
+    }));
+    let said = Body::Digest(Digest::default());
+    let message = Message {
+        from: "entry-b1".to_owned(),
+        incarnation: 4,
+        body: said,
+    };
+    let letter = codec::encode(&seal(&key, wall(), 1, &message));
+    assert_eq!(status(&ask(address, "POST /v1/peer", &letter).await), 200);
+    match inputs.recv().await.unwrap() {
+        Input::Event(event) => assert_eq!(event, Event::Peer(message.clone())),
+        other => panic!("a message was expected: {other:?}"),
+    }
+    let foreign = codec::encode(&seal(&Secret::new([2; 32]), wall(), 2, &message));
+    let cases: [(&str, &[u8], u16, &str); 5] = [
+        ("POST /v1/peer", &letter, 403, "6201"),
+        ("POST /v1/peer", &foreign, 403, "6201"),
+        ("POST /v1/peer", b"no letter", 400, "1001"),
+        ("GET /v1/peer", b"", 405, "1007"),
+        ("POST /v1/completions", b"", 404, "1006"),
+    ];
+    for (line, content, expected, code) in cases {
+        let answer = ask(address, line, content).await;
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert_eq!(header(&answer, "camphorweir-code"), Some(code), "{answer}");
+    }
+    assert!(inputs.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn operators_scrape_what_was_noted() {
+    let metrics = Metrics::new().unwrap();
+    let (ready, checks) = watch::channel(false);
+    let desk = admin::Desk {
+        ready: checks,
+        metrics: metrics.clone(),
+    };
+    let (listener, address) = listener().await;
+    tokio::spawn(admin::serve(listener, move |request| {
+        let desk = desk.clone();
+        async move { desk.answer(request).await }
+    }));
+    for code in [None, None, Some(Code::QueueFull)] {
+        metrics.note(&Note::Ended(Ended {
+            request: 1,
+            workspace: "depot-7".to_owned(),
+            priority: Priority::Urgent,
+            code,
+            attempts: 1,
+            whole: Duration::from_millis(30),
+            queued: Duration::ZERO,
+            first_token: Some(Duration::from_millis(10)),
+        }));
+    }
+    let answer = ask(address, "GET /metrics", b"").await;
+    assert_eq!(status(&answer), 200);
+    let text = body(&answer);
+    let line = |parts: &[&str]| {
+        text.lines()
+            .any(|line| parts.iter().all(|part| line.contains(part)))
+    };
+    let requests = "camphorweir_requests_total{";
+    assert!(
+        line(&[requests, "class=\"urgent\"", "code=\"0\"", "} 2"]),
+        "{text}"
+    );
+    assert!(
+        line(&[requests, "class=\"urgent\"", "code=\"2002\"", "} 1"]),
+        "{text}"
+    );
+    assert!(
+        line(&["camphorweir_first_token_seconds_count{", "} 3"]),
+        "{text}"
+    );
+    assert!(
+        line(&["camphorweir_whole_seconds_bucket{", "le=\"0.05\"", "} 3"]),
+        "{text}"
+    );
+    assert_eq!(status(&ask(address, "GET /healthz", b"").await), 200);
+    assert_eq!(status(&ask(address, "GET /readyz", b"").await), 503);
+    ready.send_replace(true);
+    assert_eq!(status(&ask(address, "GET /readyz", b"").await), 200);
+    assert_eq!(status(&ask(address, "POST /metrics", b"").await), 405);
+    assert_eq!(status(&ask(address, "GET /nowhere", b"").await), 404);
+}
--- a/camphorweir-entry/tests/server.rs
+++ b/camphorweir-entry/tests/server.rs
@@ -11,7 +11,7 @@
     common::{body, header, limits, open, post, rest, rig, status},
     serde_json::Value,
     std::time::Duration,
-    tokio::io::AsyncReadExt,
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
 const JSON: &str = r#"{"model":"tide","prompt":"ab","max_tokens":9,"temperature":0.5}"#;
@@ -326,12 +326,21 @@
     let mut stream = open(rig.address, post("/v1/completions", "", STREAM).as_bytes()).await;
     let arrival = rig.arrival().await;
     arrival.caller.tokens.send(97).await.unwrap();
+    // Connected, but with its request still to come when the listener closes.
+    let mut late = open(rig.address, b"").await;
     rig.closing.send_replace(true);
+    late.write_all(post("/v1/completions", "", JSON).as_bytes())
+        .await
+        .unwrap();
+    let second = rig.arrival().await;
+    drop(second.caller.tokens);
+    second.caller.end.send(finished(0)).unwrap();
+    assert_eq!(status(&rest(&mut late).await), 200);
     arrival.caller.tokens.send(98).await.unwrap();
     drop(arrival.caller.tokens);
     arrival.caller.end.send(finished(2)).unwrap();
     assert!(rest(&mut stream).await.contains("data: [DONE]"));
-    drop(stream);
+    drop((stream, late));
     rig.server.drained().await;
 }
 
--- /dev/null
+++ b/camphorweir-entry/tests/streams.rs
@@ -0,0 +1,146 @@
+//! Appends and tails against a small log service that plays faults.
+
+use {
+    bytes::Bytes,
+    camphorweir_entry::{
+        fetch::Fetch,
+        port::{self, Input},
+        streams::Service,
+    },
+    camphorweir_policy::{action::Append, event::Event},
+    camphorweir_wire::{
+        codec,
+        log::{self as wire, Appended, Page, Stored},
+    },
+    http_body_util::{BodyExt, Full},
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::rt::TokioIo,
+    serde_bytes::ByteBuf,
+    std::{
+        collections::VecDeque,
+        convert::Infallible,
+        sync::{Arc, Mutex},
+    },
+    tokio::net::TcpListener,
+};
+
+/// What the service was asked, and what it is to say; without more to say it fails.
+#[derive(Default)]
+struct Script {
+    asked: Vec<String>,
+    answers: VecDeque<Vec<u8>>,
+}
+
+type Shared = Arc<Mutex<Script>>;
+
+async fn service(answers: Vec<Vec<u8>>) -> (Service, Shared) {
+    let script: Shared = Arc::default();
+    script.lock().unwrap().answers = answers.into();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let base = format!("http://{}/", listener.local_addr().unwrap());
+    let shared = script.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let shared = shared.clone();
+            let service = service_fn(move |request| answer(shared.clone(), request));
+            let builder = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    (Service::new(Fetch::new("entry-a1"), &base), script)
+}
+
+async fn answer(
+    script: Shared,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = request.into_parts();
+    assert_eq!(head.headers["camphorweir-from"], "entry-a1");
+    let body = body.collect().await.unwrap().to_bytes();
+    if head.method == Method::POST {
+        let append: wire::Append = codec::decode(&body).unwrap();
+        assert_eq!(
+            append.records,
+            [ByteBuf::from(b"one"), ByteBuf::from(b"two")]
+        );
+    }
+    let mut script = script.lock().unwrap();
+    script.asked.push(head.uri.to_string());
+    let said = script.answers.pop_front();
+    let mut response = Response::new(Full::new(said.clone().unwrap_or_default().into()));
+    if said.is_none() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+fn page(oldest: u64, end: u64, offsets: &[u64]) -> Page {
+    let stored = |offset: &u64| Stored {
+        offset: *offset,
+        time_ms: 1,
+        body: ByteBuf::from(b"r"),
+    };
+    Page {
+        oldest,
+        end,
+        records: offsets.iter().map(stored).collect(),
+    }
+}
+
+fn append() -> Append {
+    let records = vec![b"one".to_vec(), b"two".to_vec()];
+    Append {
+        id: 4,
+        stream: "claims-01".to_owned(),
+        records,
+    }
+}
+
+#[tokio::test]
+async fn an_append_says_where_it_landed() {
+    let (service, script) = service(vec![codec::encode(&Appended { first: 9 })]).await;
+    assert_eq!(service.append(append()).await, Event::Appended(4, 9));
+    assert_eq!(script.lock().unwrap().asked, ["/streams/claims-01"]);
+}
+
+#[tokio::test]
+async fn an_append_without_a_good_answer_has_failed() {
+    let (service, script) = service(vec![b"no answer".to_vec()]).await;
+    assert_eq!(service.append(append()).await, Event::AppendFailed(4));
+    assert_eq!(service.append(append()).await, Event::AppendFailed(4));
+    // Each was sent once: it may have landed.
+    assert_eq!(script.lock().unwrap().asked.len(), 2);
+}
+
+#[tokio::test]
+async fn a_tail_goes_on_after_each_page_and_over_failures() {
+    let pages = [
+        page(0, 7, &[5, 6]),
+        page(0, 7, &[]),
+        page(20, 22, &[20, 21]),
+    ];
+    let (service, script) = service(pages.iter().map(codec::encode).collect()).await;
+    let (port, mut inputs) = port::channel();
+    tokio::spawn(service.tail(port, 3, "configuration".to_owned(), 5));
+    let mut events = Vec::new();
+    for _ in 0..5 {
+        match inputs.recv().await.unwrap() {
+            Input::Live(3, event) => events.push(event),
+            other => panic!("an event of the tail was expected: {other:?}"),
+        }
+    }
+    let name = || "configuration".to_owned();
+    let mut wanted: Vec<Event> = pages
+        .into_iter()
+        .map(|page| Event::Page(name(), page))
+        .collect();
+    wanted.extend([Event::TailFailed(name()), Event::TailFailed(name())]);
+    assert_eq!(events, wanted);
+    let asked = script.lock().unwrap().asked.clone();
+    let starts = ["from=5&", "from=7&", "from=7&", "from=22&", "from=22&"];
+    assert_eq!(asked.len().min(5), 5);
+    for (asked, start) in asked.iter().zip(starts) {
+        assert!(asked.contains(start), "{asked} {start}");
+    }
+    assert!(asked[0].ends_with("wait_ms=0"), "{}", asked[0]);
+}
