Tell the core the balancer's grace

Cause: the core decides when a stop is over and needs the grace for it. Ruled out: a second grace counted by the process alone; the core would exit early. Conclusion: the parts are joined; next the whole path as processes.

--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -106,6 +106,7 @@
         entry,
         incarnation,
         zone: settings.zone.clone(),
+        grace: settings.balancer_grace,
         seed,
     };
     tree.only("core", Driver::new(Core::new(setup), outside).run(inputs));
