Bound the requests in hand and prove the core's task

Cause: connections were bounded and streams on each of them, but not what all of them hold together; and nothing held what the core is told of callers, connections and tails that are gone. After: a bound on requests in hand, refused with the time to come back; the core's task runs over anything that decides, so that a script can take the core's place in tests.

--- a/camphorweir-entry/src/call.rs
+++ b/camphorweir-entry/src/call.rs
@@ -5,6 +5,7 @@
         clock,
         conn::Pulse,
         openai::{self, Ask, Shape, Style},
+        place::{self, Place},
         port::{Arrival, Caller, Input, Kept, Port, TOKENS, Watch},
         refuse,
         settings::Limits,
@@ -20,24 +21,25 @@
     },
     http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited},
     hyper::{
-        HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+        HeaderMap, Method, Request, Response, StatusCode, Version,
         body::{Body, Incoming},
         header::{
             ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue,
         },
         http::request::Parts,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::{
-        sync::{mpsc, oneshot, watch},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
         time::timeout,
     },
 };
 
 /// Request header that names a call which must not run twice.
 const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Where plain services are.
-const SERVICES: &str = "/services/";
+
+/// When to come back while every place for a request is taken.
+const FULL_WAIT: Duration = Duration::from_secs(1);
 
 /// An answer: whole, or as it grows.
 pub type Reply = Response<Either<Full<Bytes>, Stream>>;
@@ -51,14 +53,24 @@
     pub limits: Limits,
     /// What the readiness check says.
     pub ready: watch::Receiver<bool>,
+    slots: Arc<Semaphore>,
 }
 
-/// What a path asks for.
-enum Place {
-    Tokens(Style),
-    Service { route: String, path: String },
-    Health,
-    Ready,
+impl Desk {
+    /// A desk with every place free.
+    pub fn new(port: Port, limits: Limits, ready: watch::Receiver<bool>) -> Self {
+        Self {
+            port,
+            limits,
+            ready,
+            slots: Arc::new(Semaphore::new(limits.requests)),
+        }
+    }
+
+    fn slot(&self) -> Result<OwnedSemaphorePermit, Refusal> {
+        let slot = self.slots.clone().try_acquire_owned();
+        slot.map_err(|_| Refusal::not_run(Code::QueueFull, "").after(FULL_WAIT))
+    }
 }
 
 /// Answers one request.
@@ -77,67 +89,44 @@
 async fn serve(desk: &Desk, pulse: &Pulse, request: Request<Incoming>) -> Reply {
     let id: RequestId = rand::random();
     let (head, body) = request.into_parts();
-    match route(desk, &head) {
+    match place::find(&head, desk.limits.head) {
         Err(refusal) => refused(id, &refusal),
         Ok(Place::Health) => check(true),
         Ok(Place::Ready) => check(*desk.ready.borrow()),
-        Ok(place) => match read(body, &desk.limits).await {
+        Ok(place) => match receive(desk, body).await {
             Err(refusal) => refused(id, &refusal),
-            Ok(body) => match place {
-                Place::Service { route, path } => {
-                    plain(desk, pulse, id, &head, route, path, body).await
+            Ok((body, slot)) => {
+                let order = Order {
+                    desk,
+                    pulse,
+                    id,
+                    head: &head,
+                    body,
+                    slot,
+                };
+                match place {
+                    Place::Service { route, path } => plain(order, route, path).await,
+                    Place::Tokens(style) => tokens(order, style).await,
+                    Place::Health | Place::Ready => check(true),
                 }
-                Place::Tokens(style) => tokens(desk, pulse, id, &head, style, &body).await,
-                Place::Health | Place::Ready => check(true),
-            },
+            }
         },
     }
 }
 
-fn route(desk: &Desk, head: &Parts) -> Result<Place, Refusal> {
-    if head_size(head) > desk.limits.head {
-        return Err(Refusal::not_run(Code::HeadTooLarge, ""));
-    }
-    let (place, method) = match head.uri.path() {
-        "/v1/completions" => (Place::Tokens(Style::Text), Method::POST),
-        "/v1/chat/completions" => (Place::Tokens(Style::Chat), Method::POST),
-        "/healthz" => (Place::Health, Method::GET),
-        "/readyz" => (Place::Ready, Method::GET),
-        path => (service(path, &head.uri)?, head.method.clone()),
-    };
-    match head.method == method && method != Method::CONNECT {
-        true => Ok(place),
-        false => Err(Refusal::not_run(Code::MethodNotAllowed, "")),
-    }
-}
-
-fn service(path: &str, uri: &Uri) -> Result<Place, Refusal> {
-    let unknown = || Refusal::not_run(Code::NoSuchPath, "");
-    let rest = path.strip_prefix(SERVICES).ok_or_else(unknown)?;
-    let (route, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    if route.is_empty() {
-        return Err(unknown());
-    }
-    let query = uri
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
-    Ok(Place::Service {
-        route: route.to_owned(),
-        path: format!("/{rest}{query}"),
-    })
+/// A request that arrived whole.
+struct Order<'a> {
+    desk: &'a Desk,
+    pulse: &'a Pulse,
+    id: RequestId,
+    head: &'a Parts,
+    body: Bytes,
+    slot: OwnedSemaphorePermit,
 }
 
-fn head_size(head: &Parts) -> usize {
-    let fields = head.headers.iter();
-    let fields: usize = fields
-        .map(|(name, value)| name.as_str().len() + value.len() + 4)
-        .sum();
-    let path = head
-        .uri
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    fields + path
+async fn receive(desk: &Desk, body: Incoming) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+    let slot = desk.slot()?;
+    Ok((read(body, &desk.limits).await?, slot))
 }
 
 async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
@@ -157,39 +146,44 @@
 }
 
 /// Hands a request to the core.
-async fn submit(
-    desk: &Desk,
-    pulse: &Pulse,
-    call: Call,
-    kept: Option<Arc<Kept>>,
-) -> Result<Answer, Refusal> {
+async fn submit(order: Order<'_>, ask: policy::Ask, kept: Option<Kept>) -> Result<Answer, Refusal> {
+    let Order {
+        desk,
+        pulse,
+        id,
+        head,
+        slot,
+        ..
+    } = order;
     let (tokens, coming) = mpsc::channel(TOKENS);
     let (end, ending) = oneshot::channel();
-    let id = call.id;
+    let call = Call {
+        id,
+        key: key(&head.headers),
+        ask,
+    };
     let caller = Caller {
         tokens,
         end,
         busy: pulse.busy(),
     };
-    let arrival = Input::Arrive(Box::new(Arrival { call, caller, kept }));
-    let sent = desk.port.send(arrival).await;
+    let kept = kept.map(Arc::new);
+    let sent = desk
+        .port
+        .send(Input::Arrive(Box::new(Arrival { call, caller, kept })))
+        .await;
     sent.map_err(|_| Refusal::not_run(Code::Stopping, ""))?;
     Ok(Answer {
         tokens: coming,
         end: ending,
         watch: Watch::new(desk.port.clone(), id),
+        slot,
     })
 }
 
-async fn tokens(
-    desk: &Desk,
-    pulse: &Pulse,
-    id: RequestId,
-    head: &Parts,
-    style: Style,
-    body: &[u8],
-) -> Reply {
-    let ask = match openai::parse(style, body) {
+async fn tokens(order: Order<'_>, style: Style) -> Reply {
+    let id = order.id;
+    let ask = match openai::parse(style, &order.body) {
         Ok(ask) => ask,
         Err(detail) => return refused(id, &Refusal::not_run(Code::Malformed, &detail)),
     };
@@ -201,12 +195,7 @@
         model: tokens.pipeline.clone(),
         created,
     };
-    let call = Call {
-        id,
-        key: key(&head.headers),
-        ask: policy::Ask::Tokens(tokens),
-    };
-    match submit(desk, pulse, call, None).await {
+    match submit(order, policy::Ask::Tokens(tokens), None).await {
         Err(refusal) => refused(id, &refusal),
         Ok(answer) if stream => streamed(shape, answer).await,
         Ok(answer) => collected(&shape, answer).await,
@@ -263,15 +252,8 @@
     }
 }
 
-async fn plain(
-    desk: &Desk,
-    pulse: &Pulse,
-    id: RequestId,
-    head: &Parts,
-    route: String,
-    path: String,
-    body: Bytes,
-) -> Reply {
+async fn plain(order: Order<'_>, route: String, path: String) -> Reply {
+    let (id, head, body) = (order.id, order.head, order.body.clone());
     let idempotency = head.headers.get(IDEMPOTENCY);
     let idempotency = idempotency.map(|value| String::from_utf8_lossy(value.as_bytes()).into());
     let fingerprint = fingerprint(&head.method, &path, &body);
@@ -280,11 +262,6 @@
         idempotency,
         fingerprint,
     });
-    let call = Call {
-        id,
-        key: key(&head.headers),
-        ask,
-    };
     let headers = passed_on(&head.headers);
     let kept = Kept {
         method: head.method.clone(),
@@ -292,7 +269,7 @@
         headers,
         body,
     };
-    let mut answer = match submit(desk, pulse, call, Some(Arc::new(kept))).await {
+    let mut answer = match submit(order, ask, Some(kept)).await {
         Err(refusal) => return refused(id, &refusal),
         Ok(answer) => answer,
     };
--- a/camphorweir-entry/src/driver.rs
+++ b/camphorweir-entry/src/driver.rs
@@ -14,6 +14,7 @@
     camphorweir_policy::{
         action::{Action, Append, Forward},
         call::End,
+        clock::Now,
         core::Core,
         event::{Event, Exchange, TICK},
     },
@@ -84,10 +85,28 @@
     pub finished: watch::Sender<bool>,
 }
 
+/// What decides: the core, or a test in its place.
+pub trait Decide {
+    /// The first actions of the process.
+    fn start(&mut self, now: Now) -> Vec<Action>;
+    /// Takes an event in and says what to do.
+    fn handle(&mut self, now: Now, event: Event) -> Vec<Action>;
+}
+
+impl Decide for Core {
+    fn start(&mut self, now: Now) -> Vec<Action> {
+        Core::start(self, now)
+    }
+
+    fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        Core::handle(self, now, event)
+    }
+}
+
 /// The core and everything under way.
 #[derive(Debug)]
-pub struct Driver {
-    core: Core,
+pub struct Driver<D> {
+    core: D,
     outside: Outside,
     pool: Pool,
     life: Generation,
@@ -100,9 +119,9 @@
     next: VecDeque<Event>,
 }
 
-impl Driver {
+impl<D: Decide> Driver<D> {
     /// A driver over a core that was not started.
-    pub fn new(core: Core, outside: Outside) -> Self {
+    pub fn new(core: D, outside: Outside) -> Self {
         Self {
             core,
             outside,
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -1,5 +1,13 @@
 //! The entry process of camphorweir: carries out what the decision core says and reports what
 //! happened; it decides nothing.
+//!
+//! ```
+//! use {camphorweir_entry::settings, std::path::Path};
+//!
+//! // A settings file is checked whole: every fault is named with its place.
+//! let faults = settings::parse("entry: a1\nzome: a\n", Path::new(".")).unwrap_err();
+//! assert!(faults.iter().any(|fault| fault.to_string().starts_with("2:1: 6101 BadSettings: zome")));
+//! ```
 #![forbid(unsafe_code)]
 
 pub mod admin;
@@ -14,6 +22,7 @@
 pub mod list;
 pub mod openai;
 pub mod peer;
+pub mod place;
 pub mod port;
 pub mod process;
 pub mod refuse;
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -109,11 +109,7 @@
         seed,
     };
     tree.only("core", Driver::new(Core::new(setup), outside).run(inputs));
-    let desk = call::Desk {
-        port: port.clone(),
-        limits: settings.limits,
-        ready: ready.clone(),
-    };
+    let desk = call::Desk::new(port.clone(), settings.limits, ready.clone());
     let server = Server::new(desk, closed);
     keep_callers(&tree, server.clone(), listeners.callers);
     keep_peers(&tree, Inbox::new(port.clone(), key), listeners.peers);
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -84,6 +84,8 @@
     pub answer: usize,
     /// Open connections of callers.
     pub connections: usize,
+    /// Requests in hand, from the end of the head to the end of the answer.
+    pub requests: usize,
     /// A connection that moves no byte for this long, and waits for no answer, is closed.
     pub idle: Duration,
     /// A head must arrive whole in this time.
@@ -99,6 +101,7 @@
             body: 1 << 20,
             answer: 4 << 20,
             connections: 1024,
+            requests: 4096,
             idle: Duration::from_secs(60),
             head_time: Duration::from_secs(10),
             body_time: Duration::from_secs(10),
@@ -254,6 +257,10 @@
         &mut limits.connections,
         group.optional("connections", parse_count, faults),
     );
+    set(
+        &mut limits.requests,
+        group.optional("requests", parse_count, faults),
+    );
     set(
         &mut limits.idle,
         group.optional("idle", parse_positive_time, faults),
--- a/camphorweir-entry/src/sse.rs
+++ b/camphorweir-entry/src/sse.rs
@@ -16,7 +16,7 @@
         pin::Pin,
         task::{Context, Poll, ready},
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot},
 };
 
 /// Tokens in one part.
@@ -31,6 +31,8 @@
     pub end: oneshot::Receiver<End>,
     /// Tells the core when this is dropped before the end.
     pub watch: Watch,
+    /// The request's place among those in hand.
+    pub slot: OwnedSemaphorePermit,
 }
 
 impl Answer {
--- a/camphorweir-entry/src/supervise.rs
+++ b/camphorweir-entry/src/supervise.rs
@@ -4,11 +4,8 @@
 use {
     camphorweir_wire::code::Code,
     rand::Rng,
-    std::{
-        future::Future,
-        time::{Duration, Instant},
-    },
-    tokio::sync::mpsc,
+    std::{future::Future, time::Duration},
+    tokio::{sync::mpsc, time::Instant},
 };
 
 /// First and longest pause before a child is started again.
--- a/camphorweir-entry/tests/common/mod.rs
+++ b/camphorweir-entry/tests/common/mod.rs
@@ -44,14 +44,7 @@
     let (port, inputs) = port::channel();
     let (closing, closed) = watch::channel(false);
     let (ready, checks) = watch::channel(true);
-    let server = Server::new(
-        Desk {
-            port,
-            limits,
-            ready: checks,
-        },
-        closed,
-    );
+    let server = Server::new(Desk::new(port, limits, checks), closed);
     tokio::spawn(server.clone().accept(listener));
     Rig {
         address,
--- /dev/null
+++ b/camphorweir-entry/tests/driver.rs
@@ -0,0 +1,293 @@
+//! The core's task with a script in place of the core.
+
+use {
+    camphorweir_entry::{
+        clock::Clock,
+        conn::Pulse,
+        driver::{Decide, Driver, Outside},
+        fetch::Fetch,
+        peer::Post,
+        port::{self, Arrival, Caller, Input, Kept, Port, TOKENS},
+        settings::Secret,
+        streams::Service,
+        telemetry::Metrics,
+    },
+    camphorweir_policy::{
+        action::{Action, Forward},
+        call::{Ask, Call, End, Finished, Plain},
+        clock::Now,
+        event::{Event, Exchange},
+    },
+    camphorweir_wire::{
+        code::Code,
+        engine::{Load, Reply},
+        ids::{RequestId, Token},
+        log::Page,
+    },
+    hyper::{HeaderMap, Method},
+    std::{sync::Arc, time::Duration},
+    tokio::sync::{mpsc, oneshot, watch},
+};
+
+/// Tells the test every event but ticks, and answers each event with what the test has ready.
+struct Script {
+    events: mpsc::UnboundedSender<Event>,
+    actions: mpsc::UnboundedReceiver<Action>,
+}
+
+impl Decide for Script {
+    fn start(&mut self, _now: Now) -> Vec<Action> {
+        Vec::new()
+    }
+
+    fn handle(&mut self, _now: Now, event: Event) -> Vec<Action> {
+        if event != Event::Tick {
+            let _ = self.events.send(event);
+        }
+        std::iter::from_fn(|| self.actions.try_recv().ok()).collect()
+    }
+}
+
+struct Rig {
+    port: Port,
+    events: mpsc::UnboundedReceiver<Event>,
+    actions: mpsc::UnboundedSender<Action>,
+    ready: watch::Receiver<bool>,
+    finished: watch::Receiver<bool>,
+}
+
+fn rig() -> Rig {
+    let (port, inputs) = port::channel();
+    let (told, events) = mpsc::unbounded_channel();
+    let (actions, script) = mpsc::unbounded_channel();
+    let (ready_now, ready) = watch::channel(false);
+    let (finished_now, finished) = watch::channel(false);
+    let fetch = Fetch::new("entry-a1");
+    let outside = Outside {
+        port: port.clone(),
+        clock: Clock::start(),
+        // Nothing listens there: every read and append fails.
+        streams: Service::new(fetch.clone(), "http://127.0.0.1:1"),
+        post: Post::new(
+            fetch,
+            port.clone(),
+            Secret::new([1; 32]),
+            "entry-a1".to_owned(),
+            1,
+        ),
+        metrics: Metrics::new().unwrap(),
+        max_answer: 1000,
+        ready: ready_now,
+        finished: finished_now,
+    };
+    let script = Script {
+        events: told,
+        actions: script,
+    };
+    tokio::spawn(Driver::new(script, outside).run(inputs));
+    Rig {
+        port,
+        events,
+        actions,
+        ready,
+        finished,
+    }
+}
+
+impl Rig {
+    fn act(&self, actions: impl IntoIterator<Item = Action>) {
+        actions
+            .into_iter()
+            .for_each(|action| self.actions.send(action).unwrap());
+    }
+
+    async fn event(&mut self) -> Event {
+        self.events.recv().await.unwrap()
+    }
+
+    /// Shows that nothing else was told before: an event that the test sends comes next.
+    async fn nothing_told(&mut self) {
+        self.port.event(Event::ListFailed).await.unwrap();
+        assert_eq!(self.event().await, Event::ListFailed);
+    }
+
+    async fn arrive(&mut self, id: RequestId) -> (mpsc::Receiver<Token>, oneshot::Receiver<End>) {
+        let (tokens, coming) = mpsc::channel(TOKENS);
+        let (end, ending) = oneshot::channel();
+        let plain = Plain {
+            route: "ledger".to_owned(),
+            idempotency: None,
+            fingerprint: 1,
+        };
+        let call = Call {
+            id,
+            key: String::new(),
+            ask: Ask::Plain(plain),
+        };
+        let caller = Caller {
+            tokens,
+            end,
+            busy: Pulse::new().busy(),
+        };
+        let kept = Some(Arc::new(Kept {
+            method: Method::GET,
+            path: "/".to_owned(),
+            headers: HeaderMap::new(),
+            body: "".into(),
+        }));
+        let arrival = Box::new(Arrival {
+            call: call.clone(),
+            caller,
+            kept,
+        });
+        self.port.send(Input::Arrive(arrival)).await.unwrap();
+        assert_eq!(self.event().await, Event::Arrive(call));
+        (coming, ending)
+    }
+}
+
+fn finished() -> End {
+    End::Finished(Finished {
+        prompt: 1,
+        tokens: 0,
+        stopped: true,
+    })
+}
+
+fn forward(call: RequestId, until: Duration) -> Action {
+    Action::Forward(Forward {
+        call,
+        attempt: 2,
+        target: "ledger-1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        fence: None,
+        send_by: until,
+        until,
+    })
+}
+
+#[tokio::test]
+async fn a_caller_too_far_behind_is_dropped_and_the_core_told_once() {
+    let mut rig = rig();
+    let (mut tokens, end) = rig.arrive(5).await;
+    rig.act((0..=TOKENS as u32).map(|token| Action::Token(5, token)));
+    assert_eq!(rig.event().await, Event::Hangup(5));
+    let mut came = Vec::new();
+    tokens.recv_many(&mut came, TOKENS).await;
+    assert_eq!(came, (0..TOKENS as u32).collect::<Vec<_>>());
+    match end.await.unwrap() {
+        End::Refused(refusal) => assert_eq!(refusal.code, Code::CallerGone),
+        other => panic!("a refusal was expected: {other:?}"),
+    }
+    rig.port.hangup(5);
+    rig.nothing_told().await;
+}
+
+#[tokio::test]
+async fn a_hangup_after_the_end_is_not_told() {
+    let mut rig = rig();
+    let (_tokens, end) = rig.arrive(5).await;
+    rig.act([Action::Reply(5, finished())]);
+    assert_eq!(end.await.unwrap(), finished());
+    rig.port.hangup(5);
+    rig.nothing_told().await;
+    let _caller = rig.arrive(6).await;
+    rig.port.hangup(6);
+    assert_eq!(rig.event().await, Event::Hangup(6));
+}
+
+#[tokio::test]
+async fn an_exchange_outlives_its_caller_and_an_abandoned_one_has_no_end() {
+    let mut rig = rig();
+    let (_tokens, end) = rig.arrive(5).await;
+    rig.port.hangup(5);
+    assert_eq!(rig.event().await, Event::Hangup(5));
+    rig.act([forward(5, Duration::from_secs(60))]);
+    assert_eq!(rig.event().await, Event::Plain(5, 2, Exchange::Unsent));
+    drop(end);
+    rig.act([
+        forward(5, Duration::from_secs(60)),
+        Action::Abandon(5, 2),
+        Action::Ready(true),
+    ]);
+    assert!(rig.ready.wait_for(|ready| *ready).await.is_ok());
+    rig.nothing_told().await;
+    // After its end a request is forgotten, so nothing of it can be sent.
+    rig.act([
+        Action::Reply(5, finished()),
+        forward(5, Duration::from_secs(60)),
+    ]);
+    assert_eq!(rig.event().await, Event::Plain(5, 2, Exchange::Unsent));
+}
+
+#[tokio::test]
+async fn only_the_connection_in_use_is_heard() {
+    let mut rig = rig();
+    let target = || "log-a1".to_owned();
+    let load = |open| {
+        Reply::Load(Load {
+            age_ms: 0,
+            open,
+            queued: 0,
+        })
+    };
+    let say = |life, open| Input::Live(life, Event::Engine(target(), load(open)));
+    let address = || "127.0.0.1:1".to_owned();
+    rig.act([
+        Action::Link(target(), address()),
+        Action::Link(target(), address()),
+    ]);
+    assert_eq!(rig.event().await, Event::Unlinked(target()));
+    rig.port.send(say(1, 1)).await.unwrap();
+    rig.port.send(say(2, 2)).await.unwrap();
+    let told = loop {
+        match rig.event().await {
+            Event::Unlinked(_) => {}
+            other => break other,
+        }
+    };
+    assert_eq!(told, Event::Engine(target(), load(2)));
+    rig.act([Action::Unlink(target()), Action::Ready(true)]);
+    assert!(rig.ready.wait_for(|ready| *ready).await.is_ok());
+    rig.port.send(say(2, 3)).await.unwrap();
+    rig.port.event(Event::ListFailed).await.unwrap();
+    let told = loop {
+        match rig.event().await {
+            Event::Unlinked(_) => {}
+            other => break other,
+        }
+    };
+    assert_eq!(told, Event::ListFailed);
+}
+
+#[tokio::test]
+async fn only_the_tail_in_use_is_heard() {
+    let mut rig = rig();
+    let stream = || "claims-00".to_owned();
+    let page = |end| Page {
+        oldest: 0,
+        end,
+        records: Vec::new(),
+    };
+    rig.act([Action::Tail(stream(), 0), Action::Tail(stream(), 4)]);
+    assert_eq!(rig.event().await, Event::TailFailed(stream()));
+    for (life, end) in [(1, 1), (2, 2)] {
+        let input = Input::Live(life, Event::Page(stream(), page(end)));
+        rig.port.send(input).await.unwrap();
+    }
+    let told = loop {
+        match rig.event().await {
+            Event::TailFailed(_) => {}
+            other => break other,
+        }
+    };
+    assert_eq!(told, Event::Page(stream(), page(2)));
+}
+
+#[tokio::test]
+async fn the_exit_is_passed_on() {
+    let mut rig = rig();
+    rig.act([Action::Ready(true), Action::Exit]);
+    assert!(rig.ready.wait_for(|ready| *ready).await.is_ok());
+    assert!(rig.finished.wait_for(|finished| *finished).await.is_ok());
+}
--- a/camphorweir-entry/tests/server.rs
+++ b/camphorweir-entry/tests/server.rs
@@ -320,6 +320,29 @@
     assert_eq!(header(&answer, "camphorweir-code"), Some("1014"));
 }
 
+#[tokio::test]
+async fn requests_beyond_the_bound_are_told_when_to_come_back() {
+    let mut rig = rig(camphorweir_entry::settings::Limits {
+        requests: 1,
+        ..limits()
+    })
+    .await;
+    let mut stream = open(rig.address, post("/v1/completions", "", STREAM).as_bytes()).await;
+    let arrival = rig.arrival().await;
+    let mut more = open(rig.address, post("/v1/completions", "", JSON).as_bytes()).await;
+    let answer = rest(&mut more).await;
+    assert_eq!(status(&answer), 503);
+    assert_eq!(header(&answer, "camphorweir-code"), Some("2002"));
+    assert_eq!(header(&answer, "retry-after"), Some("1"));
+    drop(arrival.caller.tokens);
+    arrival.caller.end.send(finished(0)).unwrap();
+    assert_eq!(status(&rest(&mut stream).await), 200);
+    let answer = rig
+        .ask(&post("/v1/completions", "", JSON), &[97], finished(1))
+        .await;
+    assert_eq!(status(&answer), 200);
+}
+
 #[tokio::test]
 async fn closing_cuts_nothing() {
     let mut rig = rig(limits()).await;
--- a/camphorweir-entry/tests/streams.rs
+++ b/camphorweir-entry/tests/streams.rs
@@ -116,7 +116,7 @@
 async fn a_tail_goes_on_after_each_page_and_over_failures() {
     let pages = [
         page(0, 7, &[5, 6]),
-        page(0, 7, &[]),
+        page(20, 20, &[]),
         page(20, 22, &[20, 21]),
     ];
     let (service, script) = service(pages.iter().map(codec::encode).collect()).await;
@@ -137,7 +137,7 @@
     wanted.extend([Event::TailFailed(name()), Event::TailFailed(name())]);
     assert_eq!(events, wanted);
     let asked = script.lock().unwrap().asked.clone();
-    let starts = ["from=5&", "from=7&", "from=7&", "from=22&", "from=22&"];
+    let starts = ["from=5&", "from=7&", "from=20&", "from=22&", "from=22&"];
     assert_eq!(asked.len().min(5), 5);
     for (asked, start) in asked.iter().zip(starts) {
         assert!(asked.contains(start), "{asked} {start}");
