--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fetch;
 pub mod forward;
 pub mod gate;
+pub mod inner;
 pub mod link;
 pub mod list;
 pub mod openai;
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -6,7 +6,7 @@
         clock::Clock,
         driver::{Driver, Outside},
         fetch::Fetch,
-        list,
+        inner, list,
         peer::{Inbox, Post},
         port,
         server::Server,
@@ -148,7 +148,7 @@
 fn keep_peers(tree: &Tree, inbox: Inbox, listener: Arc<TcpListener>) {
     tree.child("peers", move || {
         let inbox = inbox.clone();
-        admin::serve(listener.clone(), move |request| {
+        inner::serve(listener.clone(), move |request| {
             let inbox = inbox.clone();
             async move { inbox.answer(request).await }
         })
@@ -158,7 +158,7 @@
 fn keep_admin(tree: &Tree, desk: admin::Desk, listener: Arc<TcpListener>) {
     tree.child("admin", move || {
         let desk = desk.clone();
-        admin::serve(listener.clone(), move |request| {
+        inner::serve(listener.clone(), move |request| {
             let desk = desk.clone();
             async move { desk.answer(request).await }
         })
--- a/camphorweir-entry/tests/driver.rs
+++ b/camphorweir-entry/tests/driver.rs
@@ -26,9 +26,15 @@
     },
     hyper::{HeaderMap, Method},
     std::{sync::Arc, time::Duration},
-    tokio::sync::{mpsc, oneshot, watch},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, oneshot, watch},
+    },
 };
 
+/// Nothing listens there.
+const NOWHERE: &str = "127.0.0.1:1";
+
 /// Tells the test every event but ticks, and answers each event with what the test has ready.
 struct Script {
     events: mpsc::UnboundedSender<Event>,
@@ -66,8 +72,7 @@
     let outside = Outside {
         port: port.clone(),
         clock: Clock::start(),
-        // Nothing listens there: every read and append fails.
-        streams: Service::new(fetch.clone(), "http://127.0.0.1:1"),
+        streams: Service::new(fetch.clone(), &format!("http://{NOWHERE}")),
         post: Post::new(
             fetch,
             port.clone(),
@@ -154,12 +159,12 @@
     })
 }
 
-fn forward(call: RequestId, until: Duration) -> Action {
+fn forward(call: RequestId, address: &str, until: Duration) -> Action {
     Action::Forward(Forward {
         call,
         attempt: 2,
         target: "ledger-1".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
+        address: address.to_owned(),
         fence: None,
         send_by: until,
         until,
@@ -202,20 +207,22 @@
     let (_tokens, end) = rig.arrive(5).await;
     rig.port.hangup(5);
     assert_eq!(rig.event().await, Event::Hangup(5));
-    rig.act([forward(5, Duration::from_secs(60))]);
+    rig.act([forward(5, NOWHERE, Duration::from_secs(60))]);
     assert_eq!(rig.event().await, Event::Plain(5, 2, Exchange::Unsent));
     drop(end);
     rig.act([
-        forward(5, Duration::from_secs(60)),
+        forward(5, NOWHERE, Duration::from_secs(60)),
         Action::Abandon(5, 2),
         Action::Ready(true),
     ]);
     assert!(rig.ready.wait_for(|ready| *ready).await.is_ok());
     rig.nothing_told().await;
     // After its end a request is forgotten, so nothing of it can be sent.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap().to_string();
     rig.act([
         Action::Reply(5, finished()),
-        forward(5, Duration::from_secs(60)),
+        forward(5, &address, Duration::from_secs(1)),
     ]);
     assert_eq!(rig.event().await, Event::Plain(5, 2, Exchange::Unsent));
 }
@@ -232,7 +239,7 @@
         })
     };
     let say = |life, open| Input::Live(life, Event::Engine(target(), load(open)));
-    let address = || "127.0.0.1:1".to_owned();
+    let address = || NOWHERE.to_owned();
     rig.act([
         Action::Link(target(), address()),
         Action::Link(target(), address()),
--- a/camphorweir-entry/tests/inner.rs
+++ b/camphorweir-entry/tests/inner.rs
@@ -7,6 +7,7 @@
     camphorweir_entry::{
         admin,
         clock::wall,
+        inner,
         peer::Inbox,
         port::{self, Input},
         seal::seal,
@@ -47,7 +48,7 @@
     let (port, mut inputs) = port::channel();
     let inbox = Inbox::new(port, key);
     let (listener, address) = listener().await;
-    tokio::spawn(admin::serve(listener, move |request| {
+    tokio::spawn(inner::serve(listener, move |request| {
         let inbox = inbox.clone();
         async move { inbox.answer(request).await }
     }));
@@ -88,7 +89,7 @@
         metrics: metrics.clone(),
     };
     let (listener, address) = listener().await;
-    tokio::spawn(admin::serve(listener, move |request| {
+    tokio::spawn(inner::serve(listener, move |request| {
         let desk = desk.clone();
         async move { desk.answer(request).await }
     }));
