--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -6,7 +6,7 @@
         clock::Clock,
         driver::{Driver, Outside},
         fetch::Fetch,
-        list,
+        inner, list,
         peer::{Inbox, Post},
         port,
         server::Server,
@@ -110,11 +110,7 @@
         seed,
     };
     tree.only("core", Driver::new(Core::new(setup), outside).run(inputs));
-    let desk = call::Desk {
-        port: port.clone(),
-        limits: settings.limits,
-        ready: ready.clone(),
-    };
+    let desk = call::Desk::new(port.clone(), settings.limits, ready.clone());
     let server = Server::new(desk, closed);
     keep_callers(&tree, server.clone(), listeners.callers);
     keep_peers(&tree, Inbox::new(port.clone(), key), listeners.peers);
@@ -153,7 +149,7 @@
 fn keep_peers(tree: &Tree, inbox: Inbox, listener: Arc<TcpListener>) {
     tree.child("peers", move || {
         let inbox = inbox.clone();
-        admin::serve(listener.clone(), move |request| {
+        inner::serve(listener.clone(), move |request| {
             let inbox = inbox.clone();
             async move { inbox.answer(request).await }
         })
@@ -163,7 +159,7 @@
 fn keep_admin(tree: &Tree, desk: admin::Desk, listener: Arc<TcpListener>) {
     tree.child("admin", move || {
         let desk = desk.clone();
-        admin::serve(listener.clone(), move |request| {
+        inner::serve(listener.clone(), move |request| {
             let desk = desk.clone();
             async move { desk.answer(request).await }
         })
