--- /dev/null
+++ b/camphorweir-config/src/build.rs
@@ -0,0 +1,310 @@
+//! A typed builder of documents.
+//!
+//! An item refers to another one by the handle that adding it gave, so a pipeline can't be confused
+//! with a plain service, and only a route to a service can be told never to repeat:
+//!
+//! ```compile_fail,E0599
+//! use camphorweir_config::{build::Builder, model::Model};
+//!
+//! let mut builder = Builder::new();
+//! let log = builder.model("log", Model { layers: 24, activation: 8192, end_token: None });
+//! let notes = builder.pipeline("notes", &log, 4096, 512);
+//! builder.workspace("depot-7").tokens("notes", &notes).never_repeat();
+//! ```
+
+use {
+    crate::{
+        check,
+        fault::{Code, Fault},
+        handle,
+        model::{
+            self, Document, Engine, KeyHash, Limits, Priority, Repeat, Route, Serves, Target, To,
+        },
+    },
+    std::{collections::BTreeMap, net::SocketAddr, ops::Range, time::Duration},
+};
+
+/// The hash of a bearer key, as configurations hold it.
+pub fn key_hash(key: &str) -> KeyHash {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+/// Collects a document.
+#[derive(Debug, Default)]
+pub struct Builder {
+    document: Document,
+    /// Names that were given twice.
+    faults: Vec<Fault>,
+}
+
+impl Builder {
+    /// An empty document.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a kind of accelerator.
+    pub fn kind(&mut self, name: &str, kind: model::Kind) -> handle::Kind {
+        add(
+            &mut self.document.kinds,
+            "kinds",
+            name,
+            kind,
+            &mut self.faults,
+        );
+        handle::Kind(name.to_owned())
+    }
+
+    /// Adds an availability zone of a region.
+    pub fn zone(&mut self, name: &str, region: &str) -> handle::Zone {
+        let zone = model::Zone {
+            region: region.to_owned(),
+        };
+        add(
+            &mut self.document.zones,
+            "zones",
+            name,
+            zone,
+            &mut self.faults,
+        );
+        handle::Zone(name.to_owned())
+    }
+
+    /// Links two zones, or one with itself: one-way delay, and bytes carried in a second.
+    pub fn link(&mut self, ends: [&handle::Zone; 2], delay: Duration, rate: f64) -> &mut Self {
+        let delay_us = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.document.links.push(model::Link {
+            between: ends.map(|zone| zone.0.clone()),
+            delay_us,
+            rate,
+        });
+        self
+    }
+
+    /// Adds a model.
+    pub fn model(&mut self, name: &str, model: model::Model) -> handle::Model {
+        add(
+            &mut self.document.models,
+            "models",
+            name,
+            model,
+            &mut self.faults,
+        );
+        handle::Model(name.to_owned())
+    }
+
+    /// Adds a pipeline with the longest prompt and the longest answer, in tokens.
+    pub fn pipeline(
+        &mut self,
+        name: &str,
+        model: &handle::Model,
+        max_prompt: u32,
+        max_tokens: u32,
+    ) -> handle::Pipeline {
+        let pipeline = model::Pipeline {
+            model: model.0.clone(),
+            max_prompt,
+            max_tokens,
+        };
+        let section = &mut self.document.pipelines;
+        add(section, "pipelines", name, pipeline, &mut self.faults);
+        handle::Pipeline(name.to_owned())
+    }
+
+    /// Adds a plain service; `fencing` says whether its targets refuse old fencing numbers.
+    pub fn service(&mut self, name: &str, fencing: bool) -> handle::Service {
+        let service = model::Service { fencing };
+        let section = &mut self.document.services;
+        add(section, "services", name, service, &mut self.faults);
+        handle::Service(name.to_owned())
+    }
+
+    /// Adds a target that holds a range of a model's layers.
+    pub fn engine(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        zone: &handle::Zone,
+        kind: &handle::Kind,
+        model: &handle::Model,
+        layers: Range<u32>,
+    ) -> &mut Target {
+        let serves = Serves::Layers(Engine {
+            model: model.0.clone(),
+            first: layers.start,
+            end: layers.end,
+            kind: kind.0.clone(),
+            fencing: false,
+        });
+        self.target(name, address, zone, serves)
+    }
+
+    /// Adds a target that serves a plain service.
+    pub fn server(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        zone: &handle::Zone,
+        service: &handle::Service,
+    ) -> &mut Target {
+        self.target(name, address, zone, Serves::Service(service.0.clone()))
+    }
+
+    /// Adds a workspace, or goes on with it.
+    pub fn workspace(&mut self, name: &str) -> Workspace<'_> {
+        let workspace = self.document.workspaces.entry(name.to_owned());
+        Workspace {
+            name: name.to_owned(),
+            workspace: workspace.or_default(),
+            faults: &mut self.faults,
+        }
+    }
+
+    /// The document, if it can be published.
+    ///
+    /// # Errors
+    ///
+    /// All faults, names that were given twice first.
+    pub fn finish(self) -> Result<Document, Vec<Fault>> {
+        let mut faults = self.faults;
+        faults.extend(check::document(&self.document));
+        if faults.is_empty() {
+            return Ok(self.document);
+        }
+        Err(faults)
+    }
+
+    fn target(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        zone: &handle::Zone,
+        serves: Serves,
+    ) -> &mut Target {
+        let target = Target {
+            address: address.to_string(),
+            zone: zone.0.clone(),
+            serves,
+            drain: false,
+        };
+        let section = &mut self.document.targets;
+        add(section, "targets", name, target, &mut self.faults)
+    }
+}
+
+/// Adds an item; the later one of two with the same name stands, and the name is a fault.
+fn add<'a, T>(
+    section: &'a mut BTreeMap<String, T>,
+    what: &str,
+    name: &str,
+    item: T,
+    faults: &mut Vec<Fault>,
+) -> &'a mut T {
+    if section.contains_key(name) {
+        faults.push(Fault::new(
+            Code::DuplicateKey,
+            &[what, name],
+            "the name was given twice",
+        ));
+    }
+    section.entry(name.to_owned()).insert_entry(item).into_mut()
+}
+
+/// A workspace under construction.
+#[derive(Debug)]
+pub struct Workspace<'a> {
+    name: String,
+    workspace: &'a mut model::Workspace,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Workspace<'_> {
+    /// Lets callers in that present the key with this hash; see [`key_hash`].
+    pub fn key(&mut self, hash: KeyHash) -> &mut Self {
+        self.workspace.keys.push(hash);
+        self
+    }
+
+    /// Sets what it may spend.
+    pub fn limits(&mut self, limits: Limits) -> &mut Self {
+        self.workspace.limits = limits;
+        self
+    }
+
+    /// Adds a route to a pipeline, whose requests may be repeated.
+    pub fn tokens(&mut self, name: &str, to: &handle::Pipeline) -> Tokens<'_> {
+        Tokens {
+            route: self.route(name, To::Pipeline(to.0.clone())),
+        }
+    }
+
+    /// Adds a route to a plain service.
+    pub fn calls(&mut self, name: &str, to: &handle::Service) -> Calls<'_> {
+        Calls {
+            route: self.route(name, To::Service(to.0.clone())),
+        }
+    }
+
+    fn route(&mut self, name: &str, to: To) -> &mut Route {
+        if self.workspace.routes.contains_key(name) {
+            self.faults.push(Fault::new(
+                Code::DuplicateKey,
+                &["workspaces", &self.name, "routes", name],
+                "the name was given twice",
+            ));
+        }
+        let routes = self.workspace.routes.entry(name.to_owned());
+        routes.insert_entry(Route::new(to)).into_mut()
+    }
+}
+
+/// A route to a pipeline under construction.
+#[derive(Debug)]
+pub struct Tokens<'a> {
+    route: &'a mut Route,
+}
+
+impl Tokens<'_> {
+    /// Sets its class.
+    pub fn priority(self, priority: Priority) -> Self {
+        self.route.priority = priority;
+        self
+    }
+
+    /// Sets the longest time from arrival to the end of the answer.
+    pub fn deadline(self, deadline: Duration) -> Self {
+        self.route.deadline_ms = millis(deadline);
+        self
+    }
+}
+
+/// A route to a plain service under construction.
+#[derive(Debug)]
+pub struct Calls<'a> {
+    route: &'a mut Route,
+}
+
+impl Calls<'_> {
+    /// Sets its class.
+    pub fn priority(self, priority: Priority) -> Self {
+        self.route.priority = priority;
+        self
+    }
+
+    /// Sets the longest time from arrival to the end of the answer.
+    pub fn deadline(self, deadline: Duration) -> Self {
+        self.route.deadline_ms = millis(deadline);
+        self
+    }
+
+    /// Runs a request at most once; callers have to send an `Idempotency-Key`.
+    pub fn never_repeat(self) -> Self {
+        self.route.repeat = Repeat::Never;
+        self
+    }
+}
+
+/// Whole milliseconds; more than a `u64` holds is out of bounds in any case.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/camphorweir-config/src/handle.rs
@@ -0,0 +1,23 @@
+//! Names that a [`Builder`](crate::build::Builder) gave out, each for one kind of item.
+
+use crate::model::{KindId, ModelId, PipelineId, ServiceId, ZoneId};
+
+/// A kind of accelerator.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Kind(pub(crate) KindId);
+
+/// A model.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Model(pub(crate) ModelId);
+
+/// A pipeline.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pipeline(pub(crate) PipelineId);
+
+/// A plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Service(pub(crate) ServiceId);
+
+/// An availability zone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Zone(pub(crate) ZoneId);
--- a/camphorweir-config/src/model.rs
+++ b/camphorweir-config/src/model.rs
@@ -230,6 +230,16 @@
 }
 
 impl Route {
+    /// A route of the usual class whose requests may be repeated.
+    pub fn new(to: To) -> Self {
+        Self {
+            to,
+            priority: Priority::default(),
+            repeat: Repeat::default(),
+            deadline_ms: Self::default_deadline(),
+        }
+    }
+
     fn default_deadline() -> u64 {
         30_000
     }
--- /dev/null
+++ b/camphorweir-config/tests/examples.rs
@@ -0,0 +1,103 @@
+//! The operators' programs build what they say, and it can be published.
+#![allow(dead_code, reason = "the programs' own `main` is not called here")]
+
+#[path = "../examples/pine_hollow.rs"]
+mod pine_hollow;
+#[path = "../examples/port_louis.rs"]
+mod port_louis;
+
+use {
+    camphorweir_config::{
+        model::{Document, Priority, Repeat, Route, Serves, To},
+        parse, print,
+    },
+    std::collections::BTreeSet,
+};
+
+/// Targets that hold layers, and targets of one service.
+fn counts(document: &Document, service: &str) -> (usize, usize) {
+    let targets = || document.targets.values();
+    let engines = targets().filter(|target| matches!(target.serves, Serves::Layers(_)));
+    let servers = targets()
+        .filter(|target| matches!(&target.serves, Serves::Service(name) if name == service));
+    (engines.count(), servers.count())
+}
+
+fn routes<'a>(document: &'a Document, name: &str) -> Vec<&'a Route> {
+    let workspaces = document.workspaces.values();
+    workspaces
+        .map(|workspace| &workspace.routes[name])
+        .collect()
+}
+
+/// Zones whose own targets hold each of the stages, on how many kinds of accelerator.
+fn zones_with_stages(document: &Document, stages: &[(u32, u32)]) -> (usize, usize) {
+    let mut kinds = BTreeSet::new();
+    let mut held = BTreeSet::new();
+    for target in document.targets.values() {
+        if let Serves::Layers(engine) = &target.serves {
+            kinds.insert(&engine.kind);
+            held.insert((&target.zone, engine.first, engine.end));
+        }
+    }
+    let whole = |zone| {
+        stages
+            .iter()
+            .all(|(first, end)| held.contains(&(zone, *first, *end)))
+    };
+    let zones = document.zones.keys().filter(|zone| whole(*zone));
+    (zones.count(), kinds.len())
+}
+
+fn reads_back(document: &Document) {
+    let text = print::text(document).unwrap();
+    assert_eq!(parse::checked(&text).as_ref(), Ok(document));
+}
+
+#[test]
+fn pine_hollow_seals_once_and_writes_notes() {
+    let document = pine_hollow::document().unwrap();
+    assert_eq!(counts(&document, "ledger"), (36, 3));
+    assert_eq!(
+        zones_with_stages(&document, &[(0, 10), (10, 20), (20, 32)]),
+        (3, 2)
+    );
+    assert_eq!(document.workspaces.len(), 10);
+    for route in routes(&document, "seal") {
+        assert_eq!(route.repeat, Repeat::Never);
+    }
+    for route in routes(&document, "batch-status") {
+        assert_eq!(
+            (route.repeat, route.priority),
+            (Repeat::Idempotent, Priority::Urgent)
+        );
+    }
+    for route in routes(&document, "burn-notes") {
+        assert_eq!(route.to, To::Pipeline("notes".to_owned()));
+    }
+    reads_back(&document);
+}
+
+#[test]
+fn port_louis_books_once_and_speaks_cues() {
+    let document = port_louis::document().unwrap();
+    assert_eq!(counts(&document, "bookings"), (42, 3));
+    assert_eq!(
+        zones_with_stages(&document, &[(0, 8), (8, 20), (20, 28)]),
+        (3, 2)
+    );
+    assert_eq!(document.workspaces.len(), 10);
+    for route in routes(&document, "book") {
+        assert_eq!(route.repeat, Repeat::Never);
+    }
+    for route in routes(&document, "hall-status") {
+        assert_eq!(
+            (route.repeat, route.priority),
+            (Repeat::Idempotent, Priority::Urgent)
+        );
+    }
+    for route in routes(&document, "cues") {
+        assert_eq!(route.to, To::Pipeline("cues".to_owned()));
+    }
+    reads_back(&document);
+}
