Fold a small edit in time with the edit, not with the document

Cause: each accepted publication copied and checked the whole document. Ruled out: leaving the check out of the fold, which would put faulty results in force.

--- a/camphorweir-config/src/check.rs
+++ b/camphorweir-config/src/check.rs
@@ -10,9 +10,10 @@
         check_workspace::{keys_faults, workspace_faults},
         fault::{Code, Fault},
         model::{Document, Kind, Link, Model, Pipeline, Serves, Target},
+        record::Edit,
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         ops::RangeInclusive,
     },
@@ -59,6 +60,38 @@
     faults
 }
 
+/// Faults that edits brought to a document that had none before them.
+///
+/// Edits of workspaces, the usual ones, are checked alone: nothing else refers to a workspace but the
+/// rule that no two have the same key. That is linear in the edits and in the number of keys; any
+/// other edit has the whole document checked.
+pub fn edited(whole: &Document, edits: &[Edit]) -> Vec<Fault> {
+    let mut names = BTreeSet::new();
+    for edit in edits {
+        match edit {
+            Edit::Workspace(name, _) => names.insert(name.as_str()),
+            _ => return document(whole),
+        };
+    }
+    let mut faults = Vec::new();
+    count_faults(
+        &["workspaces"],
+        whole.workspaces.len(),
+        MAX_LARGE,
+        &mut faults,
+    );
+    let edited = whole
+        .workspaces
+        .iter()
+        .filter(|(name, _)| names.contains(name.as_str()));
+    for (name, workspace) in edited {
+        name_faults(&["workspaces", name], name, &mut faults);
+        workspace_faults(whole, name, workspace, &mut faults);
+    }
+    keys_faults(whole, &mut faults);
+    faults
+}
+
 /// Whether a name can be used.
 pub fn name_is_usable(name: &str) -> bool {
     let allowed = |c: char| matches!(c, 'a'..='z' | '0'..='9' | '.' | '_' | '-');
@@ -75,16 +108,20 @@
     }
 }
 
+pub(crate) fn count_faults(steps: &[&str], count: usize, most: usize, faults: &mut Vec<Fault>) {
+    if count > most {
+        let text = format!("{count} items, at most {most} are allowed");
+        faults.push(Fault::new(Code::OutOfBounds, steps, text));
+    }
+}
+
 pub(crate) fn names_faults<T>(
     steps: &[&str],
     items: &BTreeMap<String, T>,
     most: usize,
     faults: &mut Vec<Fault>,
 ) {
-    if items.len() > most {
-        let text = format!("{} items, at most {most} are allowed", items.len());
-        faults.push(Fault::new(Code::OutOfBounds, steps, text));
-    }
+    count_faults(steps, items.len(), most, faults);
     for name in items.keys() {
         let mut place = steps.to_vec();
         place.push(name);
@@ -162,13 +199,7 @@
 }
 
 fn links_faults(document: &Document, faults: &mut Vec<Fault>) {
-    if document.links.len() > MAX_LINKS {
-        let text = format!(
-            "{} links, at most {MAX_LINKS} are allowed",
-            document.links.len()
-        );
-        faults.push(Fault::new(Code::OutOfBounds, &["links"], text));
-    }
+    count_faults(&["links"], document.links.len(), MAX_LINKS, faults);
     let mut seen = HashMap::new();
     for (index, link) in document.links.iter().enumerate() {
         let step = index.to_string();
--- a/camphorweir-config/src/check_workspace.rs
+++ b/camphorweir-config/src/check_workspace.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        check::{bounds_faults, names_faults, reference_faults},
+        check::{bounds_faults, count_faults, names_faults, reference_faults},
         fault::{Code, Fault},
         model::{Document, Limits, Repeat, Route, To, Workspace},
     },
@@ -84,29 +84,29 @@
 pub(crate) fn keys_faults(document: &Document, faults: &mut Vec<Fault>) {
     let mut owners = HashMap::new();
     for (name, workspace) in &document.workspaces {
-        if workspace.keys.len() > MAX_KEYS {
-            let text = format!(
-                "{} keys, at most {MAX_KEYS} are allowed",
-                workspace.keys.len()
-            );
-            let place = ["workspaces", name, "keys"];
-            faults.push(Fault::new(Code::OutOfBounds, &place, text));
-        }
+        let place = ["workspaces", name, "keys"];
+        count_faults(&place, workspace.keys.len(), MAX_KEYS, faults);
         for (index, hash) in workspace.keys.iter().enumerate() {
-            let step = index.to_string();
-            let place = ["workspaces", name, "keys", &step];
             if !is_key_hash(hash) {
                 let text = format!("not {KEY_DIGITS} lower-case hexadecimal digits");
-                faults.push(Fault::new(Code::BadKeyHash, &place, text));
+                faults.push(key_fault(Code::BadKeyHash, name, index, text));
             }
             if let Some(owner) = owners.insert(hash, name) {
                 let text = format!("workspace {owner} has the same key hash");
-                faults.push(Fault::new(Code::DuplicateKeyHash, &place, text));
+                faults.push(key_fault(Code::DuplicateKeyHash, name, index, text));
             }
         }
     }
 }
 
+fn key_fault(code: Code, workspace: &str, index: usize, text: String) -> Fault {
+    Fault::new(
+        code,
+        &["workspaces", workspace, "keys", &index.to_string()],
+        text,
+    )
+}
+
 fn is_key_hash(text: &str) -> bool {
     let digit = |c: u8| matches!(c, b'0'..=b'9' | b'a'..=b'f');
     text.len() == KEY_DIGITS && text.bytes().all(digit)
--- a/camphorweir-config/src/edit.rs
+++ b/camphorweir-config/src/edit.rs
@@ -34,6 +34,33 @@
     }
 }
 
+/// The edits that undo `edits` after they are applied to `document`.
+pub(crate) fn undo(document: &Document, edits: &[Edit]) -> Vec<Edit> {
+    // An item that is edited twice is undone twice, to what it is now.
+    edits.iter().map(|edit| edit_undo(document, edit)).collect()
+}
+
+fn edit_undo(document: &Document, edit: &Edit) -> Edit {
+    match edit {
+        Edit::Kind(name, _) => section_undo(&document.kinds, name, Edit::Kind),
+        Edit::Zone(name, _) => section_undo(&document.zones, name, Edit::Zone),
+        Edit::Links(_) => Edit::Links(document.links.clone()),
+        Edit::Model(name, _) => section_undo(&document.models, name, Edit::Model),
+        Edit::Pipeline(name, _) => section_undo(&document.pipelines, name, Edit::Pipeline),
+        Edit::Service(name, _) => section_undo(&document.services, name, Edit::Service),
+        Edit::Target(name, _) => section_undo(&document.targets, name, Edit::Target),
+        Edit::Workspace(name, _) => section_undo(&document.workspaces, name, Edit::Workspace),
+    }
+}
+
+fn section_undo<T: Clone>(
+    section: &BTreeMap<String, T>,
+    name: &str,
+    make: fn(String, Option<T>) -> Edit,
+) -> Edit {
+    make(name.to_owned(), section.get(name).cloned())
+}
+
 fn section_edits<T: Clone + PartialEq>(
     old: &BTreeMap<String, T>,
     new: &BTreeMap<String, T>,
--- a/camphorweir-config/src/fold.rs
+++ b/camphorweir-config/src/fold.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         check,
-        edit::apply,
+        edit::{apply, undo},
         fault::{Code, Fault},
         history::{Fate, History, Winner},
         model::{Document, Version},
@@ -305,15 +305,19 @@
         if base != self.known.version {
             return self.decline(nonce, base);
         }
-        let mut document = Document::clone(&self.known.document);
-        apply(&mut document, &edits);
-        let mut faults = check::document(&document);
+        // A document that nobody else holds is changed in place, so that reading a long stream does
+        // not copy it for each record.
+        let document = Arc::make_mut(&mut self.known.document);
+        let back = undo(document, &edits);
+        apply(document, &edits);
+        let mut faults = check::edited(document, &edits);
         let version = base.checked_add(1);
         if version.is_none() {
             let text = format!("version {base} is the last one");
             faults.push(Fault::new(Code::OutOfBounds, &["version"], text));
         }
         let Some(version) = version.filter(|_| faults.is_empty()) else {
+            apply(document, &back);
             self.history.refused(nonce, Fate::Faulty(faults.clone()));
             return Step::Faulty {
                 nonce: Some(nonce),
@@ -321,13 +325,9 @@
             };
         };
         self.history.accepted(version, nonce, &author);
-        self.known = Known {
-            version,
-            nonce,
-            author,
-            next: self.known.next,
-            document: Arc::new(document),
-        };
+        self.known.version = version;
+        self.known.nonce = nonce;
+        self.known.author = author;
         Step::Accepted(version)
     }
 
--- a/camphorweir/src/publish.rs
+++ b/camphorweir/src/publish.rs
@@ -17,7 +17,7 @@
         model::{Document, Version},
         record::{Body, FORMAT, Nonce, Publication, Record, STREAM},
     },
-    camphorweir_wire::codec,
+    camphorweir_wire::{codec, log::Page},
     serde_json::json,
     std::time::Duration,
     tokio::{
@@ -29,7 +29,7 @@
 
 /// Longest time for one exchange with the log service.
 const PATIENCE: Duration = Duration::from_secs(10);
-/// Records read at once.
+/// Most records read at once; fewer after a failure, which may be due to the size of the answer.
 const PAGE: usize = 1000;
 /// Pause before the first repetition; it doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -93,6 +93,8 @@
     fold: Fold,
     deadline: Instant,
     pause: Duration,
+    /// Records to read at once, `1..=PAGE`.
+    page: usize,
     remarks: String,
 }
 
@@ -104,6 +106,7 @@
             fold: Fold::new(),
             deadline: Instant::now() + options.timeout,
             pause: FIRST_PAUSE,
+            page: PAGE,
             remarks: String::new(),
         }
     }
@@ -193,14 +196,7 @@
     /// Reads the stream to its end.
     async fn catch_up(&mut self) -> Result<(), String> {
         loop {
-            let page = self
-                .client
-                .page(STREAM, self.fold.next(), PAGE, Duration::ZERO);
-            let page = match timeout_at(self.deadline, page).await {
-                Ok(Ok(page)) => page,
-                Ok(Err(error)) => return Err(error.to_string()),
-                Err(_) => return Err("the log could not be read to its end in time".to_owned()),
-            };
+            let page = self.read().await?;
             self.fold.lost(page.oldest);
             for stored in &page.records {
                 self.fold.apply(stored.offset, &stored.body);
@@ -219,6 +215,21 @@
         Ok(())
     }
 
+    async fn read(&mut self) -> Result<Page, String> {
+        let (from, wait) = (self.fold.next(), Duration::ZERO);
+        let page = self.client.page(STREAM, from, self.page, wait);
+        let (most, read) = match timeout_at(self.deadline, page).await {
+            Ok(Ok(page)) => (self.page * 2, Ok(page)),
+            Ok(Err(error)) => (self.page / 4, Err(error.to_string())),
+            Err(_) => (
+                self.page,
+                Err("the log could not be read to its end in time".to_owned()),
+            ),
+        };
+        self.page = most.clamp(1, PAGE);
+        read
+    }
+
     /// Pauses before another try; false when the time is up.
     async fn again(&mut self) -> bool {
         if Instant::now() + self.pause >= self.deadline {
@@ -261,7 +272,10 @@
         End::Conflict(Winner { author, version }) => Report::new(
             Exit::Conflict,
             json,
-            format!("conflict: {author} published version {version} first"),
+            format!(
+                "conflict: {} published version {version} first",
+                author.escape_debug()
+            ),
             json!({"outcome": "conflict", "author": author, "version": version}),
         ),
         End::Faulty(faults) => Report::new(
