--- a/camphorweir-standin/src/lib.rs
+++ b/camphorweir-standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod cache;
 pub mod chain;
 pub mod engine;
+pub mod fleet;
 pub mod list;
 pub mod log;
 mod rate;
