--- a/camphorweir-config/src/model.rs
+++ b/camphorweir-config/src/model.rs
@@ -80,6 +80,17 @@
     pub rate: f64,
 }
 
+impl Default for Link {
+    /// A millisecond, and a gigabit a second.
+    fn default() -> Self {
+        Self {
+            between: [ZoneId::new(), ZoneId::new()],
+            delay_us: 1000,
+            rate: 125e6,
+        }
+    }
+}
+
 /// A language model.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
