Add a scenario for each mechanism of the promises

The random search met some faults too seldom to notice a mechanism left out. One scenario places each fault at the moment that matters; the world can forge answers to steps, let retention pass and let two operators settle a key.

--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -2,5 +2,6 @@
 
 mod fuzz;
 mod moves;
+mod scenario;
 mod thin;
 mod world;
--- a/camphorweir-policy/tests/always/moves.rs
+++ b/camphorweir-policy/tests/always/moves.rs
@@ -82,6 +82,10 @@
     Publish { racing: bool },
     /// A checkpoint of some earlier version lands late.
     StaleCheckpoint,
+    /// Two operators settle a key that is listed as unresolved, by what the services saw.
+    Resolve { key: usize },
+    /// Answers to steps come with forged ones, or no longer do.
+    Noise { on: bool },
 }
 
 /// Every move, requests and time more often than faults.
@@ -138,6 +142,8 @@
         1 => any::<bool>().prop_map(|down| Move::List { down }),
         1 => any::<bool>().prop_map(|racing| Move::Publish { racing }),
         1 => Just(Move::StaleCheckpoint),
+        1 => (0..8_usize).prop_map(|key| Move::Resolve { key }),
+        1 => any::<bool>().prop_map(|on| Move::Noise { on }),
     ];
     prop_oneof![
         5 => requests,
@@ -171,7 +177,7 @@
         | Move::Stop { .. }
         | Move::Jump { .. } => disturb_entry(world, one),
         Move::KillEngine { engine } => world.kill_engine(ENGINES[*engine]),
-        Move::RestartEngine { engine } => restart_engine(world, ENGINES[*engine]),
+        Move::RestartEngine { engine } => world.restart_engine(ENGINES[*engine]),
         Move::FreezeEngine { engine, frozen } => {
             engine_of(world, ENGINES[*engine]).frozen = *frozen;
         }
@@ -201,6 +207,8 @@
         Move::List { down } => world.list_down = *down,
         Move::Publish { racing } => publish(world, past, *racing),
         Move::StaleCheckpoint => stale_checkpoint(world, past),
+        Move::Resolve { key } => resolve(world, past, *key),
+        Move::Noise { on } => world.noise = *on,
     }
 }
 
@@ -277,15 +285,6 @@
         .expect("a known server")
 }
 
-fn restart_engine(world: &mut World, id: &str) {
-    world.kill_engine(id);
-    world.run(Duration::from_millis(2));
-    engine_of(world, id).restart();
-    world.leaving_since.remove(id);
-    world.listed_leaving.remove(id);
-    world.relink(id);
-}
-
 fn leave(world: &mut World, target: usize, listed: bool) {
     let id = match ENGINES.get(target) {
         Some(id) => *id,
@@ -336,12 +335,31 @@
     }
 }
 
+/// Settles a key as an operator does, who asks the service what it ran.
+fn resolve(world: &mut World, past: &Past, key: usize) {
+    if past.keys.is_empty() {
+        return;
+    }
+    let (id, _) = past.keys[past.keys.len() - 1 - key % past.keys.len()];
+    let listed = world.entries.iter().any(|entry| {
+        let unresolved = entry.core.unresolved();
+        entry.alive
+            && unresolved
+                .iter()
+                .any(|one| one.key.id == id && one.live.unknown)
+    });
+    if listed {
+        world.resolve(id);
+    }
+}
+
 /// Ends every fault.
 pub(crate) fn heal(world: &mut World) {
     world.log.down = false;
     world.log.lose_answers = 0;
     world.log.make_late = None;
     world.list_down = false;
+    world.noise = false;
     world.listed_leaving.clear();
     for zone in ZONES {
         world.mend_zone(zone);
@@ -353,7 +371,7 @@
         service.mood = Mood::Well;
     }
     for id in ENGINES {
-        restart_engine(world, id);
+        world.restart_engine(id);
     }
     for entry in 0..world.entries.len() {
         world.entries[entry].skew = Duration::ZERO;
--- a/camphorweir-policy/tests/always/world/engine.rs
+++ b/camphorweir-policy/tests/always/world/engine.rs
@@ -49,6 +49,31 @@
     x
 }
 
+/// Answers that fit a step in shape and are wrong: another attempt's, request's, position's or
+/// range's.
+pub(crate) fn forge(step: &Step, model_layers: u32) -> Vec<Reply> {
+    let last = step.layers.end == model_layers;
+    let garbage = Done {
+        request: step.request,
+        attempt: step.attempt,
+        position: step.position,
+        layers: step.layers,
+        output: if last {
+            Vec::new()
+        } else {
+            vec![7; step.input.len()]
+        },
+        token: last.then_some(7),
+    };
+    let mut forged = vec![garbage; 5];
+    forged[0].attempt += 1;
+    forged[1].attempt = step.attempt.wrapping_sub(1);
+    forged[2].request += 1_000_000;
+    forged[3].position += 1;
+    forged[4].layers.end += 1;
+    forged.into_iter().map(Reply::Done).collect()
+}
+
 struct Attempt {
     layers: Layers,
     prefix: Vec<u64>,
--- a/camphorweir-policy/tests/always/world/log.rs
+++ b/camphorweir-policy/tests/always/world/log.rs
@@ -78,6 +78,16 @@
         first
     }
 
+    /// Retention passes: records that landed before `wall` are dropped.
+    pub(crate) fn forget(&mut self, wall: Duration) {
+        for stream in self.streams.values_mut() {
+            let ms = wall.as_millis() as u64;
+            let gone = stream.records.partition_point(|stored| stored.time_ms < ms);
+            stream.records.drain(..gone);
+            stream.oldest += gone as u64;
+        }
+    }
+
     /// Records from an offset on; `None` when it can't be reached.
     pub(crate) fn read(&self, stream: &str, from: u64) -> Option<Page> {
         if self.down {
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -21,6 +21,7 @@
         event::{Event, Exchange, TICK},
     },
     camphorweir_wire::{
+        claim::{self, Key},
         codec,
         engine::{Layers, Order, Reply},
         list::{Instance, Role, State},
@@ -45,6 +46,8 @@
 pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
 const LATENCY: Duration = Duration::from_millis(1);
 const POLL: Duration = Duration::from_millis(5);
+/// Wait before the next look at a stream that had nothing new.
+const POLL_IDLE: Duration = Duration::from_millis(15);
 /// Longest wait of a tail without records.
 const IDLE: Duration = Duration::from_millis(500);
 const LIST: Duration = Duration::from_secs(1);
@@ -72,6 +75,10 @@
     born: Duration,
     /// What its wall clock is ahead.
     pub(crate) skew: Duration,
+    /// What its wall clock is behind.
+    pub(crate) behind: Duration,
+    /// Targets that the last list it read shows as leaving, and since when.
+    listed: BTreeMap<String, Duration>,
     tails: HashMap<String, u64>,
     /// When each tailed stream last gave a page.
     told: HashMap<String, Duration>,
@@ -80,6 +87,20 @@
     pub(crate) version: u64,
 }
 
+impl Entry {
+    /// The services of the configuration in force.
+    pub(crate) fn services(&self) -> Vec<String> {
+        let bytes = self.core.checkpoint().expect("a version");
+        let record: record::Record = codec::decode(&bytes).expect("a record");
+        match record.body {
+            record::Body::Checkpoint(checkpoint) => {
+                checkpoint.document.services.keys().cloned().collect()
+            }
+            record::Body::Publication(_) => Vec::new(),
+        }
+    }
+}
+
 /// Everything.
 pub(crate) struct World {
     pub(crate) now: Duration,
@@ -91,6 +112,8 @@
     /// Zones cut off from the others and from the platform.
     pub(crate) cut: BTreeSet<&'static str>,
     pub(crate) list_down: bool,
+    /// Every answer to a step comes with forged ones around it.
+    pub(crate) noise: bool,
     /// Targets that the platform's list shows as leaving.
     pub(crate) listed_leaving: BTreeSet<String>,
     /// Since when every reachable entry should know that a target is leaving.
@@ -115,6 +138,7 @@
             oracle: Oracle::default(),
             cut: BTreeSet::new(),
             list_down: false,
+            noise: false,
             listed_leaving: BTreeSet::new(),
             leaving_since: HashMap::new(),
             zones: HashMap::new(),
@@ -240,6 +264,34 @@
         nonce
     }
 
+    /// Two operators settle a key by what the services ran; the second says the contrary.
+    pub(crate) fn resolve(&mut self, id: u128) {
+        let runs = self.runs();
+        let ran = runs
+            .keys()
+            .any(|call| matches!(self.oracle.calls[call].sent, Sent::Seal(key) if key == id));
+        if !ran && !self.log.down {
+            self.oracle.not_run.push(id);
+        }
+        let key = Key {
+            workspace: "w".to_owned(),
+            id,
+        };
+        let record = |ran| claim::Record {
+            format: claim::FORMAT,
+            key: key.clone(),
+            nonce: 0,
+            body: claim::Body::Resolve(claim::Resolve {
+                ran,
+                operator: "test".to_owned(),
+            }),
+        };
+        let records = [codec::encode(&record(ran)), codec::encode(&record(!ran))];
+        let wall = self.wall();
+        let stream = claim::stream(key.partition());
+        self.log.append(wall, &stream, &records);
+    }
+
     pub(crate) fn wall(&self) -> Duration {
         EPOCH + self.now
     }
@@ -258,6 +310,8 @@
             ready: false,
             born: self.now,
             skew: Duration::ZERO,
+            behind: Duration::ZERO,
+            listed: BTreeMap::new(),
             tails: HashMap::new(),
             told: HashMap::new(),
             backlog: VecDeque::new(),
@@ -298,6 +352,7 @@
         entry.ready = false;
         entry.frozen = false;
         entry.version = 0;
+        entry.listed.clear();
         entry.tails.clear();
         entry.backlog.clear();
         let clock = self.clock(number);
@@ -334,7 +389,7 @@
         let entry = &self.entries[number];
         Now {
             mono: self.now - entry.born,
-            wall: self.wall() + entry.skew,
+            wall: self.wall() + entry.skew - entry.behind,
         }
     }
 
@@ -417,6 +472,36 @@
         self.deliver(Parcel::Event(number, life, event));
     }
 
+    /// An engine starts again with an empty cache under the same address.
+    pub(crate) fn restart_engine(&mut self, target: &str) {
+        self.kill_engine(target);
+        self.run(2 * MS);
+        self.engines.get_mut(target).expect("known").restart();
+        self.leaving_since.remove(target);
+        self.listed_leaving.remove(target);
+        for entry in &mut self.entries {
+            entry.listed.remove(target);
+        }
+        for number in 0..self.entries.len() {
+            self.link(number, target);
+        }
+    }
+
+    /// Whether an entry has decided to send a call and has not written it.
+    pub(crate) fn is_forwarding(&self, number: usize) -> bool {
+        let own = |parcel: &Parcel| matches!(parcel, Parcel::Forward(from, ..) if *from == number);
+        self.queue.values().any(own)
+    }
+
+    /// Lets a long time pass in which nothing happens.
+    pub(crate) fn skip(&mut self, time: Duration) {
+        self.now += time;
+        self.ticked += time;
+        let queue = std::mem::take(&mut self.queue);
+        let later = |((at, sequence), parcel)| ((at + time, sequence), parcel);
+        self.queue = queue.into_iter().map(later).collect();
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -563,13 +648,6 @@
         }
     }
 
-    /// Links every entry anew that can reach the engine.
-    pub(crate) fn relink(&mut self, target: &str) {
-        for number in 0..self.entries.len() {
-            self.link(number, target);
-        }
-    }
-
     /// An engine's process dies.
     pub(crate) fn kill_engine(&mut self, target: &str) {
         if let Some(engine) = self.engines.get_mut(target) {
@@ -638,11 +716,15 @@
         if !engine.up || engine.frozen || engine.incarnation != incarnation {
             return;
         }
+        let forged = match &order {
+            Order::Step(step) if self.noise => engine::forge(step, LAYERS),
+            _ => Vec::new(),
+        };
         let replies = engine.order(number, order);
         if !engine.up {
             return self.kill_engine(target);
         }
-        for reply in replies {
+        for reply in forged.into_iter().chain(replies) {
             self.reply(number, Event::Engine(target.to_owned(), reply));
         }
     }
@@ -650,6 +732,9 @@
     fn forward(&mut self, number: usize, forward: Forward) {
         let late = self.clock(number).mono >= forward.send_by;
         let reach = self.reach_target(number, &forward.target);
+        if !late && reach {
+            self.check_leaving(number, &forward.target);
+        }
         let service = self.services.get_mut(&forward.target).expect("known");
         let end = if late || !reach {
             Exchange::Unsent
@@ -686,7 +771,9 @@
             false => None,
         };
         let life = self.entries[number].life;
-        self.send(POLL, Parcel::Tail(number, life, stream.clone()));
+        let idle = page.as_ref().is_none_or(|page| page.records.is_empty());
+        let wait = if idle { POLL_IDLE } else { POLL };
+        self.send(wait, Parcel::Tail(number, life, stream.clone()));
         let entry = &mut self.entries[number];
         let idle = entry
             .told
@@ -731,6 +818,12 @@
                 state: state(self.listed_leaving.contains(id)),
             });
         }
+        let (now, leaving) = (self.now, &self.listed_leaving);
+        let known = &mut self.entries[number].listed;
+        known.retain(|id, _| leaving.contains(id));
+        for id in leaving {
+            known.entry(id.clone()).or_insert(now);
+        }
         self.event(number, Event::Listed(all));
     }
 
@@ -749,6 +842,9 @@
 
     /// No new work after three seconds in which the entry could know.
     fn check_leaving(&self, number: usize, target: &str) {
+        let listed = self.entries[number].listed.get(target);
+        let late = listed.is_some_and(|since| self.now > *since + Duration::from_secs(3));
+        assert!(!late, "e{number} gave {target} new work after the list");
         if let Some(since) = self.leaving_since.get(target) {
             let late = self.now > *since + Duration::from_secs(3);
             assert!(
--- a/camphorweir-policy/tests/always/world/oracle.rs
+++ b/camphorweir-policy/tests/always/world/oracle.rs
@@ -35,6 +35,8 @@
 #[derive(Default)]
 pub(crate) struct Oracle {
     pub(crate) calls: HashMap<RequestId, Call>,
+    /// Keys that an operator settled as not run.
+    pub(crate) not_run: Vec<u128>,
     /// The answers seen for each key.
     answers: HashMap<u128, Vec<u8>>,
 }
@@ -90,8 +92,13 @@
         self.calls.get_mut(&id).expect("known").end = Some(end);
     }
 
-    /// A caller that asks again gets the first answer.
+    /// A caller that asks again gets the first answer, and it is that of a call under its key.
     fn answers_agree(&mut self, key: u128, answered: &Answered) {
+        let text = String::from_utf8_lossy(&answered.answer.body);
+        let ran = text.strip_prefix("ran ").and_then(|id| id.parse().ok());
+        let sent = ran.and_then(|id: RequestId| Some(&self.calls.get(&id)?.sent));
+        let own = matches!(sent, Some(Sent::Seal(own)) if *own == key);
+        assert!(own, "an answer of another key: {text}");
         let body = answered.answer.body.clone();
         let first = self.answers.entry(key).or_insert_with(|| body.clone());
         assert_eq!(*first, body, "two answers under one key");
@@ -111,6 +118,8 @@
         }
         for (key, count) in keys {
             assert!(count <= 1, "key {key:x} ran {count} times");
+            let settled = count > 0 && self.not_run.contains(&key);
+            assert!(!settled, "key {key:x} ran after it was settled as not run");
         }
     }
 
