--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -52,6 +52,7 @@
             service: service.to_owned(),
             key,
             stage: Stage::Waiting,
+            send_until: Duration::ZERO,
             avoid: Vec::new(),
         };
         self.admit(head, Body::Once(once));
@@ -175,12 +176,14 @@
             owner: self.owner(),
             fingerprint: print,
         };
+        let send_until = self.now.mono + CLAIM_WITHIN;
         if let Some(once) = self.once_mut(id) {
             once.stage = Stage::Claiming(nonce);
+            once.send_until = send_until;
         }
         self.record(&key, nonce, claim::Body::Start(start), false);
         let timer = Timer::Claim(id);
-        self.timers.set(self.now.mono + CLAIM_WITHIN, timer);
+        self.timers.set(send_until, timer);
     }
 
     /// The name under which this life of the entry claims.
@@ -203,10 +206,12 @@
 
     /// The key has a first live start: this request's own, or another's.
     fn started(&mut self, id: RequestId, key: &Key, live: &Live) {
+        let now = self.now.mono;
         let Some(once) = self.once_mut(id) else {
             return;
         };
         match once.stage {
+            Stage::Claiming(_) if now >= once.send_until => return self.claim_late(id),
             Stage::Claiming(nonce) if nonce == live.nonce => return self.send_once(id, nonce, 0),
             Stage::Claiming(nonce) => {
                 once.stage = Stage::Waiting;
@@ -386,6 +391,7 @@
         let Body::Once(once) = &mut request.body else {
             return;
         };
+        let in_time = in_time && now < once.send_until;
         once.avoid.push(target);
         let key = once.key.clone();
         let still_first = match self.partition(&key).table.standing(key.id) {
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -157,6 +157,9 @@
     pub key: Key,
     /// How far it has come.
     pub stage: Stage,
+    /// Its start counts for sending until then; a process that was frozen past it sends nothing,
+    /// since operators may have settled the key meanwhile.
+    pub send_until: Duration,
     /// Targets that provably did not run it.
     pub avoid: Vec<Index>,
 }
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -95,9 +95,12 @@
     let mut world = world();
     let key = world.new_key();
     let first = world.seal(0, key, 7);
-    world.run(4 * MS);
+    while !world.is_reading(0) {
+        world.run(MS / 4);
+    }
     world.entries[0].frozen = true;
-    world.run(4 * SECOND);
+    world.run(20 * SECOND);
+    world.resolve(key);
     world.thaw(0);
     world.run(2 * SECOND);
     assert_eq!(refusal(&world, first).1, Ran::No);
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -493,6 +493,17 @@
         self.queue.values().any(own)
     }
 
+    /// Whether records of a claim stream are on their way to an entry.
+    pub(crate) fn is_reading(&self, number: usize) -> bool {
+        let page = |parcel: &Parcel| match parcel {
+            Parcel::Event(to, _, Event::Page(stream, page)) if *to == number => {
+                stream != record::STREAM && !page.records.is_empty()
+            }
+            _ => false,
+        };
+        self.queue.values().any(page)
+    }
+
     /// Lets a long time pass in which nothing happens.
     pub(crate) fn skip(&mut self, time: Duration) {
         self.now += time;
@@ -784,9 +795,9 @@
             Some(page) => {
                 entry.tails.insert(stream.clone(), page.end.max(from));
                 entry.told.insert(stream.clone(), self.now);
-                self.event(number, Event::Page(stream, page));
+                self.reply(number, Event::Page(stream, page));
             }
-            None => self.event(number, Event::TailFailed(stream)),
+            None => self.reply(number, Event::TailFailed(stream)),
         }
     }
 
