Give orders to engines under a lease kept in the log

Cause: a range of layers whose engines are gone leaves the whole model unserved while other ranges have several. Ruled out: each entry ordering by itself (two would give opposite orders); a lease on an entry's own clock (a paused holder would go on). Before: no order was ever given. After: the first live entry takes a lease whose fencing number is the record's offset, by the log's clock; a range without an engine for 3 s borrows one and gives it back. Three scenarios pass; the one with a frozen holder passed with the term's check removed at first, since the fake delivered the backlog before the timer; with the timer first it fails without the check (1 stale order) and passes with it.

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -7,6 +7,7 @@
         call::{Answered, Ask, Call, End},
         claim,
         clock::Now,
+        command::Command,
         event::Event,
         member,
         outbox::{Outbox, Parcel},
@@ -22,6 +23,7 @@
         code::Code,
         engine::{Order, Reply},
         ids::{EntryId, Incarnation, Nonce, RequestId},
+        lease,
         outcome::Refusal,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -79,6 +81,8 @@
     pub(crate) timers: Heap,
     pub(crate) outbox: Outbox,
     pub(crate) partitions: Vec<Partition>,
+    /// The lease, and orders to engines under it.
+    pub(crate) command: Command,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
@@ -106,6 +110,7 @@
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
             out: Vec::new(),
@@ -117,6 +122,7 @@
         self.now = now;
         self.out.push(Action::Ready(false));
         self.out.push(Action::Tail(record::STREAM.to_owned(), 0));
+        self.out.push(Action::Tail(lease::STREAM.to_owned(), 0));
         for partition in 0..records::PARTITIONS {
             self.out.push(Action::Tail(records::stream(partition), 0));
         }
@@ -224,11 +230,13 @@
             self.stopping = Some(self.now.mono);
             self.out.push(Action::Ready(false));
             self.heartbeat = self.now.mono;
+            self.release_lease();
         }
     }
 
     fn tick(&mut self) {
         self.beat();
+        self.command();
         let Some(since) = self.stopping else {
             return;
         };
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -13,6 +13,7 @@
         claim,
         engine::Hello,
         ids::EntryId,
+        lease,
         list::{Instance, Role, State},
         log::Page,
         peer::{self, Digest},
@@ -26,6 +27,9 @@
         if stream == record::STREAM {
             return self.page_of_config(page);
         }
+        if stream == lease::STREAM {
+            return self.page_of_lease(&page);
+        }
         let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
         if let Some(number) = partition {
             self.page_of_claims(number as usize, page);
--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -18,7 +18,7 @@
         timer::Timer,
     },
     camphorweir_wire::{
-        claim::{self, Key, Owner, Record, SKEW, Start, WINDOW},
+        claim::{self, Key, Record, SKEW, Start, WINDOW},
         code::Code,
         codec,
         ids::{AttemptId, Nonce, RequestId},
@@ -183,14 +183,6 @@
         self.timers.set(self.now.mono + CLAIM_WITHIN, timer);
     }
 
-    /// The name under which this life of the entry claims.
-    fn owner(&self) -> Owner {
-        Owner {
-            entry: self.setup.entry.clone(),
-            incarnation: self.setup.incarnation,
-        }
-    }
-
     fn record(&mut self, key: &Key, nonce: Nonce, body: claim::Body, keep: bool) {
         let record = Record {
             format: claim::FORMAT,
--- a/camphorweir-policy/src/query.rs
+++ b/camphorweir-policy/src/query.rs
@@ -20,6 +20,11 @@
         self.setup.incarnation
     }
 
+    /// Whether this entry may give orders to engines now.
+    pub fn holds_lease(&self) -> bool {
+        self.may_order()
+    }
+
     /// Requests that are not over.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -2,5 +2,6 @@
 
 mod fuzz;
 mod moves;
+mod orders;
 mod thin;
 mod world;
--- a/camphorweir-policy/tests/always/world/engine.rs
+++ b/camphorweir-policy/tests/always/world/engine.rs
@@ -3,7 +3,7 @@
 use {
     camphorweir_wire::{
         engine::{
-            BLOCK, Done, Hello, Holds, Layers, Open, Opened, Order, Refused, Reply, Step, Why,
+            BLOCK, Done, Hello, Hold, Holds, Layers, Open, Opened, Order, Refused, Reply, Step, Why,
         },
         ids::{AttemptId, RequestId, Token},
     },
@@ -62,6 +62,9 @@
     pub(crate) layers: Layers,
     pub(crate) model_layers: u32,
     pub(crate) incarnation: u64,
+    pub(crate) fence: u64,
+    /// Orders that came with an older fencing number than one seen.
+    pub(crate) stale_orders: u32,
     pub(crate) up: bool,
     pub(crate) frozen: bool,
     pub(crate) leaving: bool,
@@ -81,6 +84,8 @@
             layers,
             model_layers,
             incarnation: 1,
+            fence: 0,
+            stale_orders: 0,
             up: true,
             frozen: false,
             leaving: false,
@@ -105,12 +110,7 @@
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             incarnation: self.incarnation,
-            holds: Holds {
-                model: "m".to_owned(),
-                layers: self.layers,
-                fence: 0,
-                loading: false,
-            },
+            holds: self.holds(),
             kind: "k".to_owned(),
         }
     }
@@ -133,7 +133,27 @@
                 self.attempts.remove(&(entry, request, attempt));
                 Vec::new()
             }
-            Order::Hold(_) => Vec::new(),
+            Order::Hold(hold) => self.hold(&hold),
+        }
+    }
+
+    /// Loads at once; an order with an older fencing number than one seen is refused.
+    fn hold(&mut self, hold: &Hold) -> Vec<Reply> {
+        if hold.fence < self.fence {
+            self.stale_orders += 1;
+        } else {
+            self.fence = hold.fence;
+            self.layers = hold.layers;
+        }
+        vec![Reply::Holds(self.holds())]
+    }
+
+    fn holds(&self) -> Holds {
+        Holds {
+            model: "m".to_owned(),
+            layers: self.layers,
+            fence: self.fence,
+            loading: false,
         }
     }
 
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -321,9 +321,10 @@
         }
     }
 
-    /// Lets a frozen process go on.
+    /// Lets a frozen process go on; its timer may fire before it reads what came meanwhile.
     pub(crate) fn thaw(&mut self, number: usize) {
         self.entries[number].frozen = false;
+        self.tell(number, Event::Tick);
         let backlog: Vec<Parcel> = self.entries[number].backlog.drain(..).collect();
         for parcel in backlog {
             self.deliver(parcel);
@@ -643,7 +644,16 @@
             return self.kill_engine(target);
         }
         for reply in replies {
-            self.reply(number, Event::Engine(target.to_owned(), reply));
+            if !matches!(reply, Reply::Holds(_)) {
+                self.reply(number, Event::Engine(target.to_owned(), reply));
+                continue;
+            }
+            // A change of what it holds is told on every connection.
+            for other in 0..self.entries.len() {
+                if self.reach_target(other, target) {
+                    self.reply(other, Event::Engine(target.to_owned(), reply.clone()));
+                }
+            }
         }
     }
 
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod codec;
 pub mod engine;
 pub mod ids;
+pub mod lease;
 pub mod list;
 pub mod log;
 pub mod outcome;
