Let entries do for each other what the log can't at the time

Records that must last are handed to peers when an entry stops while the log is down; the configuration and unresolved keys are appended again before retention drops them; a new entry learns the configuration from a peer while the log is down; three entries of a zone read the configuration stream for the others. Keys expire by the log's clock: by an entry's own, a clock that ran ahead would forget a key that may still be claimed.

--- a/camphorweir-policy/src/claim.rs
+++ b/camphorweir-policy/src/claim.rs
@@ -1,7 +1,6 @@
 //! The fold of the claim streams: which start of a key may run, the same for every reader.
 
 use {
-    crate::clock::Now,
     camphorweir_config::model::WorkspaceId,
     camphorweir_wire::{
         claim::{Body, FORMAT, Key, Owner, Record, SKEW, Start, WINDOW},
@@ -74,6 +73,8 @@
 pub struct Table {
     keys: HashMap<u128, Entry>,
     next: Offset,
+    /// The newest time of the log service's clock that a record carried.
+    clock: Duration,
     /// Set by a record of a newer format; nothing after it is folded.
     stopped: Option<u16>,
 }
@@ -100,7 +101,9 @@
             Err(_) => return self.stop(scan_format(&stored.body)),
         };
         self.next = stored.offset + 1;
-        self.fold(&record, Duration::from_millis(stored.time_ms));
+        let landed = Duration::from_millis(stored.time_ms);
+        self.clock = self.clock.max(landed);
+        self.fold(&record, landed);
         Some(record.key)
     }
 
@@ -121,6 +124,7 @@
             Body::Ran => entry.resolve(true),
             Body::Unknown => entry.unknown(record.nonce),
             Body::Resolve(resolve) => entry.resolve(resolve.ran),
+            Body::Carry(start) => entry.carry(record.nonce, start, landed),
         }
     }
 
@@ -177,14 +181,16 @@
 
     /// Forgets keys that no caller can claim any more.
     ///
-    /// Unresolved ones stay until an operator has settled them.
-    pub fn expire(&mut self, now: Now) {
+    /// The log's clock decides, as it does for starts: by a clock that runs ahead, a key would be
+    /// forgotten that may still be claimed. Unresolved ones stay until an operator has settled them.
+    pub fn expire(&mut self) {
+        let now = self.clock;
         self.keys.retain(|id, entry| {
             let key = Key {
                 workspace: String::new(),
                 id: *id,
             };
-            let over = key.issued() + WINDOW + SKEW + SKEW < now.wall;
+            let over = key.issued() + WINDOW + SKEW < now;
             let settled = entry.done.is_some() || entry.resolved.is_some();
             !over || (!settled && !entry.starts.is_empty())
         });
@@ -227,6 +233,26 @@
         });
     }
 
+    /// A start without an outcome that is past its window, or soon will be; it never runs again.
+    fn carry(&mut self, nonce: Nonce, start: &Start, landed: Duration) {
+        let settled = self.done.is_some() || self.resolved.is_some();
+        if settled || self.voids.contains(&nonce) {
+            return;
+        }
+        if let Some(live) = self.starts.iter_mut().find(|live| live.nonce == nonce) {
+            live.landed = landed;
+            live.unknown = true;
+            return;
+        }
+        self.starts.push(Live {
+            nonce,
+            owner: start.owner.clone(),
+            fingerprint: start.fingerprint,
+            landed,
+            unknown: true,
+        });
+    }
+
     /// Only the owner of a start makes it void, and only when it has not sent the request.
     fn void(&mut self, nonce: Nonce) {
         self.starts.retain(|live| live.nonce != nonce);
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -7,6 +7,8 @@
         call::{Answered, Ask, Call, End},
         claim,
         clock::Now,
+        command::Command,
+        duty::Duty,
         event::Event,
         member,
         outbox::{Outbox, Parcel},
@@ -22,6 +24,7 @@
         code::Code,
         engine::{Order, Reply},
         ids::{EntryId, Incarnation, Nonce, RequestId},
+        lease,
         outcome::Refusal,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -79,6 +82,10 @@
     pub(crate) timers: Heap,
     pub(crate) outbox: Outbox,
     pub(crate) partitions: Vec<Partition>,
+    /// The lease, and orders to engines under it.
+    pub(crate) command: Command,
+    /// What this entry does for all.
+    pub(crate) duty: Duty,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
@@ -106,6 +113,8 @@
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            duty: Duty::default(),
+            command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
             out: Vec::new(),
@@ -117,6 +126,7 @@
         self.now = now;
         self.out.push(Action::Ready(false));
         self.out.push(Action::Tail(record::STREAM.to_owned(), 0));
+        self.out.push(Action::Tail(lease::STREAM.to_owned(), 0));
         for partition in 0..records::PARTITIONS {
             self.out.push(Action::Tail(records::stream(partition), 0));
         }
@@ -224,15 +234,21 @@
             self.stopping = Some(self.now.mono);
             self.out.push(Action::Ready(false));
             self.heartbeat = self.now.mono;
+            self.release_lease();
         }
     }
 
     fn tick(&mut self) {
         self.beat();
+        self.command();
+        self.do_duties();
         let Some(since) = self.stopping else {
             return;
         };
         let grace_over = self.now.mono >= since + self.setup.grace;
+        if grace_over && self.requests.is_empty() {
+            self.hand_over();
+        }
         if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
             self.out.push(Action::Exit);
         }
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -13,6 +13,7 @@
         claim,
         engine::Hello,
         ids::EntryId,
+        lease,
         list::{Instance, Role, State},
         log::Page,
         peer::{self, Digest},
@@ -26,6 +27,9 @@
         if stream == record::STREAM {
             return self.page_of_config(page);
         }
+        if stream == lease::STREAM {
+            return self.page_of_lease(&page);
+        }
         let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
         if let Some(number) = partition {
             self.page_of_claims(number as usize, page);
@@ -39,14 +43,16 @@
         }
         for stored in &page.records {
             self.fold.apply(stored.offset, &stored.body);
+            self.duty.read(&self.fold, stored);
         }
+        self.duty.heard = Some(self.now.mono);
         if self.fold.version() > before {
             self.configure();
         }
     }
 
     /// Takes the version in force over.
-    fn configure(&mut self) {
+    pub(crate) fn configure(&mut self) {
         let document = Arc::clone(self.fold.document());
         let version = self.fold.version();
         self.map = route::Map::new(&self.setup.zone, &document);
@@ -88,6 +94,9 @@
 
     /// A tailed stream could not be read.
     pub(crate) fn tail_failed(&mut self, stream: &str) {
+        if stream == record::STREAM {
+            self.duty.heard = None;
+        }
         let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
         if let Some(number) = partition {
             self.partitions[number as usize].heard = None;
@@ -128,13 +137,12 @@
                     self.told_leaving(target, *incarnation);
                 }
                 let now = self.now.mono;
+                let version = digest.version;
                 self.members
                     .heard(&message.from, message.incarnation, digest, now);
+                self.want(&message.from, version);
             }
-            peer::Body::Ask(..)
-            | peer::Body::Told(..)
-            | peer::Body::Append(_)
-            | peer::Body::Kept(_) => {}
+            other => self.letter(&message.from, message.incarnation, other),
         }
     }
 
--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -18,11 +18,12 @@
         timer::Timer,
     },
     camphorweir_wire::{
-        claim::{self, Key, Owner, Record, SKEW, Start, WINDOW},
+        claim::{self, Key, Record, SKEW, Start, WINDOW},
         code::Code,
         codec,
         ids::{AttemptId, Nonce, RequestId},
         outcome::{Answer, Ran, Refusal},
+        peer,
     },
     std::time::Duration,
 };
@@ -186,14 +187,6 @@
         self.timers.set(send_until, timer);
     }
 
-    /// The name under which this life of the entry claims.
-    fn owner(&self) -> Owner {
-        Owner {
-            entry: self.setup.entry.clone(),
-            incarnation: self.setup.incarnation,
-        }
-    }
-
     fn record(&mut self, key: &Key, nonce: Nonce, body: claim::Body, keep: bool) {
         let record = Record {
             format: claim::FORMAT,
@@ -236,6 +229,7 @@
         };
         match fate {
             Fate::Alive => {
+                self.ask(key, live);
                 let timer = Timer::Recheck(id);
                 self.timers.set(self.now.mono + RECHECK, timer);
             }
@@ -247,6 +241,14 @@
         }
     }
 
+    /// Asks the owner of a start, whose answer shows whether it is still the same life.
+    fn ask(&mut self, key: &Key, live: &Live) {
+        if live.owner != self.owner() {
+            let body = peer::Body::Ask(key.clone(), live.nonce);
+            self.write(&live.owner.entry, body);
+        }
+    }
+
     fn in_progress(&mut self, id: RequestId) {
         let detail = "the request is claimed by an entry that does not answer now";
         let mut refusal = Refusal::not_run(Code::InProgress, detail).after(COME_BACK);
--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -2,6 +2,7 @@
 
 mod fuzz;
 mod moves;
+mod orders;
 mod scenario;
 mod thin;
 mod world;
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -1,7 +1,7 @@
 //! Single faults at the moment at which each mechanism matters; random search meets them seldom.
 
 use {
-    crate::world::{World, ZONES, oracle::Sent, service::Mood},
+    crate::world::{World, oracle::Sent, service::Mood},
     camphorweir_config::{
         model::Service,
         record::{Edit, STREAM},
@@ -13,6 +13,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
+/// How long the log keeps records.
+const RETENTION: Duration = Duration::from_secs(25 * 3600);
 const LEDGERS: [&str; 3] = ["ledger-a", "ledger-b", "ledger-c"];
 
 fn world() -> World {
@@ -139,10 +141,10 @@
     }
     world.restart(0);
     world.run(2 * SECOND);
-    for entry in 0..3 {
-        world.seal(entry, key, 7);
+    for entry in 0..9 {
+        world.seal(entry % 3, key, 7);
+        world.run(SECOND);
     }
-    world.run(20 * SECOND);
     assert_eq!(runs(&world), 1);
 }
 
@@ -206,12 +208,9 @@
     let key = world.new_key();
     world.seal(0, key, 7);
     world.run(SECOND);
-    let day = camphorweir_wire::claim::WINDOW + 600 * SECOND;
-    world.skip(day);
-    let oldest = world.wall() - 30 * SECOND;
-    world.log.forget(oldest);
+    pass_retention(&mut world);
     world.restart(1);
-    world.entries[1].behind = day;
+    world.entries[1].behind = RETENTION;
     world.run(2 * SECOND);
     world.seal(1, key, 7);
     world.run(12 * SECOND);
@@ -371,3 +370,95 @@
     assert!(world.entries.iter().all(|entry| !entry.ready));
     assert!(matches!(world.oracle.calls[&id].sent, Sent::Tokens(_)));
 }
+
+/// Lets the log drop what it holds now, with a little time now and then for what must be renewed.
+fn pass_retention(world: &mut World) {
+    let now = world.wall();
+    while world.wall() <= now + RETENTION {
+        world.skip(Duration::from_secs(3600));
+        world.run(65 * SECOND);
+        let oldest = world.wall() - RETENTION;
+        world.log.forget(oldest);
+    }
+}
+
+#[test]
+fn a_configuration_outlives_retention() {
+    let mut world = world();
+    pass_retention(&mut world);
+    for entry in 0..3 {
+        world.restart(entry);
+    }
+    world.run(2 * SECOND);
+    assert!(world.entries.iter().all(|entry| entry.version == 1));
+}
+
+#[test]
+fn an_unresolved_key_outlives_retention() {
+    let mut world = world();
+    mood(&mut world, Mood::DropAfter);
+    let key = world.new_key();
+    world.seal(0, key, 7);
+    world.run(SECOND);
+    pass_retention(&mut world);
+    pass_retention(&mut world);
+    for entry in 0..3 {
+        world.restart(entry);
+    }
+    world.run(2 * SECOND);
+    for entry in &world.entries {
+        let listed = entry.core.unresolved();
+        assert!(
+            listed
+                .iter()
+                .any(|one| one.key.id == key && one.live.unknown)
+        );
+    }
+}
+
+#[test]
+fn peers_take_over_what_a_stop_can_not_record() {
+    let mut world = world();
+    let key = world.new_key();
+    let id = world.seal(0, key, 7);
+    while runs(&world) == 0 {
+        world.run(MS);
+    }
+    world.log.down = true;
+    world.tell(0, Event::Stop);
+    world.run(10 * SECOND);
+    assert!(answered(&world, id));
+    assert!(world.entries[0].exited, "the stop waits for the log");
+    world.log.down = false;
+    world.run(10 * SECOND);
+    assert_eq!(world.entries[1].core.outcome(key), Some(true));
+}
+
+#[test]
+fn a_new_entry_learns_the_configuration_from_peers() {
+    let mut world = world();
+    world.log.down = true;
+    world.restart(0);
+    world.run(5 * SECOND);
+    assert_eq!(world.entries[0].version, 1);
+    let id = world.prompt(0, vec![1, 2, 3], 4);
+    world.run(SECOND);
+    assert!(finished(&world, id));
+}
+
+#[test]
+fn three_of_a_zone_read_the_configuration_for_the_others() {
+    let mut world = world();
+    for _ in 0..5 {
+        world.spawn("a");
+    }
+    world.run(3 * SECOND);
+    let readers = |world: &World| {
+        let of_zone = world.entries.iter().filter(|entry| entry.zone == "a");
+        of_zone.filter(|entry| entry.reads(STREAM)).count()
+    };
+    assert_eq!(readers(&world), 3);
+    world.publish_edits(1, edit("first"));
+    world.run(5 * SECOND);
+    assert!(world.entries.iter().all(|entry| entry.version == 2));
+}
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -88,6 +88,11 @@
 }
 
 impl Entry {
+    /// Whether it follows a stream.
+    pub(crate) fn reads(&self, stream: &str) -> bool {
+        self.tails.contains_key(stream)
+    }
+
     /// The services of the configuration in force.
     pub(crate) fn services(&self) -> Vec<String> {
         let bytes = self.core.checkpoint().expect("a version");
@@ -376,9 +381,10 @@
         }
     }
 
-    /// Lets a frozen process go on.
+    /// Lets a frozen process go on; its timer may fire before it reads what came meanwhile.
     pub(crate) fn thaw(&mut self, number: usize) {
         self.entries[number].frozen = false;
+        self.tell(number, Event::Tick);
         let backlog: Vec<Parcel> = self.entries[number].backlog.drain(..).collect();
         for parcel in backlog {
             self.deliver(parcel);
@@ -482,9 +488,7 @@
         for entry in &mut self.entries {
             entry.listed.remove(target);
         }
-        for number in 0..self.entries.len() {
-            self.link(number, target);
-        }
+        self.relink(target);
     }
 
     /// Whether an entry has decided to send a call and has not written it.
@@ -504,6 +508,13 @@
         self.queue.values().any(page)
     }
 
+    /// Links every entry anew that can reach the engine.
+    pub(crate) fn relink(&mut self, target: &str) {
+        for number in 0..self.entries.len() {
+            self.link(number, target);
+        }
+    }
+
     /// Lets a long time pass in which nothing happens.
     pub(crate) fn skip(&mut self, time: Duration) {
         self.now += time;
@@ -736,7 +747,16 @@
             return self.kill_engine(target);
         }
         for reply in forged.into_iter().chain(replies) {
-            self.reply(number, Event::Engine(target.to_owned(), reply));
+            if !matches!(reply, Reply::Holds(_)) {
+                self.reply(number, Event::Engine(target.to_owned(), reply));
+                continue;
+            }
+            // A change of what it holds is told on every connection.
+            for other in 0..self.entries.len() {
+                if self.reach_target(other, target) {
+                    self.reply(other, Event::Engine(target.to_owned(), reply.clone()));
+                }
+            }
         }
     }
 
