--- /dev/null
+++ b/camphorweir-policy/benches/policy/world.rs
@@ -0,0 +1,500 @@
+//! Cores, fake engines and servers, and the links between them, on a virtual clock.
+
+use {
+    crate::{
+        engine::Engine,
+        fleet::{self, Fleet, LAYERS, NEAR_RATE, SERVER_RATE},
+    },
+    camphorweir_config::{
+        edit,
+        fold::{self, Fold},
+        model::{Document, Serves},
+        record::{self, Publication},
+    },
+    camphorweir_policy::{
+        action::{Action, Forward, Note},
+        call::{Ask, Call, End, Plain, Tokens},
+        clock::Now,
+        core::{Core, Setup},
+        event::{Answered, Event, Exchange, TICK},
+        route::Rule,
+    },
+    camphorweir_wire::{
+        codec,
+        engine::{Hello, Holds, Order, Reply, Step},
+        list::{Instance, Role, State},
+        log::{Page, Stored},
+        outcome::{Answer, Refusal},
+        peer::Message,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde_bytes::ByteBuf,
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        time::Duration,
+    },
+};
+
+const MS: Duration = Duration::from_millis(1);
+/// Time between two reports of an engine.
+const REPORT: Duration = Duration::from_millis(100);
+/// Callers that a server serves side by side.
+const SERVER_SLOTS: usize = 4;
+
+/// A fault.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Fault {
+    Killed(String),
+    Frozen(String),
+    Zone(String),
+}
+
+enum Parcel {
+    Event(usize, Event),
+    Order(usize, String, Order),
+    Batch(String),
+    Call(usize, Forward),
+    Report,
+    Tick,
+}
+
+/// A caller's request and what became of it.
+pub(crate) struct Sent {
+    pub(crate) urgent: bool,
+    pub(crate) lookup: bool,
+    /// Tokens in its prompt.
+    pub(crate) prompt: u32,
+    pub(crate) at: Duration,
+    pub(crate) end: Option<(Duration, Result<u32, Refusal>)>,
+}
+
+/// Everything.
+pub(crate) struct World {
+    pub(crate) now: Duration,
+    pub(crate) engines: BTreeMap<String, Engine>,
+    pub(crate) sent: Vec<Sent>,
+    /// When tokens reached callers.
+    pub(crate) tokens: Vec<Duration>,
+    /// Attempts begun, those after a request's first, and the prompt positions of them all.
+    pub(crate) opens: u64,
+    pub(crate) again: u64,
+    pub(crate) asked: u64,
+    fleet: Fleet,
+    cores: Vec<Core>,
+    lost: HashSet<String>,
+    links: HashMap<(usize, String, bool), Duration>,
+    servers: BTreeMap<String, Vec<Duration>>,
+    begun: HashSet<u64>,
+    queue: BTreeMap<(Duration, u64), Parcel>,
+    sequence: u64,
+    rng: SmallRng,
+}
+
+impl World {
+    pub(crate) fn new(fleet: &Fleet, rule: Rule, room: usize, seed: u64) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            engines: BTreeMap::new(),
+            sent: Vec::new(),
+            tokens: Vec::new(),
+            opens: 0,
+            again: 0,
+            asked: 0,
+            fleet: fleet.clone(),
+            cores: Vec::new(),
+            lost: HashSet::new(),
+            links: HashMap::new(),
+            servers: BTreeMap::new(),
+            begun: HashSet::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for (id, target) in &fleet.document.targets {
+            match &target.serves {
+                Serves::Layers(engine) => {
+                    let layers = camphorweir_wire::engine::Layers {
+                        first: engine.first,
+                        end: engine.end,
+                    };
+                    let kind = fleet.document.kinds[&engine.kind].clone();
+                    let engine = Engine::new(kind, layers, target.zone.clone(), room);
+                    world.engines.insert(id.clone(), engine);
+                }
+                Serves::Service(_) => {
+                    let slots = vec![Duration::ZERO; SERVER_SLOTS];
+                    world.servers.insert(id.clone(), slots);
+                }
+            }
+        }
+        for (number, zone) in fleet.entries.iter().enumerate() {
+            let mut core = core(number, zone, &fleet.document, seed);
+            core.compare(rule);
+            world.cores.push(core);
+        }
+        world.introduce();
+        world.put(TICK, Parcel::Tick);
+        world.put(REPORT, Parcel::Report);
+        world
+    }
+
+    /// Tells the cores of one another and of the engines.
+    fn introduce(&mut self) {
+        let names = 0..self.cores.len();
+        let list: Vec<Instance> = names
+            .map(|number| Instance {
+                name: format!("n{number}"),
+                role: Role::Entry,
+                address: format!("n{number}"),
+                zone: self.fleet.entries[number].clone(),
+                state: State::Live,
+            })
+            .collect();
+        let hellos: Vec<Event> = self
+            .engines
+            .iter()
+            .map(|(id, engine)| Event::Linked(id.clone(), hello(engine)))
+            .collect();
+        for number in 0..self.cores.len() {
+            self.tell(number, Event::Listed(list.clone()));
+            for hello in &hellos {
+                self.tell(number, hello.clone());
+            }
+        }
+    }
+
+    fn put(&mut self, after: Duration, parcel: Parcel) {
+        self.sequence += 1;
+        self.queue.insert((self.now + after, self.sequence), parcel);
+    }
+
+    /// Runs until a time.
+    pub(crate) fn run(&mut self, until: Duration) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            let ((at, _), parcel) = entry.remove_entry();
+            self.now = at;
+            self.deliver(parcel);
+        }
+        self.now = until;
+    }
+
+    fn deliver(&mut self, parcel: Parcel) {
+        match parcel {
+            Parcel::Event(entry, event) => self.tell(entry, event),
+            Parcel::Order(entry, id, order) => self.order(entry, id, order),
+            Parcel::Batch(id) => self.finish(id),
+            Parcel::Call(entry, forward) => self.serve(entry, forward),
+            Parcel::Report => self.report(),
+            Parcel::Tick => {
+                for entry in 0..self.cores.len() {
+                    self.tell(entry, Event::Tick);
+                }
+                self.put(TICK, Parcel::Tick);
+            }
+        }
+    }
+
+    fn tell(&mut self, entry: usize, event: Event) {
+        if self.lost.contains(&self.fleet.entries[entry]) {
+            return;
+        }
+        let actions = self.cores[entry].handle(clock(self.now), event);
+        for action in actions {
+            self.carry_out(entry, action);
+        }
+    }
+
+    fn carry_out(&mut self, entry: usize, action: Action) {
+        match action {
+            Action::Order(id, order) => {
+                if let Order::Open(open) = &order
+                    && open.layers.first == 0
+                {
+                    self.opens += 1;
+                    self.asked += u64::from(self.sent[open.request as usize].prompt);
+                    self.again += u64::from(!self.begun.insert(open.request));
+                }
+                let count = if let Order::Step(step) = &order {
+                    inputs(step)
+                } else {
+                    0
+                };
+                let wait = self.carry(entry, &id, true, count);
+                self.put(wait, Parcel::Order(entry, id, order));
+            }
+            Action::Forward(forward) => self.put(MS / 2, Parcel::Call(entry, forward)),
+            Action::Token(..) => self.tokens.push(self.now),
+            Action::Reply(id, end) => {
+                let end = match end {
+                    End::Finished(finished) => Ok(finished.tokens),
+                    End::Answered(_) => Ok(0),
+                    End::Refused(refusal) => Err(refusal),
+                };
+                self.sent[id as usize].end = Some((self.now, end));
+            }
+            Action::Peer(to, _, body) => {
+                let number: usize = to[1..].parse().expect("a core's name");
+                let from = format!("n{entry}");
+                let message = Message {
+                    from,
+                    incarnation: 1,
+                    body,
+                };
+                self.put(MS, Parcel::Event(number, Event::Peer(message)));
+            }
+            Action::Note(Note::Odd(what, detail)) => eprintln!("{what}: {detail}"),
+            _ => {}
+        }
+    }
+
+    /// Time for a message over the link between an entry and a target; messages queue for it.
+    fn carry(&mut self, entry: usize, id: &str, out: bool, count: usize) -> Duration {
+        let (from, to) = (&self.fleet.entries[entry], &self.engines[id].zone);
+        let link = self.fleet.document.links.iter().find(|link| {
+            let [one, two] = &link.between;
+            (one == from && two == to) || (two == from && one == to)
+        });
+        let (delay, rate) = link.map_or((MS / 5, NEAR_RATE), |link| {
+            (Duration::from_micros(link.delay_us), link.rate)
+        });
+        let free = self.links.entry((entry, to.clone(), out)).or_default();
+        let bytes = count as f64 * 8192.0;
+        *free = (*free).max(self.now) + Duration::from_secs_f64(bytes / rate);
+        *free - self.now + delay
+    }
+
+    fn order(&mut self, entry: usize, id: String, order: Order) {
+        let Some(engine) = self
+            .engines
+            .get_mut(&id)
+            .filter(|engine| engine.up && !engine.frozen)
+        else {
+            return;
+        };
+        if let Some(reply) = engine.order(entry, order) {
+            self.reply(entry, &id, reply);
+        }
+        self.begin(id);
+    }
+
+    fn begin(&mut self, id: String) {
+        if let Some(time) = self.engines.get_mut(&id).and_then(Engine::start) {
+            self.put(time, Parcel::Batch(id));
+        }
+    }
+
+    fn finish(&mut self, id: String) {
+        let engine = self.engines.get_mut(&id).expect("an engine");
+        if !engine.up || engine.frozen {
+            return;
+        }
+        for (entry, reply) in engine.finish(LAYERS) {
+            self.reply(entry, &id, reply);
+        }
+        self.begin(id);
+    }
+
+    fn reply(&mut self, entry: usize, id: &str, reply: Reply) {
+        let count = if let Reply::Done(done) = &reply {
+            done.output.len()
+        } else {
+            0
+        };
+        let wait = self.carry(entry, id, false, count);
+        self.put(
+            wait,
+            Parcel::Event(entry, Event::Engine(id.to_owned(), reply)),
+        );
+    }
+
+    /// A plain call takes the server's next free slot.
+    fn serve(&mut self, entry: usize, forward: Forward) {
+        let slots = self.servers.get_mut(&forward.target).expect("a server");
+        let slot = slots.iter_mut().min().expect("a slot");
+        let time = self.rng.random_range(0.5..1.5) * SERVER_SLOTS as f64 / SERVER_RATE;
+        *slot = (*slot).max(self.now) + Duration::from_secs_f64(time);
+        let wait = *slot - self.now + MS / 2;
+        let answer = Answer {
+            status: 200,
+            content_type: String::new(),
+            body: Vec::new(),
+        };
+        let answered = Answered {
+            answer,
+            not_run: false,
+            leaving: false,
+        };
+        let event = Event::Plain(forward.call, forward.attempt, Exchange::Answered(answered));
+        self.put(wait, Parcel::Event(entry, event));
+    }
+
+    fn report(&mut self) {
+        let mut news = Vec::new();
+        for (id, engine) in self
+            .engines
+            .iter_mut()
+            .filter(|(_, engine)| engine.up && !engine.frozen)
+        {
+            for reply in engine.report() {
+                news.push((id.clone(), reply));
+            }
+        }
+        for (id, reply) in news {
+            // One cache event in twenty is lost.
+            if matches!(reply, Reply::Cached(_)) && self.rng.random_ratio(1, 20) {
+                continue;
+            }
+            for entry in 0..self.cores.len() {
+                self.put(
+                    REPORT,
+                    Parcel::Event(entry, Event::Engine(id.clone(), reply.clone())),
+                );
+            }
+        }
+        self.put(REPORT, Parcel::Report);
+    }
+
+    /// A caller sends a request; the balancer spreads them over the entries that are there.
+    pub(crate) fn ask(&mut self, workspace: usize, ask: Ask, urgent: bool) {
+        let id = self.sent.len() as u64;
+        let lookup = matches!(ask, Ask::Plain(_));
+        let prompt = if let Ask::Tokens(tokens) = &ask {
+            tokens.prompt.len() as u32
+        } else {
+            0
+        };
+        self.sent.push(Sent {
+            urgent,
+            lookup,
+            prompt,
+            at: self.now,
+            end: None,
+        });
+        let open: Vec<usize> = (0..self.cores.len())
+            .filter(|entry| !self.lost.contains(&self.fleet.entries[*entry]))
+            .collect();
+        let entry = open[self.rng.random_range(0..open.len())];
+        self.tell(entry, Event::Arrive(call(id, workspace, ask)));
+    }
+
+    /// Takes the first core out, to time it alone.
+    pub(crate) fn take_core(&mut self) -> Core {
+        self.cores.swap_remove(0)
+    }
+
+    pub(crate) fn fault(&mut self, fault: &Fault) {
+        let mut dead = Vec::new();
+        for (id, engine) in &mut self.engines {
+            match fault {
+                Fault::Killed(name) if name == id => dead.push(id.clone()),
+                Fault::Frozen(name) if name == id => engine.frozen = true,
+                Fault::Zone(zone) if *zone == engine.zone => engine.frozen = true,
+                _ => {}
+            }
+        }
+        if let Fault::Zone(zone) = fault {
+            self.lost.insert(zone.clone());
+        }
+        for id in dead {
+            self.engines.get_mut(&id).expect("an engine").up = false;
+            for entry in 0..self.cores.len() {
+                self.put(MS, Parcel::Event(entry, Event::Unlinked(id.clone())));
+            }
+        }
+    }
+}
+
+fn inputs(step: &Step) -> usize {
+    if step.layers.first == 0 {
+        0
+    } else {
+        step.input.len()
+    }
+}
+
+fn hello(engine: &Engine) -> Hello {
+    let holds = Holds {
+        model: "m".to_owned(),
+        layers: engine.layers,
+        fence: 0,
+        loading: false,
+    };
+    Hello {
+        incarnation: 1,
+        holds,
+        kind: String::new(),
+    }
+}
+
+pub(crate) fn clock(now: Duration) -> Now {
+    // The start is past every slow start.
+    Now {
+        mono: now,
+        wall: now + Duration::from_secs(1_800_000_000),
+    }
+}
+
+/// A core that has taken a configuration over.
+pub(crate) fn core(number: usize, zone: &str, document: &Document, seed: u64) -> Core {
+    let mut core = Core::new(Setup {
+        entry: format!("n{number}"),
+        incarnation: 1,
+        zone: zone.to_owned(),
+        seed: seed + number as u64,
+        grace: MS,
+    });
+    let edits = edit::edits(&Document::default(), document);
+    let publication = Publication {
+        nonce: 1,
+        author: "bench".to_owned(),
+        base: 0,
+        edits,
+    };
+    let body = record::Body::Publication(publication);
+    let bytes = codec::encode(&record::Record {
+        format: record::FORMAT,
+        body,
+    });
+    let stored = Stored {
+        offset: 0,
+        time_ms: 0,
+        body: ByteBuf::from(bytes),
+    };
+    let page = Page {
+        oldest: 0,
+        end: 1,
+        records: vec![stored],
+    };
+    let step = Fold::new().apply(0, &page.records[0].body);
+    assert!(matches!(step, fold::Step::Accepted(_)), "{step:?}");
+    core.start(Now::default());
+    core.handle(
+        clock(Duration::ZERO),
+        Event::Page(record::STREAM.to_owned(), page),
+    );
+    core
+}
+
+pub(crate) fn call(id: u64, workspace: usize, ask: Ask) -> Call {
+    let key = fleet::key(workspace);
+    Call { id, key, ask }
+}
+
+pub(crate) fn tokens(prompt: Vec<u32>, max_tokens: u32) -> Ask {
+    Ask::Tokens(Tokens {
+        pipeline: "notes".to_owned(),
+        prompt,
+        max_tokens,
+    })
+}
+
+pub(crate) fn plain(route: &str, fingerprint: u64) -> Ask {
+    Ask::Plain(Plain {
+        route: route.to_owned(),
+        idempotency: None,
+        fingerprint,
+    })
+}
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Compares paths by another rule than the product's own; for measurements.
+    pub fn compare(&mut self, rule: route::Rule) {
+        self.map.rule = rule;
+    }
+
     /// The first actions of a process; called once, before any event.
     pub fn start(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -49,7 +49,9 @@
     fn configure(&mut self) {
         let document = Arc::clone(self.fold.document());
         let version = self.fold.version();
+        let rule = self.map.rule;
         self.map = route::Map::new(&self.setup.zone, &document);
+        self.map.rule = rule;
         for change in self.targets.configure(&document, self.now.mono) {
             self.out.push(match change {
                 Change::Link(id, address) => Action::Link(id, address),
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -172,6 +172,7 @@
         for hop in attempt.path.hops() {
             let target = self.targets.get_mut(hop.target);
             target.open += 1;
+            target.chosen += 1;
             let open = Open {
                 request: id,
                 attempt: attempt.id,
--- a/camphorweir-policy/src/route.rs
+++ b/camphorweir-policy/src/route.rs
@@ -41,6 +41,22 @@
     pub avoid: &'a [Index],
 }
 
+/// How paths are compared; all but the first exist to be measured against it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Rule {
+    /// By all that this module knows.
+    #[default]
+    Product,
+    /// The targets chosen least often.
+    RoundRobin,
+    /// The targets with the fewest of the entry's own attempts.
+    LeastOutstanding,
+    /// Projected completion alone, blind to prefix caches.
+    Projected,
+    /// The holder of the longest prefix unless it is overloaded.
+    PrefixHolder,
+}
+
 /// Why there is no path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Miss {
@@ -56,6 +72,7 @@
     zone: ZoneId,
     kinds: HashMap<String, Kind>,
     links: HashMap<ZoneId, Link>,
+    pub(crate) rule: Rule,
 }
 
 impl Map {
@@ -69,6 +86,7 @@
             (two == zone).then(|| one.clone())
         };
         Self {
+            rule: Rule::default(),
             zone: zone.to_owned(),
             kinds: document.kinds.clone().into_iter().collect(),
             links: document
@@ -112,6 +130,11 @@
         want: &Want<'_>,
         now: Duration,
     ) -> Duration {
+        match self.rule {
+            Rule::RoundRobin => return Duration::from_millis(target.chosen),
+            Rule::LeastOutstanding => return Duration::from_millis(u64::from(target.open)),
+            Rule::Product | Rule::Projected | Rule::PrefixHolder => {}
+        }
         let Some(kind) = self.kind(target) else {
             return Duration::MAX / 4;
         };
--- a/camphorweir-policy/src/target.rs
+++ b/camphorweir-policy/src/target.rs
@@ -35,6 +35,8 @@
     pub health: health::State,
     /// This entry's attempts and exchanges on it.
     pub open: u32,
+    /// How often it was chosen.
+    pub chosen: u64,
     /// This entry's positions that it has been sent and has not answered.
     pub queued: u64,
     /// Its last report, and when it came.
@@ -220,6 +222,7 @@
             leaving: leave::State::default(),
             health: health::State::default(),
             open: 0,
+            chosen: 0,
             queued: 0,
             report: None,
         });
