Choose paths from groups and start only where something changed

Cause: a decision scanned every target, and each event tried the blocked heads again. Now targets stand in groups by layers and distance, a decision looks at a bounded number of each, and a lane is tried when its targets changed. Limits on open attempts follow Little's law and are shared by the entries of a zone. Workspaces share a class by start-time fair queueing; arrivals that would wait too long are refused at once.

--- a/camphorweir-policy/benches/policy/engine.rs
+++ b/camphorweir-policy/benches/policy/engine.rs
@@ -33,7 +33,9 @@
     pub(crate) busy: bool,
     /// Blocks that the cache holds at most.
     pub(crate) room: usize,
-    pub(crate) prefilled: u64,
+    /// Prompt positions that were skipped, and all that were asked for.
+    pub(crate) skipped: u64,
+    pub(crate) asked: u64,
     attempts: HashMap<Name, (Priority, Vec<u64>)>,
     decode: BTreeMap<(Priority, u64), Work>,
     prefill: BTreeMap<(Priority, u64), Work>,
@@ -54,7 +56,8 @@
             frozen: false,
             busy: false,
             room,
-            prefilled: 0,
+            skipped: 0,
+            asked: 0,
             attempts: HashMap::new(),
             decode: BTreeMap::new(),
             prefill: BTreeMap::new(),
@@ -135,7 +138,6 @@
         if let Some(mut first) = self.prefill.first_entry() {
             let count = first.get().left.min(CHUNK);
             first.get_mut().left -= count;
-            self.prefilled += u64::from(count);
             time += f64::from(count) * depth / self.kind.prefill_rate;
             if first.get().left == 0 {
                 self.batch.push(first.remove());
@@ -155,6 +157,8 @@
                 continue;
             };
             if work.step.input.len() > 1 {
+                self.skipped += u64::from(work.step.position);
+                self.asked += u64::from(work.step.position) + work.step.input.len() as u64;
                 for hash in prefix.clone() {
                     self.keep(hash);
                 }
--- a/camphorweir-policy/benches/policy/main.rs
+++ b/camphorweir-policy/benches/policy/main.rs
@@ -317,8 +317,9 @@
         END,
     );
     world.run(END * 2);
-    let run: u64 = world.engines.values().map(|engine| engine.prefilled).sum();
-    let saved = 1.0 - run as f64 / (world.asked * 3) as f64;
+    let skipped: u64 = world.engines.values().map(|engine| engine.skipped).sum();
+    let asked: u64 = world.engines.values().map(|engine| engine.asked).sum();
+    let saved = skipped as f64 / asked as f64;
     let name = format!("prefix.{}.{name}.prefill_saved", fleet.name);
     vec![line(&name, saved, "ratio", target(rule, "best"))]
 }
--- a/camphorweir-policy/benches/policy/world.rs
+++ b/camphorweir-policy/benches/policy/world.rs
@@ -62,8 +62,6 @@
 pub(crate) struct Sent {
     pub(crate) urgent: bool,
     pub(crate) lookup: bool,
-    /// Tokens in its prompt.
-    pub(crate) prompt: u32,
     pub(crate) at: Duration,
     pub(crate) end: Option<(Duration, Result<u32, Refusal>)>,
 }
@@ -75,10 +73,9 @@
     pub(crate) sent: Vec<Sent>,
     /// When tokens reached callers.
     pub(crate) tokens: Vec<Duration>,
-    /// Attempts begun, those after a request's first, and the prompt positions of them all.
+    /// Attempts begun, and those after a request's first.
     pub(crate) opens: u64,
     pub(crate) again: u64,
-    pub(crate) asked: u64,
     fleet: Fleet,
     cores: Vec<Core>,
     lost: HashSet<String>,
@@ -99,7 +96,6 @@
             tokens: Vec::new(),
             opens: 0,
             again: 0,
-            asked: 0,
             fleet: fleet.clone(),
             cores: Vec::new(),
             lost: HashSet::new(),
@@ -214,7 +210,6 @@
                     && open.layers.first == 0
                 {
                     self.opens += 1;
-                    self.asked += u64::from(self.sent[open.request as usize].prompt);
                     self.again += u64::from(!self.begun.insert(open.request));
                 }
                 let count = if let Order::Step(step) = &order {
@@ -361,15 +356,9 @@
     pub(crate) fn ask(&mut self, workspace: usize, ask: Ask, urgent: bool) {
         let id = self.sent.len() as u64;
         let lookup = matches!(ask, Ask::Plain(_));
-        let prompt = if let Ask::Tokens(tokens) = &ask {
-            tokens.prompt.len() as u32
-        } else {
-            0
-        };
         self.sent.push(Sent {
             urgent,
             lookup,
-            prompt,
             at: self.now,
             end: None,
         });
--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -3,16 +3,45 @@
 use {
     crate::{
         core::Core,
+        pipeline::Start,
         request::{Body, Head, Request},
         timer::Timer,
     },
     camphorweir_config::model::{Route, WorkspaceId},
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// When to come back where nothing better is known.
 pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
+/// The longest that anyone is told to stay away.
+const COME_BACK_MAX: Duration = Duration::from_secs(60);
+/// The weight of one request in the mean time of service.
+const WEIGHT: f64 = 0.05;
+
+/// Mean time from start to end of whole answers, by model or service.
+#[derive(Debug, Default)]
+pub(crate) struct Service {
+    seconds: HashMap<String, f64>,
+}
+
+impl Service {
+    /// A request took this long.
+    pub(crate) fn add(&mut self, lane: &str, time: Duration) {
+        let time = time.as_secs_f64();
+        match self.seconds.get_mut(lane) {
+            Some(mean) => *mean += (time - *mean) * WEIGHT,
+            None => {
+                self.seconds.insert(lane.to_owned(), time);
+            }
+        }
+    }
+
+    /// The mean, 0 while nothing is known.
+    pub(crate) fn time(&self, lane: &str) -> Duration {
+        Duration::from_secs_f64(self.seconds.get(lane).copied().unwrap_or(0.0))
+    }
+}
 
 impl Core {
     /// What is common to all requests, for one that arrives now.
@@ -37,13 +66,83 @@
     }
 
     /// Takes a request in; it waits in its class's queue until it can start.
+    ///
+    /// One that would wait for longer than half of the time that its deadline leaves is refused at
+    /// once: the estimate may be wrong, and a refusal is worth more the earlier it comes.
     pub(crate) fn enqueue(&mut self, head: Head, body: Body) {
-        let id = head.id;
-        if self.queue.push(head.priority, id).is_err() {
+        let (id, now) = (head.id, self.now.mono);
+        let request = Request { head, body };
+        let service = self.service.time(request.lane());
+        let spare = (request.head.deadline - now).saturating_sub(service) / 2;
+        let lane = self.queue.lane(request.lane());
+        let wait = lane.wait(request.head.priority, now);
+        if wait > spare {
+            let refusal = Refusal::not_run(Code::DeadlineUnmeetable, "the queue is too long");
+            let after = (wait - spare).clamp(COME_BACK, COME_BACK_MAX);
+            return self.turn_away(id, refusal.after(after));
+        }
+        let pushed = self.queue.push(
+            request.lane(),
+            request.head.priority,
+            id,
+            &request.head.workspace,
+            request.work(),
+        );
+        if pushed.is_err() {
             let refusal = Refusal::not_run(Code::QueueFull, "the queue of this class is full");
-            return self.turn_away(id, refusal.after(COME_BACK));
+            return self.turn_away(id, refusal.after(wait.clamp(COME_BACK, COME_BACK_MAX)));
         }
-        self.admit(head, body);
+        self.admit(request.head, request.body);
+    }
+
+    /// Puts a request whose attempt failed first in its class.
+    pub(crate) fn queue_again(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            let lane = request.lane().to_owned();
+            self.queue.push_front(&lane, request.head.priority, id);
+        }
+    }
+
+    /// Starts waiting requests as far as there is room.
+    ///
+    /// Only lanes for which something changed are tried, and a lane is left at the first of its
+    /// highest class that finds no room.
+    pub(crate) fn start_queued(&mut self) {
+        for name in self.queue.take_awake() {
+            self.start_lane(&name);
+        }
+    }
+
+    fn start_lane(&mut self, name: &str) {
+        let now = self.now.mono;
+        while let Some(class) = self.queue.lane(name).turn() {
+            let first = self.queue.lane(name).is_first(class);
+            let Some(id) = self.queue.lane(name).pop(class) else {
+                return;
+            };
+            if self.is_hopeless(id) {
+                self.give_up(id, Code::DeadlineUnmeetable, "its turn came too late");
+                continue;
+            }
+            match self.start_request(id) {
+                Start::Over => self.queue.lane(name).started(class, now),
+                Start::Blocked => {
+                    self.queue.lane(name).blocked(class, id);
+                    if first {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a request that has not started can't be over by its deadline.
+    fn is_hopeless(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let needs = self.service.time(request.lane()) / 2;
+        request.head.started.is_none() && self.now.mono + needs > request.head.deadline
     }
 
     /// Takes a request in.
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -9,7 +9,7 @@
         clock::Now,
         command::Command,
         event::Event,
-        member,
+        map, member,
         outbox::{Outbox, Parcel},
         queue::Queue,
         request::{Body, Head, Request},
@@ -21,7 +21,7 @@
     camphorweir_wire::{
         claim as records,
         code::Code,
-        engine::{Order, Reply},
+        engine::{Load, Order, Reply},
         ids::{EntryId, Incarnation, Nonce, RequestId},
         lease,
         outcome::Refusal,
@@ -70,13 +70,14 @@
     pub(crate) rng: SmallRng,
     pub(crate) fold: Fold,
     pub(crate) view: Option<Arc<View>>,
-    pub(crate) map: route::Map,
+    pub(crate) map: map::Map,
     pub(crate) targets: Table,
     pub(crate) members: member::Table,
     pub(crate) requests: HashMap<RequestId, Request>,
     /// Never-repeat requests by the id of their key.
     pub(crate) keys: HashMap<u128, BTreeSet<RequestId>>,
     pub(crate) queue: Queue,
+    pub(crate) service: admit::Service,
     pub(crate) budget: retry::Budget,
     pub(crate) timers: Heap,
     pub(crate) outbox: Outbox,
@@ -100,12 +101,13 @@
             now: Now::default(),
             fold: Fold::new(),
             view: None,
-            map: route::Map::default(),
+            map: map::Map::default(),
             targets: Table::default(),
             members: member::Table::default(),
             requests: HashMap::new(),
             keys: HashMap::new(),
             queue: Queue::default(),
+            service: admit::Service::default(),
             budget: retry::Budget::default(),
             timers: Heap::default(),
             outbox: Outbox::default(),
@@ -202,9 +204,12 @@
             Reply::Done(done) => self.done(index, &done),
             Reply::Refused(refused) => self.refused(index, &refused),
             Reply::Leaving => self.targets.leaving(index),
-            Reply::Load(load) => self.targets.reported(index, load, self.now.mono),
-            Reply::Holds(holds) => self.targets.holds(index, &holds),
-            Reply::Cached(_) => {}
+            Reply::Load(load) => self.loaded(index, load),
+            Reply::Holds(holds) => {
+                self.targets.holds(index, &holds);
+                self.regroup();
+            }
+            Reply::Cached(cached) => self.targets.get_mut(index).cache.apply(&cached),
         }
     }
 
@@ -241,6 +246,7 @@
 
     fn tick(&mut self) {
         self.beat();
+        self.queue.wake_all();
         self.command();
         let Some(since) = self.stopping else {
             return;
@@ -292,6 +298,9 @@
             return;
         };
         let ended = request.head.ended(code, self.now.mono);
+        if code.is_none() {
+            self.service.add(request.lane(), ended.whole - ended.queued);
+        }
         self.out.push(Action::Note(Note::Ended(ended)));
         self.out.push(Action::Reply(id, end));
         self.release(request);
@@ -303,12 +312,14 @@
         match request.body {
             Body::Stream(stream) => match stream.attempt {
                 Some(attempt) => self.abandon(id, &attempt),
-                None => self.queue.remove(request.head.priority, id),
+                None => self.queue.remove(&stream.model, request.head.priority, id),
             },
             Body::Plain(plain) => {
                 if let Some((attempt, target)) = plain.attempt {
                     self.close(target);
                     self.out.push(Action::Abandon(id, attempt));
+                } else {
+                    self.queue.remove(&plain.service, request.head.priority, id);
                 }
             }
             Body::Once(once) => self.forget_key(once.key.id, id),
@@ -326,9 +337,28 @@
         }
     }
 
+    /// An engine reported its load.
+    fn loaded(&mut self, index: Index, load: Load) {
+        self.targets.reported(index, load, self.now.mono);
+        self.queue.wake(self.targets.get(index).lane());
+    }
+
+    /// Sorts the targets into groups again.
+    pub(crate) fn regroup(&mut self) {
+        self.map.regroup(&self.targets);
+    }
+
+    /// Counts the entries that share the targets.
+    pub(crate) fn count_entries(&mut self) {
+        let live = self.members.live(self.now.mono);
+        self.map
+            .count(live.map(|(_, peer)| peer.digest.zone.clone()));
+    }
+
     /// One piece of work less on a target.
     pub(crate) fn close(&mut self, target: Index) {
         let target = self.targets.get_mut(target);
         target.open = target.open.saturating_sub(1);
+        self.queue.wake(target.lane());
     }
 }
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -5,7 +5,6 @@
         action::{Action, Note},
         core::Core,
         member::HEARTBEAT,
-        route,
         target::{Change, Link},
     },
     camphorweir_config::{record, view::View},
@@ -53,15 +52,14 @@
     fn configure(&mut self) {
         let document = Arc::clone(self.fold.document());
         let version = self.fold.version();
-        let rule = self.map.rule;
-        self.map = route::Map::new(&self.setup.zone, &document);
-        self.map.rule = rule;
+        self.map.configure(&self.setup.zone, &document);
         for change in self.targets.configure(&document, self.now.mono) {
             self.out.push(match change {
                 Change::Link(id, address) => Action::Link(id, address),
                 Change::Unlink(id) => Action::Unlink(id),
             });
         }
+        self.regroup();
         let first = self.view.is_none();
         self.view = Some(Arc::new(View::new(document, version)));
         self.out.push(Action::Note(Note::Configured(version)));
@@ -165,6 +163,7 @@
             return;
         }
         self.heartbeat = self.now.mono + HEARTBEAT;
+        self.count_entries();
         let digest = self.digest();
         for (id, peer) in self.members.iter() {
             if !peer.address.is_empty() {
@@ -196,7 +195,15 @@
         if let Some(index) = self.targets.find(id) {
             self.fail_all(index, "the engine is another incarnation");
         }
+        let before = self
+            .targets
+            .find(id)
+            .and_then(|index| self.targets.get(index).layers());
         self.targets.greet(id, hello, self.now.mono);
+        if before != Some(hello.holds.layers) {
+            self.regroup();
+        }
+        self.queue.wake_all();
     }
 
     /// The connection to an engine is lost.
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod action;
 mod admit;
 pub mod attempt;
+pub mod cache;
 pub mod call;
 pub mod claim;
 pub mod clock;
@@ -15,6 +16,7 @@
 pub mod health;
 pub mod lease;
 pub mod leave;
+pub mod map;
 pub mod member;
 mod once;
 pub mod order;
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -93,19 +93,7 @@
         self.head(id, workspace, route, fingerprint)
     }
 
-    /// Starts waiting requests, the first class first, as far as there is room.
-    pub(crate) fn start_queued(&mut self) {
-        for priority in camphorweir_config::model::Priority::ALL {
-            while let Some(id) = self.queue.pop(priority) {
-                if self.start_request(id) == Start::Blocked {
-                    self.queue.push_front(priority, id);
-                    break;
-                }
-            }
-        }
-    }
-
-    fn start_request(&mut self, id: RequestId) -> Start {
+    pub(crate) fn start_request(&mut self, id: RequestId) -> Start {
         match self.requests.get(&id).map(|request| &request.body) {
             Some(Body::Stream(_)) => self.start_stream(id),
             Some(Body::Plain(_)) => self.start_plain(id),
@@ -127,6 +115,7 @@
             activation: stream.activation,
             positions: stream.tokens.len() as u32,
             tokens: stream.max_tokens - stream.delivered(),
+            prefix: &stream.prefix,
             avoid: &stream.avoid,
         };
         match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
@@ -168,7 +157,7 @@
             return;
         };
         let attempt = attempt(request.head.next_attempt(self.now.mono));
-        let prefix = prefix::hashes(&stream.tokens);
+        let prefix = &stream.prefix;
         for hop in attempt.path.hops() {
             let target = self.targets.get_mut(hop.target);
             target.open += 1;
@@ -217,6 +206,7 @@
         match self.take_attempt(id, opened.attempt) {
             Some(Any::Opening(mut attempt)) => {
                 attempt.opened(target, opened.held);
+                self.learn(id, target, opened.held);
                 let total = self.stream_mut(id).map_or(0, |stream| stream.tokens.len());
                 match attempt.run(total as u32) {
                     Ok(running) => self.step(id, running),
@@ -228,6 +218,15 @@
         }
     }
 
+    /// An engine holds this much of a request's prompt.
+    fn learn(&mut self, id: RequestId, target: Index, held: u32) {
+        let Some(Body::Stream(stream)) = self.requests.get(&id).map(|request| &request.body) else {
+            return;
+        };
+        let cache = &mut self.targets.get_mut(target).cache;
+        cache.correct(&stream.prefix, held);
+    }
+
     /// Sends the first hop's step: the input is tokens.
     fn step(&mut self, id: RequestId, attempt: Attempt<Running>) {
         let first = attempt.position() as usize;
@@ -274,9 +273,12 @@
             activation: stream.activation,
             positions: attempt.count(),
             tokens: 1,
+            prefix: &[],
             avoid: &[],
         };
-        let cost = self.map.cost(target, hop.layers, &want, self.now.mono);
+        let cost = self
+            .map
+            .cost(target, hop.target, hop.layers, &want, self.now.mono);
         STEP_MIN + cost.min(Duration::from_secs(60)) * STEP_FACTOR
     }
 
@@ -285,6 +287,7 @@
     /// Only the answer to the step under way counts; a late, doubled or foreign one is dropped.
     pub(crate) fn done(&mut self, target: Index, done: &Done) {
         let id = done.request;
+        let now = self.now.mono;
         let attempt = match self.take_attempt(id, done.attempt) {
             Some(Any::Running(attempt)) => attempt,
             Some(opening) => return self.keep_attempt(id, opening),
@@ -300,6 +303,10 @@
         let answered = self.targets.get_mut(target);
         answered.queued = answered.queued.saturating_sub(u64::from(attempt.count()));
         answered.health.succeed();
+        answered.heard = now;
+        if attempt.count() > 1 {
+            self.learn(id, target, u32::MAX);
+        }
         match attempt.advance() {
             Next::Hop(attempt) => self.send_step(id, attempt, done.output.clone()),
             Next::Complete(attempt) => self.complete(id, attempt, done.token),
@@ -421,10 +428,7 @@
         if attempt.id() + 1 >= ATTEMPTS || !self.budget.spend() {
             return self.give_up(id, Code::RetriesSpent, "no retry is left");
         }
-        if let Some(request) = self.requests.get(&id) {
-            let priority = request.head.priority;
-            self.queue.push_front(priority, id);
-        }
+        self.queue_again(id);
     }
 
     /// Ends a request at once, with the time to come back.
@@ -479,5 +483,6 @@
         attempt: None,
         avoid: Vec::new(),
         interrupted: None,
+        prefix: prefix::hashes(&tokens.prompt),
     }
 }
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -83,6 +83,25 @@
     pub body: Body,
 }
 
+impl Request {
+    /// The model or service whose targets it needs.
+    pub fn lane(&self) -> &str {
+        match &self.body {
+            Body::Stream(stream) => &stream.model,
+            Body::Plain(plain) => &plain.service,
+            Body::Once(once) => &once.service,
+        }
+    }
+
+    /// The work that it asks for: tokens, or 1 for a call of a plain service.
+    pub fn work(&self) -> u64 {
+        match &self.body {
+            Body::Stream(stream) => u64::from(stream.prompt) + u64::from(stream.max_tokens) * 8,
+            Body::Plain(_) | Body::Once(_) => 1,
+        }
+    }
+}
+
 /// The kinds of request.
 #[derive(Clone, Debug)]
 pub enum Body {
@@ -117,6 +136,8 @@
     pub attempt: Option<attempt::Any>,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<Index>,
+    /// Hashes of the prompt's blocks.
+    pub prefix: Vec<u64>,
     /// When the last attempt failed.
     pub interrupted: Option<Duration>,
 }
--- a/camphorweir-policy/src/route.rs
+++ b/camphorweir-policy/src/route.rs
@@ -2,27 +2,21 @@
 
 use {
     crate::{
+        map::{Group, Map},
         path::{Hop, Path},
         target::{Index, Table, Target},
     },
-    camphorweir_config::model::{Document, Kind, Link, ZoneId},
     camphorweir_wire::engine::Layers,
     rand::{Rng, rngs::SmallRng},
-    std::{collections::HashMap, time::Duration},
+    std::time::Duration,
 };
 
-/// Targets of one zone and range of layers that are compared.
-const SAMPLE: usize = 4;
-/// Targets of other zones that are compared beside those of the entry's own.
-const SAMPLE_FAR: usize = 2;
-/// Attempts open on a target, as a multiple of its batch, above which it gets no more.
-const DEPTH: u32 = 2;
-/// One-way delay of a link that the configuration does not describe.
-const DELAY: Duration = Duration::from_millis(1);
-/// Bytes a second of a link that the configuration does not describe.
-const RATE: f64 = 1e9;
-/// Age at which a load report counts half.
-const REPORT_HALF: Duration = Duration::from_secs(1);
+/// Targets of one group that are compared: of the entry's own zone, of near zones, of far ones.
+const SAMPLE: [usize; 3] = [4, 3, 2];
+/// Targets of one group that are looked at to find those to compare; bounds a decision.
+const TRIES: usize = 48;
+/// Targets of one group that a prompt's first block points to.
+const HOMES: usize = 2;
 
 /// What a path is wanted for.
 #[derive(Clone, Debug)]
@@ -37,6 +31,8 @@
     pub positions: u32,
     /// Tokens to decode.
     pub tokens: u32,
+    /// Hashes of the prompt's blocks.
+    pub prefix: &'a [u64],
     /// Targets to keep off where there are others.
     pub avoid: &'a [Index],
 }
@@ -66,109 +62,6 @@
     Full,
 }
 
-/// What the configuration says about the cost of targets and links, as seen from one zone.
-#[derive(Debug, Default)]
-pub struct Map {
-    zone: ZoneId,
-    kinds: HashMap<String, Kind>,
-    links: HashMap<ZoneId, Link>,
-    pub(crate) rule: Rule,
-}
-
-impl Map {
-    /// The part of a configuration that concerns an entry in `zone`.
-    pub fn new(zone: &str, document: &Document) -> Self {
-        let other = |link: &Link| {
-            let [one, two] = &link.between;
-            if one == zone {
-                return Some(two.clone());
-            }
-            (two == zone).then(|| one.clone())
-        };
-        Self {
-            rule: Rule::default(),
-            zone: zone.to_owned(),
-            kinds: document.kinds.clone().into_iter().collect(),
-            links: document
-                .links
-                .iter()
-                .filter_map(|link| Some((other(link)?, link.clone())))
-                .collect(),
-        }
-    }
-
-    /// Whether a target stands in the entry's own zone.
-    pub fn is_near(&self, target: &Target) -> bool {
-        target.zone == self.zone
-    }
-
-    /// Time to carry `bytes` to a zone, one way.
-    fn carry(&self, zone: &str, bytes: f64) -> Duration {
-        let Some(link) = self.links.get(zone) else {
-            return DELAY + Duration::from_secs_f64(bytes / RATE);
-        };
-        Duration::from_micros(link.delay_us) + Duration::from_secs_f64(bytes / link.rate.max(1.0))
-    }
-
-    /// Attempts that a target takes at most from this entry.
-    pub fn limit(&self, target: &Target) -> u32 {
-        let batch = self.kind(target).map_or(1, |kind| kind.batch.max(1));
-        batch.saturating_mul(DEPTH)
-    }
-
-    fn kind(&self, target: &Target) -> Option<&Kind> {
-        self.kinds.get(&target.engine()?.kind)
-    }
-
-    /// Projected time that a request spends on `layers` of a target.
-    ///
-    /// The entry's own outstanding work counts in full; a report counts less the older it is.
-    pub fn cost(
-        &self,
-        target: &Target,
-        layers: Layers,
-        want: &Want<'_>,
-        now: Duration,
-    ) -> Duration {
-        match self.rule {
-            Rule::RoundRobin => return Duration::from_millis(target.chosen),
-            Rule::LeastOutstanding => return Duration::from_millis(u64::from(target.open)),
-            Rule::Product | Rule::Projected | Rule::PrefixHolder => {}
-        }
-        let Some(kind) = self.kind(target) else {
-            return Duration::MAX / 4;
-        };
-        let depth = f64::from(layers.end - layers.first);
-        let positions = f64::from(want.positions);
-        let tokens = f64::from(want.tokens);
-        let (open, queued) = outstanding(target, now);
-        let prefill = (positions + queued) * depth / kind.prefill_rate.max(1.0);
-        let crowd = 1.0 + open / f64::from(kind.batch.max(1));
-        let decode = tokens * depth * kind.decode_layer_us * crowd / 1e6;
-        let compute = (prefill + decode) / target.health.share(now);
-        let bytes = want.activation as f64;
-        let link = self.carry(&target.zone, bytes * positions)
-            + self.carry(&target.zone, bytes) * 2 * want.tokens.max(1);
-        Duration::from_secs_f64(compute.min(1e9)) + link
-    }
-}
-
-/// Open attempts and queued positions on a target, by this entry's count and the target's report.
-fn outstanding(target: &Target, now: Duration) -> (f64, f64) {
-    let open = f64::from(target.open);
-    let queued = target.queued as f64;
-    let Some(report) = &target.report else {
-        return (open, queued);
-    };
-    let age = now.saturating_sub(report.at).as_secs_f64();
-    let weight = 0.5_f64.powf(age / REPORT_HALF.as_secs_f64());
-    let others = |reported: f64, own: f64| own + (reported - own).max(0.0) * weight;
-    (
-        others(f64::from(report.load.open), open),
-        others(report.load.queued as f64, queued),
-    )
-}
-
 /// A target under consideration.
 struct Candidate {
     target: Index,
@@ -177,7 +70,8 @@
 
 /// Chooses a path of least projected completion.
 ///
-/// Linear in the sampled candidates times the boundaries between layer ranges.
+/// Linear in the groups of the model and the sampled candidates times the boundaries between layer
+/// ranges, whatever the number of targets; only where no path is found are the groups searched.
 ///
 /// # Errors
 ///
@@ -189,84 +83,96 @@
     now: Duration,
     rng: &mut SmallRng,
 ) -> Result<Path, Miss> {
-    let usable = usable(table, map, want, now);
-    let free: Vec<Index> = usable
-        .iter()
-        .copied()
-        .filter(|index| has_room(table.get(*index), map))
-        .collect();
-    let candidates = sample(table, map, &free, rng);
+    let groups = map.groups(want.model);
+    let avoid = match want.avoid {
+        [] => want.avoid,
+        avoid if covers(table, map, want, groups, now, avoid) => avoid,
+        _ => &[],
+    };
+    let candidates = sample(table, map, want, groups, now, avoid, rng);
     if let Some(path) = shortest(table, map, want, &candidates, now) {
         return Ok(path);
     }
-    let all = candidates_of(table, &usable);
-    match shortest(table, map, want, &all, now) {
-        Some(_) => Err(Miss::Full),
-        None => Err(Miss::Uncovered),
+    if covers(table, map, want, groups, now, avoid) {
+        return Err(Miss::Full);
     }
+    Err(Miss::Uncovered)
 }
 
-fn has_room(target: &Target, map: &Map) -> bool {
-    target.open < map.limit(target)
-}
-
-/// The usable engines of the model, without those to avoid unless layers depend on them.
-fn usable(table: &Table, map: &Map, want: &Want<'_>, now: Duration) -> Vec<Index> {
-    let all: Vec<Index> = table
-        .engines(want.model)
-        .iter()
-        .copied()
-        .filter(|index| table.get(*index).usable(now))
-        .collect();
-    if want.avoid.is_empty() {
-        return all;
-    }
-    let kept: Vec<Index> = all
-        .iter()
-        .copied()
-        .filter(|index| !want.avoid.contains(index))
-        .collect();
-    match shortest(table, map, want, &candidates_of(table, &kept), now) {
-        Some(_) => kept,
-        None => all,
+/// Whether usable targets cover the model without some; linear in its targets at worst.
+fn covers(
+    table: &Table,
+    map: &Map,
+    want: &Want<'_>,
+    groups: &[Group],
+    now: Duration,
+    avoid: &[Index],
+) -> bool {
+    let good = |index: &&Index| !avoid.contains(index) && table.get(**index).usable(now);
+    let mut candidates = Vec::new();
+    for group in groups {
+        // An engine runs one range for each attempt, so a long one may not stand in twice.
+        candidates.extend(
+            group
+                .members
+                .iter()
+                .filter(good)
+                .take(2)
+                .map(|target| Candidate {
+                    target: *target,
+                    layers: group.layers,
+                }),
+        );
     }
+    shortest(table, map, want, &candidates, now).is_some()
 }
 
-fn candidates_of(table: &Table, indexes: &[Index]) -> Vec<Candidate> {
-    indexes
-        .iter()
-        .filter_map(|index| {
-            Some(Candidate {
-                target: *index,
-                layers: table.get(*index).layers()?,
-            })
-        })
-        .collect()
-}
-
-/// A few candidates of every range of layers, the entry's own zone before the others.
-fn sample(table: &Table, map: &Map, free: &[Index], rng: &mut SmallRng) -> Vec<Candidate> {
-    let mut groups: HashMap<(Layers, bool), Vec<Candidate>> = HashMap::new();
-    for candidate in candidates_of(table, free) {
-        let near = map.is_near(table.get(candidate.target));
-        groups
-            .entry((candidate.layers, near))
-            .or_default()
-            .push(candidate);
-    }
-    let mut keys: Vec<(Layers, bool)> = groups.keys().copied().collect();
-    keys.sort_unstable();
-    let mut out = Vec::new();
-    for key in keys {
-        let Some(mut group) = groups.remove(&key) else {
-            continue;
+/// A few candidates of every group.
+fn sample(
+    table: &Table,
+    map: &Map,
+    want: &Want<'_>,
+    groups: &[Group],
+    now: Duration,
+    avoid: &[Index],
+    rng: &mut SmallRng,
+) -> Vec<Candidate> {
+    let mut out: Vec<Candidate> = Vec::new();
+    for group in groups {
+        let len = group.members.len();
+        let first = out.len();
+        let good = |target: Index, out: &[Candidate]| {
+            let known = table.get(target);
+            let fresh = out[first..].iter().all(|one| one.target != target);
+            fresh
+                && !avoid.contains(&target)
+                && known.usable(now)
+                && map.has_room(known, target, now)
         };
-        let room = if key.1 { SAMPLE } else { SAMPLE_FAR };
-        while group.len() > room {
-            let drop = rng.random_range(0..group.len());
-            group.swap_remove(drop);
+        let add = |target: Index, out: &mut Vec<Candidate>| {
+            if good(target, out) {
+                let layers = group.layers;
+                out.push(Candidate { target, layers });
+            }
+        };
+        if let (Rule::Product | Rule::PrefixHolder, 0, Some(block)) =
+            (map.rule, group.tier, want.prefix.first())
+        {
+            for number in 0..HOMES.min(len) {
+                add(
+                    group.members[(*block as usize).wrapping_add(number) % len],
+                    &mut out,
+                );
+            }
+        }
+        let room = out.len() - first + SAMPLE[usize::from(group.tier).min(2)];
+        let start = rng.random_range(0..len);
+        for number in 0..len.min(TRIES) {
+            if out.len() - first >= room {
+                break;
+            }
+            add(group.members[(start + number) % len], &mut out);
         }
-        out.extend(group);
     }
     out
 }
@@ -301,13 +207,13 @@
             if !covers || is_on_chain(&best, from, candidate.target) {
                 continue;
             }
-            let target = table.get(candidate.target);
+            let target: &Target = table.get(candidate.target);
             for (to, end) in bounds.iter().enumerate().skip(from + 1) {
                 if *end > candidate.layers.end {
                     break;
                 }
                 let layers = Layers { first, end: *end };
-                let cost = base + map.cost(target, layers, want, now);
+                let cost = base + map.cost(target, candidate.target, layers, want, now);
                 if best[to].is_none_or(|found| cost < found.cost) {
                     let hop = Hop {
                         target: candidate.target,
--- a/camphorweir-policy/src/service.rs
+++ b/camphorweir-policy/src/service.rs
@@ -220,8 +220,7 @@
         if let Body::Plain(plain) = &mut request.body {
             plain.avoid.push(target);
         }
-        let priority = request.head.priority;
-        self.queue.push_front(priority, id);
+        self.queue_again(id);
     }
 }
 
--- a/camphorweir-policy/src/target.rs
+++ b/camphorweir-policy/src/target.rs
@@ -1,7 +1,7 @@
 //! The targets of the configuration and what this entry knows of each.
 
 use {
-    crate::{health, leave},
+    crate::{cache, health, leave},
     camphorweir_config::model::{Document, Engine, ModelId, Serves, TargetId, ZoneId},
     camphorweir_wire::{
         engine::{Hello, Holds, Layers, Load},
@@ -14,6 +14,13 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Index(u32);
 
+impl Index {
+    /// Its place among all targets.
+    pub(crate) fn place(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// What is known of one target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -39,6 +46,10 @@
     pub chosen: u64,
     /// This entry's positions that it has been sent and has not answered.
     pub queued: u64,
+    /// What its prefix cache probably holds.
+    pub cache: cache::Known,
+    /// When it last answered a step or reported.
+    pub heard: Duration,
     /// Its last report, and when it came.
     pub report: Option<Report>,
 }
@@ -87,6 +98,14 @@
         }
     }
 
+    /// The model or service that it serves.
+    pub fn lane(&self) -> &str {
+        match &self.serves {
+            Serves::Layers(engine) => &engine.model,
+            Serves::Service(service) => service,
+        }
+    }
+
     /// The layers that it holds, by its own word before the configuration's.
     pub fn layers(&self) -> Option<Layers> {
         let engine = self.engine()?;
@@ -119,6 +138,16 @@
 }
 
 impl Table {
+    /// Targets seen.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether none was seen.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// The target at an index.
     pub fn get(&self, index: Index) -> &Target {
         &self.targets[index.0 as usize]
@@ -224,6 +253,8 @@
             open: 0,
             chosen: 0,
             queued: 0,
+            cache: cache::Known::default(),
+            heard: Duration::ZERO,
             report: None,
         });
         self.names.insert(id.clone(), index);
@@ -244,6 +275,8 @@
         };
         target.queued = 0;
         target.report = None;
+        target.cache = cache::Known::default();
+        target.heard = now;
         target.health.join(now);
     }
 
@@ -259,7 +292,9 @@
     /// An engine reported its load.
     pub fn reported(&mut self, index: Index, load: Load, now: Duration) {
         let at = now.saturating_sub(Duration::from_millis(load.age_ms));
-        self.get_mut(index).report = Some(Report { load, at });
+        let target = self.get_mut(index);
+        target.heard = now;
+        target.report = Some(Report { load, at });
     }
 
     /// An engine says what it holds now.
