--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -29,10 +29,12 @@
 
 /// Attempts of one request.
 const ATTEMPTS: AttemptId = 8;
-/// Shortest time that a step may take before its target is taken for frozen.
-const STEP_MIN: Duration = Duration::from_millis(500);
-/// A step may take this many times what was projected.
-const STEP_FACTOR: u32 = 4;
+/// Shortest silence, while a step is under way, after which a target is taken for frozen.
+const STEP_MIN: Duration = Duration::from_millis(300);
+/// A target may be silent for this many times what a step was projected to take.
+const STEP_FACTOR: u32 = 3;
+/// Time after which the answer of a target that does answer others is taken for lost.
+const STEP_LOST: Duration = Duration::from_secs(3);
 /// How long an interrupted answer waits for a path.
 const WAIT_FOR_PATH: Duration = Duration::from_secs(2);
 
@@ -172,9 +174,10 @@
             let order = Order::Open(open);
             self.out.push(Action::Order(target.id.clone(), order));
         }
-        let late = self.now.mono + STEP_MIN;
-        self.timers
-            .set(late, Timer::Step(id, attempt.id, attempt.sequence));
+        stream.sent = self.now.mono;
+        stream.limit = STEP_MIN;
+        let timer = Timer::Step(id, attempt.id, attempt.sequence);
+        self.timers.set(stream.sent + stream.limit, timer);
         stream.attempt = Some(Any::Opening(attempt));
     }
 
@@ -242,7 +245,7 @@
     }
 
     fn send_step(&mut self, id: RequestId, attempt: Attempt<Running>, input: Vec<u64>) {
-        let hop = attempt.hop();
+        let (hop, now) = (attempt.hop(), self.now.mono);
         let limit = self.step_limit(id, &attempt);
         let target = self.targets.get_mut(hop.target);
         target.queued += u64::from(attempt.count());
@@ -257,6 +260,10 @@
         self.out.push(Action::Order(target.id.clone(), order));
         let timer = Timer::Step(id, attempt.id, attempt.sequence);
         self.timers.set(self.now.mono + limit, timer);
+        if let Some(stream) = self.stream_mut(id) {
+            stream.sent = now;
+            stream.limit = limit;
+        }
         self.keep_attempt(id, Any::Running(attempt));
     }
 
@@ -358,25 +365,43 @@
         self.fail(refused.request, target, "the engine refused the attempt");
     }
 
-    /// A step has not been answered in time: its target is taken for frozen.
+    /// A step has not been answered in time.
+    ///
+    /// A target that has been silent since is taken for frozen, and everything on it moves at once.
+    /// One that answers others is only busy; an engine may keep a lower class waiting.
     pub(crate) fn step_late(&mut self, id: RequestId, attempt: AttemptId, sequence: u32) {
-        let late = match self
-            .stream_mut(id)
-            .and_then(|stream| stream.attempt.as_ref())
-        {
-            Some(any) if any.id() == attempt && any.sequence() == sequence => any.waits_for(),
-            Some(_) | None => return,
+        let now = self.now.mono;
+        let (late, sent, limit) = match self.stream_mut(id) {
+            Some(stream) => match &stream.attempt {
+                Some(any) if any.id() == attempt && any.sequence() == sequence => {
+                    (any.waits_for(), stream.sent, stream.limit)
+                }
+                Some(_) | None => return,
+            },
+            None => return,
         };
+        let silent: Vec<Index> = late
+            .iter()
+            .copied()
+            .filter(|index| self.targets.get(*index).heard.max(sent) + limit <= now)
+            .collect();
+        for target in &silent {
+            self.eject(*target, "it is silent while a step is under way");
+            self.fail_all(*target, "it is silent while a step is under way");
+        }
+        if !silent.is_empty() {
+            return;
+        }
         let Some(first) = late.first().copied() else {
             return;
         };
-        for target in &late {
-            self.eject(*target, "a step was not answered in time");
-        }
-        if let Some(stream) = self.stream_mut(id) {
-            stream.avoid.extend(late);
+        if now >= sent + limit + STEP_LOST {
+            return self.fail(id, first, "the answer of a step is lost");
         }
-        self.fail(id, first, "a step was not answered in time");
+        let heard = late.iter().map(|index| self.targets.get(*index).heard);
+        let next = heard.min().unwrap_or(now).max(sent) + limit;
+        let timer = Timer::Step(id, attempt, sequence);
+        self.timers.set(next.max(now + STEP_MIN / 4), timer);
     }
 
     /// Takes a target out of use for a while.
@@ -483,6 +508,8 @@
         attempt: None,
         avoid: Vec::new(),
         interrupted: None,
+        sent: Duration::ZERO,
+        limit: Duration::ZERO,
         prefix: prefix::hashes(&tokens.prompt),
     }
 }
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -136,6 +136,10 @@
     pub attempt: Option<attempt::Any>,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<Index>,
+    /// When the step under way was sent.
+    pub sent: Duration,
+    /// How long its target may be silent.
+    pub limit: Duration,
     /// Hashes of the prompt's blocks.
     pub prefix: Vec<u64>,
     /// When the last attempt failed.
