--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod action;
 mod admit;
 pub mod attempt;
+pub mod cache;
 pub mod call;
 pub mod claim;
 pub mod clock;
@@ -17,6 +18,7 @@
 pub mod lease;
 pub mod leave;
 mod letter;
+pub mod map;
 pub mod member;
 mod once;
 pub mod order;
