--- a/camphorweir-entry/src/driver.rs
+++ b/camphorweir-entry/src/driver.rs
@@ -6,7 +6,7 @@
         forward::{self, Pool},
         link,
         peer::Post,
-        port::{Arrival, Caller, Generation, Input, Kept, Port, Up},
+        port::{Arrival, Caller, Generation, Input, Kept, Port, Question, Up},
         streams::Service,
         telemetry::Metrics,
     },
@@ -91,6 +91,8 @@
     fn start(&mut self, now: Now) -> Vec<Action>;
     /// Takes an event in and says what to do.
     fn handle(&mut self, now: Now, event: Event) -> Vec<Action>;
+    /// Answers an operator; a question whose asker is gone is dropped.
+    fn answer(&self, now: Now, question: Question);
 }
 
 impl Decide for Core {
@@ -101,6 +103,13 @@
     fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
         Core::handle(self, now, event)
     }
+
+    fn answer(&self, now: Now, question: Question) {
+        match question {
+            Question::Status(asker) => drop(asker.send(self.status(now))),
+            Question::Unresolved(asker) => drop(asker.send(self.unknown_claims(now))),
+        }
+    }
 }
 
 /// The core and everything under way.
@@ -163,6 +172,7 @@
             Input::Live(life, event) => self.take_live(life, event),
             Input::Up(up) => self.take_up(up),
             Input::Arrive(arrival) => self.arrive(*arrival),
+            Input::Ask(question) => self.core.answer(self.outside.clock.now(), question),
         }
     }
 
--- a/camphorweir-entry/src/port.rs
+++ b/camphorweir-entry/src/port.rs
@@ -11,6 +11,7 @@
     camphorweir_wire::{
         engine::{Hello, Order},
         ids::{RequestId, Token},
+        status::{Claim, Status},
     },
     hyper::{HeaderMap, Method},
     std::sync::Arc,
@@ -39,6 +40,17 @@
     Up(Up),
     /// A request arrived whole.
     Arrive(Box<Arrival>),
+    /// An operator asks something.
+    Ask(Question),
+}
+
+/// What operators ask the core, and the way back for its answer.
+#[derive(Debug)]
+pub enum Question {
+    /// The state of the entry.
+    Status(oneshot::Sender<Status>),
+    /// The keys whose outcome nobody knows.
+    Unresolved(oneshot::Sender<Vec<Claim>>),
 }
 
 /// A connection to an engine that is up.
@@ -122,6 +134,13 @@
         self.send(Input::Event(event)).await
     }
 
+    /// Asks the core something; `None` when its task is gone.
+    pub async fn ask<T>(&self, question: fn(oneshot::Sender<T>) -> Question) -> Option<T> {
+        let (sender, answer) = oneshot::channel();
+        self.send(Input::Ask(question(sender))).await.ok()?;
+        answer.await.ok()
+    }
+
     /// Tells the core that a caller went away, from a place that can't wait.
     pub fn hangup(&self, request: RequestId) {
         let input = Input::Event(Event::Hangup(request));
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -119,6 +119,8 @@
         admin::Desk {
             ready: ready.clone(),
             metrics,
+            port: port.clone(),
+            keys: settings.keys.clone(),
         },
         listeners.admin,
     );
--- a/camphorweir-entry/src/telemetry.rs
+++ b/camphorweir-entry/src/telemetry.rs
@@ -1,17 +1,20 @@
 //! Logs and metrics; neither holds prompts, keys or bodies.
 
 use {
-    crate::settings::{Format, Logs},
-    camphorweir_config::model::Priority,
+    crate::{
+        gauges::{Gauges, class},
+        settings::{Format, Logs},
+        times::{Label, Names, Times},
+    },
     camphorweir_policy::action::{Ended, Note},
-    camphorweir_wire::code::Code,
+    camphorweir_wire::{code::Code, status::Status},
     logforth::{
         append::Stderr,
         layout::{JsonLayout, PlainTextLayout},
     },
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, MeterProvider},
+        metrics::{Counter, MeterProvider},
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Registry, TextEncoder},
@@ -19,11 +22,6 @@
     std::time::Duration,
 };
 
-/// Bounds of the histograms of time, in seconds.
-const SECONDS: &[f64] = &[
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 60.0,
-];
-
 /// Metrics could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(display("metrics can't be set up: {what}"))]
@@ -55,9 +53,13 @@
     failures: Counter<u64>,
     ejections: Counter<u64>,
     odd: Counter<u64>,
-    whole: Histogram<f64>,
-    queued: Histogram<f64>,
-    first_token: Histogram<f64>,
+    gauges: Gauges,
+    names: Names,
+    whole: Times,
+    queued: Times,
+    first_token: Times,
+    between: Times,
+    recovery: Times,
 }
 
 impl Metrics {
@@ -76,16 +78,10 @@
             })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("camphorweir");
-        let time = |name: &'static str, text: &'static str| {
-            let histogram = meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(text);
-            histogram.with_boundaries(SECONDS.to_vec()).build()
-        };
         let count = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
+        let times = |name, text| Times::new(&meter, name, text);
         Ok(Self {
             requests: count("camphorweir.requests", "Requests ended, by class and code"),
             failures: count(
@@ -97,22 +93,23 @@
                 "Targets taken out of use, by reason",
             ),
             odd: count("camphorweir.odd", "Unusual facts, by kind"),
-            whole: time("camphorweir.whole", "From arrival to the end, by class"),
-            queued: time(
-                "camphorweir.queued",
-                "From arrival to the first attempt, by class",
-            ),
-            first_token: time(
-                "camphorweir.first_token",
-                "From arrival to the first token, by class",
-            ),
+            gauges: Gauges::new(&meter),
+            names: Names::default(),
+            whole: times("whole", "From arrival to the end"),
+            queued: times("queued", "From arrival to the first attempt"),
+            first_token: times("first_token", "From arrival to the first token"),
+            between: times("between_tokens", "From one token to the next"),
+            recovery: times("recovery", "From a failed attempt to the next token"),
             registry,
             _provider: provider,
         })
     }
 
-    /// All metrics in the Prometheus text format.
-    pub fn text(&self) -> String {
+    /// All metrics in the Prometheus text format, after the entry's state was taken over.
+    pub fn text(&self, status: Option<&Status>) -> String {
+        if let Some(status) = status {
+            self.gauges.set(status);
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_else(|error| format!("# {error}\n"))
@@ -150,20 +147,27 @@
     }
 
     fn ended(&self, ended: &Ended) {
-        let class = KeyValue::new("class", class(ended.priority));
         let number = ended.code.map_or(0, Code::number);
         let code = KeyValue::new("code", i64::from(number));
-        self.requests.add(1, &[class.clone(), code]);
-        let class = &[class];
-        self.whole.record(ended.whole.as_secs_f64(), class);
-        self.queued.record(ended.queued.as_secs_f64(), class);
+        let class = class(ended.priority);
+        self.requests.add(1, &[KeyValue::new("class", class), code]);
+        let label = Label::new(class, self.names.label(&ended.workspace));
+        self.whole.record(&label, ended.whole);
+        self.queued.record(&label, ended.queued);
         if let Some(first) = ended.first_token {
-            self.first_token.record(first.as_secs_f64(), class);
+            self.first_token.record(&label, first);
+        }
+        for gap in &ended.timing.gaps_us {
+            self.between
+                .record(&label, Duration::from_micros(u64::from(*gap)));
+        }
+        for recovery in &ended.timing.recoveries {
+            self.recovery.record(&label, *recovery);
         }
         log::info!(
             request = request_id(ended.request),
             workspace = ended.workspace.as_str(),
-            class = self::class(ended.priority),
+            class = class,
             code = number,
             attempts = ended.attempts,
             whole_ms = millis(ended.whole);
@@ -176,14 +180,6 @@
     crate::refuse::show(request)
 }
 
-fn class(priority: Priority) -> &'static str {
-    match priority {
-        Priority::Urgent => "urgent",
-        Priority::Normal => "normal",
-        Priority::Bulk => "bulk",
-    }
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/camphorweir-entry/tests/admin.rs
@@ -0,0 +1,241 @@
+//! The administration API: who may read, and that docs/openapi.yaml describes what is served.
+
+mod common;
+
+use {
+    camphorweir_config::{
+        edit::edits,
+        parse,
+        record::{Body, FORMAT, Publication, Record, STREAM},
+    },
+    camphorweir_entry::{
+        admin::{self, OPEN, READ},
+        clock::Clock,
+        driver::Decide,
+        inner,
+        port::{self, Input},
+        settings::{Keys, Secret},
+        telemetry::Metrics,
+    },
+    camphorweir_policy::{
+        core::{Core, Setup},
+        event::Event,
+    },
+    camphorweir_wire::{
+        codec,
+        list::{Instance, Role, State},
+        log::{Page, Stored},
+        status::{MEMBERS, MemberState, STATUS, Status, TARGETS, Target, TargetState},
+    },
+    common::{body, header, open, rest, status},
+    serde_bytes::ByteBuf,
+    serde_json::Value,
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::watch},
+};
+
+const READER: [u8; 32] = [1; 32];
+const WRITER: [u8; 32] = [2; 32];
+const CONFIGURATION: &str = "
+kinds: {l40: {prefill_rate: 1000.0, decode_layer_us: 10.0, batch: 8}}
+zones: {a: {region: r}}
+models: {pine: {layers: 4}}
+services: {ledger: {}}
+targets:
+  stage-0: {address: '10.0.0.1:80', zone: a, serves: {layers: {model: pine, first: 0, end: 4, kind: l40}}}
+  ledger-1: {address: '10.0.0.2:80', zone: a, serves: {service: ledger}}
+  ledger-2: {address: '10.0.0.3:80', zone: a, serves: {service: ledger}, drain: true}
+  ledger-3: {address: '10.0.0.4:80', zone: a, serves: {service: ledger}}
+";
+
+/// A core that has read a configuration and a list.
+fn core(clock: Clock) -> Core {
+    let mut core = Core::new(Setup {
+        entry: "a1".to_owned(),
+        incarnation: 7,
+        zone: "a".to_owned(),
+        seed: 1,
+        grace: Duration::ZERO,
+    });
+    core.start(clock.now());
+    let document = parse::checked(CONFIGURATION).unwrap();
+    let record = Record {
+        format: FORMAT,
+        body: Body::Publication(Publication {
+            nonce: 1,
+            author: "ada".to_owned(),
+            base: 0,
+            edits: edits(&Default::default(), &document),
+        }),
+    };
+    let page = Page {
+        oldest: 0,
+        end: 1,
+        records: vec![Stored {
+            offset: 0,
+            time_ms: 0,
+            body: ByteBuf::from(codec::encode(&record)),
+        }],
+    };
+    core.handle(clock.now(), Event::Page(STREAM.to_owned(), page));
+    let instance = |name: &str, role, state| Instance {
+        name: name.to_owned(),
+        role,
+        address: "10.0.0.9:81".to_owned(),
+        zone: "a".to_owned(),
+        state,
+    };
+    let list = vec![
+        instance("b1", Role::Entry, State::Live),
+        instance("ledger-3", Role::Target, State::Leaving),
+    ];
+    core.handle(clock.now(), Event::Listed(list));
+    core
+}
+
+async fn start(keys: Keys) -> SocketAddr {
+    let listener = Arc::new(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    let address = listener.local_addr().unwrap();
+    let (port, mut inputs) = port::channel();
+    let clock = Clock::start();
+    let core = core(clock);
+    tokio::spawn(async move {
+        while let Some(Input::Ask(question)) = inputs.recv().await {
+            core.answer(clock.now(), question);
+        }
+    });
+    let (_, ready) = watch::channel(true);
+    let desk = admin::Desk {
+        ready,
+        metrics: Metrics::new().unwrap(),
+        port,
+        keys,
+    };
+    tokio::spawn(inner::serve(listener, move |request| {
+        let desk = desk.clone();
+        async move { desk.answer(request).await }
+    }));
+    address
+}
+
+fn keys() -> Keys {
+    Keys {
+        peers: Secret::new([3; 32]),
+        admin_read: Some(Secret::new(READER)),
+        admin_write: Some(Secret::new(WRITER)),
+    }
+}
+
+async fn ask(address: SocketAddr, method: &str, path: &str, key: Option<[u8; 32]>) -> String {
+    let key = key.map(|key| blake3::Hash::from_bytes(key).to_hex().to_string());
+    let bearer = key.map_or(String::new(), |key| {
+        format!("authorization: Bearer {key}\r\n")
+    });
+    let request =
+        format!("{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{bearer}\r\n");
+    rest(&mut open(address, request.as_bytes()).await).await
+}
+
+#[tokio::test]
+async fn only_the_reader_reads() {
+    let address = start(keys()).await;
+    let cases = [
+        ("GET", STATUS, Some(READER), 200, None),
+        ("GET", STATUS, None, 401, Some("1005")),
+        ("GET", STATUS, Some([9; 32]), 401, Some("1005")),
+        ("GET", STATUS, Some(WRITER), 403, Some("6001")),
+        ("POST", STATUS, Some(READER), 405, Some("1007")),
+        ("GET", "/v1/nothing", Some(READER), 404, Some("1006")),
+        ("GET", "/metrics", None, 200, None),
+    ];
+    for (method, path, key, expected, code) in cases {
+        let answer = ask(address, method, path, key).await;
+        assert_eq!(status(&answer), expected, "{method} {path}: {answer}");
+        assert_eq!(header(&answer, "camphorweir-code"), code, "{answer}");
+    }
+    let closed = Keys {
+        admin_read: None,
+        admin_write: None,
+        ..keys()
+    };
+    let answer = ask(start(closed).await, "GET", STATUS, Some(READER)).await;
+    assert_eq!(status(&answer), 401, "without a key nobody reads");
+}
+
+#[tokio::test]
+async fn the_status_says_what_the_entry_knows() {
+    let address = start(keys()).await;
+    let answer = ask(address, "GET", STATUS, Some(READER)).await;
+    let told: Status = serde_json::from_str(body(&answer)).unwrap();
+    assert_eq!((told.entry.as_str(), told.zone.as_str()), ("a1", "a"));
+    assert_eq!(told.configuration.version, Some(1));
+    assert!(!told.log.reachable, "no claim stream was read");
+    assert_eq!(told.queues.len(), 3);
+    assert_eq!(told.members[0].entry, "b1");
+    assert_eq!(told.members[0].state, MemberState::Silent);
+    let states: Vec<_> = told.targets.iter().map(|target| target.state).collect();
+    let expected = [
+        TargetState::Usable,
+        TargetState::Drained,
+        TargetState::Leaving,
+        TargetState::Down,
+    ];
+    assert_eq!(states, expected);
+    let answer = ask(address, "GET", TARGETS, Some(READER)).await;
+    let targets: Vec<Target> = serde_json::from_str(body(&answer)).unwrap();
+    assert_eq!(targets, told.targets);
+    let answer = ask(address, "GET", "/metrics", None).await;
+    let drained = |line: &str| {
+        let named = line.starts_with("camphorweir_targets{") && line.contains("state=\"drained\"");
+        named && line.ends_with("} 1")
+    };
+    assert!(body(&answer).lines().any(drained), "{answer}");
+}
+
+/// The fields of a schema, or of what it refers to.
+fn fields<'a>(document: &'a Value, mut schema: &'a Value) -> BTreeSet<&'a str> {
+    if schema["type"] == "array" {
+        schema = &schema["items"];
+    }
+    if let Some(place) = schema["$ref"].as_str() {
+        schema = document.pointer(place.trim_start_matches('#')).unwrap();
+    }
+    let fields = schema["properties"].as_object().unwrap();
+    fields.keys().map(String::as_str).collect()
+}
+
+#[tokio::test]
+async fn the_openapi_file_describes_what_is_served() {
+    let text = include_str!("../../docs/openapi.yaml");
+    let document: Value = serde_saphyr::from_str(text).unwrap();
+    let paths = document["paths"].as_object().unwrap();
+    let described: BTreeSet<&str> = paths.keys().map(String::as_str).collect();
+    let served: BTreeSet<&str> = OPEN.iter().chain(&READ).copied().collect();
+    assert_eq!(described, served);
+    let address = start(keys()).await;
+    for path in OPEN {
+        let answer = ask(address, "GET", path, None).await;
+        assert_eq!(status(&answer), 200, "{path}");
+    }
+    for path in READ {
+        let get = &paths[path]["get"];
+        assert!(get["security"].is_array(), "{path}");
+        let schema = &get["responses"]["200"]["content"]["application/json"]["schema"];
+        let answer = ask(address, "GET", path, Some(READER)).await;
+        let value: Value = serde_json::from_str(body(&answer)).unwrap();
+        let item = match &value {
+            Value::Array(items) => items.first(),
+            value => Some(value),
+        };
+        let Some(item) = item else { continue };
+        let served: BTreeSet<&str> = item
+            .as_object()
+            .unwrap()
+            .keys()
+            .map(String::as_str)
+            .collect();
+        assert_eq!(served, fields(&document, schema), "{path}");
+    }
+    let answer = ask(address, "GET", MEMBERS, Some(READER)).await;
+    assert!(body(&answer).contains("\"b1\""));
+}
--- a/camphorweir-entry/tests/driver.rs
+++ b/camphorweir-entry/tests/driver.rs
@@ -7,7 +7,7 @@
         driver::{Decide, Driver, Outside},
         fetch::Fetch,
         peer::Post,
-        port::{self, Arrival, Caller, Input, Kept, Port, TOKENS},
+        port::{self, Arrival, Caller, Input, Kept, Port, Question, TOKENS},
         settings::Secret,
         streams::Service,
         telemetry::Metrics,
@@ -52,6 +52,10 @@
         }
         std::iter::from_fn(|| self.actions.try_recv().ok()).collect()
     }
+
+    fn answer(&self, _now: Now, question: Question) {
+        panic!("nobody asks here: {question:?}");
+    }
 }
 
 struct Rig {
--- a/camphorweir-entry/tests/inner.rs
+++ b/camphorweir-entry/tests/inner.rs
@@ -11,12 +11,14 @@
         peer::Inbox,
         port::{self, Input},
         seal::seal,
-        settings::Secret,
+        settings::{Keys, Secret},
         telemetry::Metrics,
+        times,
     },
     camphorweir_policy::{
         action::{Ended, Note},
         event::Event,
+        timing::Timing,
     },
     camphorweir_wire::{
         code::Code,
@@ -84,10 +86,23 @@
 async fn operators_scrape_what_was_noted() {
     let metrics = Metrics::new().unwrap();
     let (ready, checks) = watch::channel(false);
+    // Nobody is at the other end, as while an entry ends.
+    let (port, _) = port::channel();
     let desk = admin::Desk {
         ready: checks,
         metrics: metrics.clone(),
+        port,
+        keys: Keys {
+            peers: Secret::new([1; 32]),
+            admin_read: None,
+            admin_write: None,
+        },
     };
+    let mut timing = Timing::default();
+    timing.deliver(Duration::from_millis(10), None);
+    timing.deliver(Duration::from_millis(15), None);
+    timing.deliver(Duration::from_millis(30), Some(Duration::from_millis(16)));
+    timing.deliver(Duration::from_millis(35), Some(Duration::from_millis(16)));
     let (listener, address) = listener().await;
     tokio::spawn(inner::serve(listener, move |request| {
         let desk = desk.clone();
@@ -103,6 +118,20 @@
             whole: Duration::from_millis(30),
             queued: Duration::ZERO,
             first_token: Some(Duration::from_millis(10)),
+            timing: timing.clone(),
+        }));
+    }
+    for number in 0..times::WORKSPACES + 10 {
+        metrics.note(&Note::Ended(Ended {
+            request: 2,
+            workspace: format!("small-{number}"),
+            priority: Priority::Bulk,
+            code: Some(Code::LimitReached),
+            attempts: 0,
+            whole: Duration::ZERO,
+            queued: Duration::ZERO,
+            first_token: None,
+            timing: Timing::default(),
         }));
     }
     let answer = ask(address, "GET /metrics", b"").await;
@@ -129,6 +158,33 @@
         line(&["camphorweir_whole_seconds_bucket{", "le=\"0.05\"", "} 3"]),
         "{text}"
     );
+    for (name, count) in [
+        ("first_token", 3),
+        ("between_tokens", 6),
+        ("recovery", 3),
+        ("queued", 3),
+    ] {
+        let count = format!("}} {count}");
+        let name = format!("{name}_seconds_count{{");
+        let class = format!("camphorweir_{name}");
+        assert!(line(&[&class, "\"urgent\"", &count]), "{class}: {text}");
+        let workspace = format!("camphorweir_workspace_{name}");
+        assert!(
+            line(&[&workspace, "\"depot-7\"", &count]),
+            "{workspace}: {text}"
+        );
+    }
+    let workspaces = |line: &&str| line.starts_with("camphorweir_workspace_whole_seconds_count{");
+    assert_eq!(
+        text.lines().filter(workspaces).count(),
+        times::WORKSPACES + 1
+    );
+    let others = [
+        "camphorweir_workspace_whole_seconds_count{",
+        times::OTHERS,
+        "} 11",
+    ];
+    assert!(line(&others), "{text}");
     assert_eq!(status(&ask(address, "GET /healthz", b"").await), 200);
     assert_eq!(status(&ask(address, "GET /readyz", b"").await), 503);
     ready.send_replace(true);
--- a/camphorweir-policy/src/action.rs
+++ b/camphorweir-policy/src/action.rs
@@ -1,7 +1,7 @@
 //! What the core wants done.
 
 use {
-    crate::{call::End, event::AppendId},
+    crate::{call::End, event::AppendId, timing::Timing},
     camphorweir_config::model::{Priority, TargetId, WorkspaceId},
     camphorweir_wire::{
         code::Code,
@@ -112,4 +112,6 @@
     pub queued: Duration,
     /// From arrival to the first token.
     pub first_token: Option<Duration>,
+    /// When all tokens were delivered.
+    pub timing: Timing,
 }
--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -5,6 +5,7 @@
         core::Core,
         request::{Body, Head, Request},
         timer::Timer,
+        timing::Timing,
     },
     camphorweir_config::model::{Route, WorkspaceId},
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
@@ -33,6 +34,7 @@
             attempts: 0,
             started: None,
             first_token: None,
+            timing: Timing::default(),
         }
     }
 
--- a/camphorweir-policy/src/health.rs
+++ b/camphorweir-policy/src/health.rs
@@ -51,6 +51,11 @@
         now >= self.until
     }
 
+    /// Time until it may get new work again.
+    pub fn back_in(&self, now: Duration) -> Duration {
+        self.until.saturating_sub(now)
+    }
+
     /// The share of its full work that it may get now, above 0 and at most 1.
     pub fn share(&self, now: Duration) -> f64 {
         let Some(since) = self.since else {
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -24,5 +24,7 @@
 pub mod retry;
 pub mod route;
 mod service;
+pub mod status;
 pub mod target;
 pub mod timer;
+pub mod timing;
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -321,6 +321,7 @@
         if !stopped {
             stream.tokens.push(token);
             request.head.first_token.get_or_insert(now);
+            request.head.timing.deliver(now, stream.interrupted);
             self.out.push(Action::Token(id, token));
         }
         if stopped || stream.delivered() >= stream.max_tokens {
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -1,7 +1,7 @@
 //! The requests that this entry has taken in and not yet ended.
 
 use {
-    crate::{action::Ended, attempt, call, target::Index},
+    crate::{action::Ended, attempt, call, target::Index, timing::Timing},
     camphorweir_config::model::{ModelId, Priority, ServiceId, WorkspaceId},
     camphorweir_wire::{
         claim::Key,
@@ -32,6 +32,8 @@
     pub started: Option<Duration>,
     /// When its first token was delivered.
     pub first_token: Option<Duration>,
+    /// When all of its tokens were delivered.
+    pub timing: Timing,
 }
 
 impl Head {
@@ -47,6 +49,7 @@
             attempts: 0,
             started: None,
             first_token: None,
+            timing: Timing::default(),
         }
     }
 
@@ -62,6 +65,7 @@
             whole: since(now),
             queued: since(self.started.unwrap_or(now)),
             first_token: self.first_token.map(since),
+            timing: self.timing.clone(),
         }
     }
 
--- /dev/null
+++ b/camphorweir-policy/src/status.rs
@@ -0,0 +1,193 @@
+//! What a core tells operators of its entry.
+
+use {
+    crate::{
+        claim::Unresolved,
+        clock::Now,
+        core::{Core, LOG_SILENCE},
+        member::{self, Fate, Peer},
+        target::{Link, Target},
+    },
+    camphorweir_config::model::{Priority, Serves},
+    camphorweir_wire::{
+        ids::EntryId,
+        status::{self, Claim, Configuration, Member, MemberState, Queue, Status, TargetState},
+    },
+    std::time::Duration,
+    uuid::Uuid,
+};
+
+impl Core {
+    /// The state of the entry; linear in its targets, members and open claims.
+    pub fn status(&self, now: Now) -> Status {
+        let open = self.unresolved();
+        let unresolved = open
+            .iter()
+            .filter(|open| self.why_unknown(open, now).is_some());
+        Status {
+            entry: self.setup.entry.clone(),
+            zone: self.setup.zone.clone(),
+            incarnation: format!("{:016x}", self.setup.incarnation),
+            uptime_ms: millis(now.mono),
+            stopping: self.stopping.is_some(),
+            configuration: self.configuration(),
+            log: self.log(now),
+            members: self
+                .members
+                .iter()
+                .map(|(id, peer)| member(id, peer, now.mono))
+                .collect(),
+            targets: self.target_states(now),
+            queues: Priority::ALL
+                .iter()
+                .map(|class| Queue {
+                    class: *class,
+                    waiting: self.queue.len(*class) as u64,
+                })
+                .collect(),
+            in_flight: self.requests.len() as u64,
+            unresolved: unresolved.count() as u64,
+            open_claims: open.len() as u64,
+            quarantined: 0,
+        }
+    }
+
+    /// Every key whose outcome nobody knows, as far as the log has been read.
+    pub fn unknown_claims(&self, now: Now) -> Vec<Claim> {
+        let open = self.unresolved();
+        let known = |open: &Unresolved| {
+            let why = self.why_unknown(open, now)?;
+            Some(Claim {
+                key: Uuid::from_u128(open.key.id).to_string(),
+                workspace: open.key.workspace.clone(),
+                owner: open.live.owner.entry.clone(),
+                claimed_ms: millis(open.live.landed),
+                why: why.to_owned(),
+            })
+        };
+        open.iter().filter_map(known).collect()
+    }
+
+    /// Why nobody knows the outcome of a claim; `None` while its owner may still record it.
+    fn why_unknown(&self, open: &Unresolved, now: Now) -> Option<&'static str> {
+        if open.live.unknown {
+            return Some("the target failed without saying whether it ran, or its entry is gone");
+        }
+        let owner = &open.live.owner;
+        if owner.entry == self.setup.entry {
+            let gone = owner.incarnation != self.setup.incarnation;
+            return gone.then_some("the entry that ran it was restarted");
+        }
+        match self.members.fate(owner, now.mono) {
+            Fate::Gone => Some("the entry that ran it is gone"),
+            Fate::Alive | Fate::Silent => None,
+        }
+    }
+
+    fn configuration(&self) -> Configuration {
+        Configuration {
+            version: self.version(),
+            stopped_at_format: self.fold.stopped(),
+        }
+    }
+
+    fn log(&self, now: Now) -> status::Log {
+        let reachable = self.partitions.iter().all(|partition| {
+            let heard = partition
+                .heard
+                .is_some_and(|at| now.mono < at + LOG_SILENCE);
+            partition.ready && heard
+        });
+        status::Log {
+            reachable,
+            waiting: self.outbox.kept().count() as u64,
+        }
+    }
+
+    fn target_states(&self, now: Now) -> Vec<status::Target> {
+        let document = self.fold.document();
+        let mut targets: Vec<_> = self
+            .targets
+            .iter()
+            .filter(|target| target.open > 0 || document.targets.contains_key(&target.id))
+            .map(|target| {
+                let drained = document.targets.get(&target.id).map(|target| target.drain);
+                seen(target, drained, now.mono)
+            })
+            .collect();
+        targets.sort_by(|one, other| one.target.cmp(&other.target));
+        targets
+    }
+}
+
+fn member(id: &EntryId, peer: &Peer, now: Duration) -> Member {
+    let heard = peer.heard.is_some_and(|at| now < at + member::SILENCE);
+    let state = match (heard, peer.leaving.is_leaving()) {
+        (_, true) => MemberState::Leaving,
+        (true, false) => MemberState::Live,
+        (false, false) => MemberState::Silent,
+    };
+    Member {
+        entry: id.clone(),
+        zone: peer.digest.zone.clone(),
+        address: peer.address.clone(),
+        state,
+        age_ms: peer.heard.map(|at| millis(now.saturating_sub(at))),
+        version: peer.digest.version,
+    }
+}
+
+fn seen(target: &Target, drained: Option<bool>, now: Duration) -> status::Target {
+    let (state, why) = state(target, drained, now);
+    status::Target {
+        target: target.id.clone(),
+        zone: target.zone.clone(),
+        address: target.address.clone(),
+        serves: match &target.serves {
+            Serves::Service(service) => service.clone(),
+            Serves::Layers(engine) => format!("{} {}..{}", engine.model, engine.first, engine.end),
+        },
+        state,
+        why,
+        open: target.open,
+    }
+}
+
+/// The state of a target and why; what operators decided goes before what happened.
+fn state(target: &Target, drained: Option<bool>, now: Duration) -> (TargetState, String) {
+    match drained {
+        None => return (TargetState::Removed, String::new()),
+        Some(true) => return (TargetState::Drained, String::new()),
+        Some(false) => {}
+    }
+    if target.leaving.is_leaving() {
+        let why = match target.leaving.incarnation() {
+            Some(_) => "it says so itself, or a peer heard it",
+            None => "the platform's list says so or lacks it",
+        };
+        return (TargetState::Leaving, why.to_owned());
+    }
+    if matches!(target.serves, Serves::Layers(_)) {
+        match target.link {
+            Link::Down => return (TargetState::Down, "there is no connection to it".to_owned()),
+            Link::Up { loading: true, .. } => return (TargetState::Loading, String::new()),
+            Link::Up { .. } => {}
+        }
+    }
+    if !target.health.fit(now) {
+        let wait = millis(target.health.back_in(now));
+        let why = format!("earlier work on it failed; it is tried again in {wait} ms");
+        return (TargetState::Ejected, why);
+    }
+    let share = target.health.share(now);
+    if share < 1.0 {
+        let why = format!("it came {:.0}% of its way to a full share", share * 100.0);
+        return (TargetState::SlowStart, why);
+    }
+    (TargetState::Usable, String::new())
+}
+
+/// Whole milliseconds.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/camphorweir/src/exit.rs
+++ b/camphorweir/src/exit.rs
@@ -21,6 +21,8 @@
     NotFound = 6,
     /// The log holds what this release can't read; upgrade the command; 7.
     Outdated = 7,
+    /// The credentials do not allow it; 8.
+    Forbidden = 8,
     /// A fault of the command itself; 70.
     Internal = 70,
 }
--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -11,13 +11,20 @@
 #![forbid(unsafe_code)]
 
 pub mod args;
+mod ask;
 mod diff;
+mod drain;
 pub mod exit;
 mod explain;
 mod file;
 pub mod log;
 mod publish;
+mod reader;
 pub mod report;
+mod resolve;
+mod run;
+mod status;
+mod unresolved;
 
 use {args::Command, report::Report};
 
@@ -26,8 +33,13 @@
     match command {
         Command::Check { json, file } => file::check(&file, json),
         Command::Diff { json, old, new } => diff::diff(&old, &new, json),
+        Command::Drain(options) => drain::set(&options, true),
         Command::Explain { json, code } => explain::explain(code, json),
         Command::Print { file } => file::print(&file),
         Command::Publish(options) => publish::publish(&options),
+        Command::Resolve(options) => resolve::resolve(&options),
+        Command::Status(options) => status::status(&options),
+        Command::Undrain(options) => drain::set(&options, false),
+        Command::Unresolved(options) => unresolved::unresolved(&options),
     }
 }
--- a/camphorweir/src/publish.rs
+++ b/camphorweir/src/publish.rs
@@ -5,8 +5,10 @@
         args::Publish,
         exit::Exit,
         file::load,
-        log::{Client, Error},
+        log::Client,
+        reader::{PATIENCE, Reader},
         report::{Report, values},
+        run::block_on,
     },
     camphorweir_config::{
         describe::{Weight, notes},
@@ -17,25 +19,12 @@
         model::{Document, Version},
         record::{Body, FORMAT, Nonce, Publication, Record, STREAM},
     },
-    camphorweir_wire::{codec, log::Page},
+    camphorweir_wire::codec,
     serde_json::json,
     std::time::Duration,
-    tokio::{
-        runtime,
-        time::{Instant, sleep, timeout_at},
-    },
     uuid::Uuid,
 };
 
-/// Longest time for one exchange with the log service.
-const PATIENCE: Duration = Duration::from_secs(10);
-/// Most records read at once; fewer after a failure, which may be due to the size of the answer.
-const PAGE: usize = 1000;
-/// Pause before the first repetition; it doubles with each.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between repetitions.
-const LAST_PAUSE: Duration = Duration::from_secs(2);
-
 /// How a publication ended.
 enum End {
     /// In force as this version.
@@ -52,98 +41,105 @@
     Outdated(u16),
 }
 
+/// Where a publication goes, by whom and for how long.
+pub(crate) struct Terms<'a> {
+    pub(crate) json: bool,
+    pub(crate) log: &'a str,
+    pub(crate) author: &'a str,
+    /// Publish only while this version is in force.
+    pub(crate) base: Option<Version>,
+    pub(crate) timeout: Duration,
+}
+
 /// Publishes a file.
 pub(crate) fn publish(options: &Publish) -> Report {
     let document = match load(&options.file, options.json) {
         Ok(document) => document,
         Err(report) => return report,
     };
-    let client = match Client::new(&options.log, &options.author, PATIENCE) {
+    let terms = Terms {
+        json: options.json,
+        log: &options.log,
+        author: &options.author,
+        base: options.base,
+        timeout: options.timeout,
+    };
+    change(&terms, |_| Ok(document.clone()))
+}
+
+/// Publishes what `change` makes of the document in force.
+pub(crate) fn change(
+    terms: &Terms<'_>,
+    change: impl Fn(&Document) -> Result<Document, Report>,
+) -> Report {
+    let client = match Client::new(terms.log, terms.author, PATIENCE) {
         Ok(client) => client,
-        Err(error) => return usage(options, &error),
+        Err(error) => return Report::usage(terms.json, &error),
     };
-    let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            let text = error.to_string();
-            return Report::failure(Exit::Internal, options.json, "internal", text);
+    block_on(terms.json, async {
+        let mut session = Session::new(terms, client);
+        match session.publish(change).await {
+            Ok(end) => report(terms.json, end, session.remarks),
+            Err(report) => report,
         }
-    };
-    runtime.block_on(async {
-        let mut session = Session::new(options, client);
-        let end = session.publish(&document).await;
-        report(options, end, session.remarks)
     })
 }
 
-fn usage(options: &Publish, error: &Error) -> Report {
-    Report::failure(
-        Exit::Usage,
-        options.json,
-        "wrong arguments",
-        error.to_string(),
-    )
-}
-
 /// One run of the command against the log.
 struct Session<'a> {
-    options: &'a Publish,
-    client: Client,
+    terms: &'a Terms<'a>,
+    reader: Reader,
     fold: Fold,
-    deadline: Instant,
-    pause: Duration,
-    /// Records to read at once, `1..=PAGE`.
-    page: usize,
     remarks: String,
 }
 
 impl<'a> Session<'a> {
-    fn new(options: &'a Publish, client: Client) -> Self {
+    fn new(terms: &'a Terms<'a>, client: Client) -> Self {
         Self {
-            options,
-            client,
+            terms,
+            reader: Reader::new(client, STREAM, terms.timeout),
             fold: Fold::new(),
-            deadline: Instant::now() + options.timeout,
-            pause: FIRST_PAUSE,
-            page: PAGE,
             remarks: String::new(),
         }
     }
 
-    async fn publish(&mut self, document: &Document) -> End {
+    async fn publish(
+        &mut self,
+        change: impl Fn(&Document) -> Result<Document, Report>,
+    ) -> Result<End, Report> {
         while let Err(text) = self.catch_up().await {
-            if !self.again().await {
-                return End::Unreachable(None, text);
+            if !self.reader.again().await {
+                return Ok(End::Unreachable(None, text));
             }
         }
-        if let Some(end) = self.settled(document) {
-            return end;
+        if let Some(format) = self.fold.stopped() {
+            return Ok(End::Outdated(format));
+        }
+        let document = change(self.fold.document())?;
+        if let Some(end) = self.settled(&document) {
+            return Ok(end);
         }
-        self.warn(document);
+        self.warn(&document);
         let nonce = nonce();
         let record = codec::encode(&Record {
             format: FORMAT,
             body: Body::Publication(Publication {
                 nonce,
-                author: self.options.author.clone(),
+                author: self.terms.author.to_owned(),
                 base: self.fold.version(),
-                edits: edits(self.fold.document(), document),
+                edits: edits(self.fold.document(), &document),
             }),
         });
-        self.append(nonce, record).await
+        Ok(self.append(nonce, record).await)
     }
 
     /// The end, when nothing has to be appended.
     fn settled(&self, document: &Document) -> Option<End> {
-        if let Some(format) = self.fold.stopped() {
-            return Some(End::Outdated(format));
-        }
         let version = self.fold.version();
         if **self.fold.document() == *document {
             return Some(End::Unchanged(version));
         }
-        let base = self.options.base.unwrap_or(version);
+        let base = self.terms.base.unwrap_or(version);
         (base != version).then(|| End::Conflict(self.fold.winner_over(base)))
     }
 
@@ -156,7 +152,7 @@
         loop {
             let mut trouble = String::new();
             if !landed {
-                match self.append_once(record.clone()).await {
+                match self.reader.append(record.clone()).await {
                     Ok(()) => landed = true,
                     Err(text) => trouble = text,
                 }
@@ -167,21 +163,12 @@
             if let Some(end) = self.end_of(nonce) {
                 return end;
             }
-            if !self.again().await {
+            if !self.reader.again().await {
                 return End::Unreachable(Some(nonce), trouble);
             }
         }
     }
 
-    async fn append_once(&mut self, record: Vec<u8>) -> Result<(), String> {
-        let appended = self.client.append(STREAM, vec![record]);
-        match timeout_at(self.deadline, appended).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("the append was not answered in time".to_owned()),
-        }
-    }
-
     fn end_of(&self, nonce: Nonce) -> Option<End> {
         if let Some(format) = self.fold.stopped() {
             return Some(End::Outdated(format));
@@ -196,7 +183,7 @@
     /// Reads the stream to its end.
     async fn catch_up(&mut self) -> Result<(), String> {
         loop {
-            let page = self.read().await?;
+            let page = self.reader.page(self.fold.next()).await?;
             self.fold.lost(page.oldest);
             for stored in &page.records {
                 self.fold.apply(stored.offset, &stored.body);
@@ -215,31 +202,6 @@
         Ok(())
     }
 
-    async fn read(&mut self) -> Result<Page, String> {
-        let (from, wait) = (self.fold.next(), Duration::ZERO);
-        let page = self.client.page(STREAM, from, self.page, wait);
-        let (most, read) = match timeout_at(self.deadline, page).await {
-            Ok(Ok(page)) => (self.page * 2, Ok(page)),
-            Ok(Err(error)) => (self.page / 4, Err(error.to_string())),
-            Err(_) => (
-                self.page,
-                Err("the log could not be read to its end in time".to_owned()),
-            ),
-        };
-        self.page = most.clamp(1, PAGE);
-        read
-    }
-
-    /// Pauses before another try; false when the time is up.
-    async fn again(&mut self) -> bool {
-        if Instant::now() + self.pause >= self.deadline {
-            return false;
-        }
-        sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(LAST_PAUSE);
-        true
-    }
-
     fn warn(&mut self, document: &Document) {
         let notes = notes(self.fold.document(), document);
         let warnings = notes.iter().filter(|note| note.weight == Weight::Warning);
@@ -254,8 +216,7 @@
     low
 }
 
-fn report(options: &Publish, end: End, remarks: String) -> Report {
-    let json = options.json;
+fn report(json: bool, end: End, remarks: String) -> Report {
     let report = match end {
         End::Accepted(version) => Report::new(
             Exit::Done,
--- a/camphorweir/src/report.rs
+++ b/camphorweir/src/report.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// A report whose text is a result even where a part of it is missing.
+    pub fn partial(exit: Exit, json: bool, text: impl Into<String>, value: Value) -> Self {
+        let mut report = Self::new(exit, json, text, value);
+        report.machine = true;
+        report
+    }
+
     /// A report on a failure: `outcome` is its word in JSON.
     pub fn failure(exit: Exit, json: bool, outcome: &str, text: impl Into<String>) -> Self {
         let text = text.into();
@@ -43,6 +50,11 @@
         Self::new(exit, json, format!("{outcome}: {text}"), value)
     }
 
+    /// A report on an argument that can't be used.
+    pub fn usage(json: bool, error: &impl ToString) -> Self {
+        Self::failure(Exit::Usage, json, "wrong arguments", error.to_string())
+    }
+
     /// A report on the faults of a file.
     pub fn faulty(file: &str, json: bool, faults: &[Fault]) -> Self {
         let lines: Vec<_> = faults
--- /dev/null
+++ b/camphorweir/src/unresolved.rs
@@ -0,0 +1,56 @@
+//! The never-repeat keys whose outcome nobody knows.
+
+use {
+    crate::{
+        args::Ask,
+        ask::{self, Answers},
+        exit::Exit,
+        report::{Report, values},
+        run::block_on,
+    },
+    camphorweir_wire::status::{Claim, UNRESOLVED},
+    serde_json::json,
+    std::collections::BTreeMap,
+};
+
+/// Asks every entry and lists each key once.
+pub(crate) fn unresolved(options: &Ask) -> Report {
+    block_on(options.json, async {
+        match ask::all::<Vec<Claim>>(options, UNRESOLVED).await {
+            Ok(answers) => report(options.json, answers),
+            Err(report) => report,
+        }
+    })
+}
+
+/// Every entry follows all claims, so one that answers is enough; the others are named.
+fn report(json: bool, answers: Answers<Vec<Claim>>) -> Report {
+    let exit = match answers.answers.is_empty() {
+        true if answers.missing.is_empty() => Exit::Unreachable,
+        true => answers.exit(),
+        false => Exit::Done,
+    };
+    let missing: Vec<_> = answers.missing.iter().map(ToString::to_string).collect();
+    let claims = answers.answers.into_iter().flatten();
+    let claims: BTreeMap<String, Claim> = claims.map(|claim| (claim.key.clone(), claim)).collect();
+    let claims: Vec<Claim> = claims.into_values().collect();
+    let value = json!({
+        "outcome": if exit == Exit::Done { "listed" } else { "unreachable" },
+        "unresolved": values(&claims),
+        "missing": values(&answers.missing),
+    });
+    let mut lines: Vec<_> = claims.iter().map(line).collect();
+    if exit != Exit::Done {
+        lines = vec!["unreachable: no entry answered".to_owned()];
+    } else if lines.is_empty() {
+        lines.push("nothing is unresolved".to_owned());
+    }
+    Report::new(exit, json, lines.join("\n"), value).remark(missing.join("\n"))
+}
+
+fn line(claim: &Claim) -> String {
+    format!(
+        "{} of {}, run by {}, claimed {} ms after 1970: {}",
+        claim.key, claim.workspace, claim.owner, claim.claimed_ms, claim.why
+    )
+}
--- a/camphorweir/tests/common/mod.rs
+++ b/camphorweir/tests/common/mod.rs
@@ -40,6 +40,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) records: Vec<Vec<u8>>,
+    /// The stream that is served; empty stands for the configuration's.
+    pub(crate) stream: String,
+    /// When each record landed, in milliseconds; 0 for those past the end.
+    pub(crate) times: Vec<u64>,
     /// Records below this are no longer there.
     pub(crate) oldest: usize,
     /// Of the appends to come; those past the end are answered.
@@ -97,13 +101,18 @@
     request: Request<Incoming>,
     state: Arc<Mutex<State>>,
 ) -> io::Result<Response<Full<Bytes>>> {
-    assert_eq!(request.uri().path(), "/streams/config");
+    let path = request.uri().path().to_owned();
     assert!(request.headers().contains_key("camphorweir-from"));
     let query = request.uri().query().unwrap_or_default().to_owned();
     let method = request.method().clone();
     let body = request.into_body().collect().await;
     let body = body.map_err(io::Error::other)?.to_bytes();
     let mut state = state.lock().unwrap();
+    let stream = match state.stream.as_str() {
+        "" => "config",
+        stream => stream,
+    };
+    assert_eq!(path, format!("/streams/{stream}"));
     let bytes = match method {
         Method::GET => codec::encode(&read(&mut state, &query)?),
         Method::POST => codec::encode(&append(&mut state, &body)?),
@@ -138,7 +147,7 @@
     let records = records.skip(from.max(state.oldest)).take(2);
     let stored = |(offset, body): (usize, &Vec<u8>)| Stored {
         offset: offset as u64,
-        time_ms: 0,
+        time_ms: state.times.get(offset).copied().unwrap_or(0),
         body: ByteBuf::from(body.clone()),
     };
     Ok(Page {
--- a/camphorweir/tests/publish.rs
+++ b/camphorweir/tests/publish.rs
@@ -219,3 +219,39 @@
     assert_eq!(report.exit, Exit::Outdated);
     assert_eq!(log.state.lock().unwrap().appends, 0);
 }
+
+#[test]
+fn a_target_is_drained_and_given_work_again() {
+    let log = Log::start(seeded());
+    let url = log.url();
+    let target = document(FILE).targets.keys().next().unwrap().clone();
+    let set = |command: &str, target: &str| {
+        let words = [command, target, "--log", &url, "--author", "ada"];
+        camphorweir::run(args::command().run_inner(&words[..]).unwrap())
+    };
+    for (command, text, drained) in [
+        ("drain", "accepted version 2", true),
+        (
+            "drain",
+            "unchanged: version 2 in force has this content",
+            true,
+        ),
+        ("undrain", "accepted version 3", false),
+    ] {
+        let report = set(command, &target);
+        assert_eq!((report.exit, &*report.text), (Exit::Done, text));
+        assert_eq!(
+            read(&log, "ada").0.document().targets[&target].drain,
+            drained
+        );
+    }
+    assert_eq!(set("drain", "nowhere").exit, Exit::NotFound);
+    let mut state = seeded();
+    let rival = publication(9, "eve", 1, vec![zone("southeast-c")]);
+    state.fates.push_back(Fate::After(vec![rival]));
+    let log = Log::start(state);
+    let url = log.url();
+    let words = ["drain", &*target, "--log", &url, "--author", "ada"];
+    let report = camphorweir::run(args::command().run_inner(&words[..]).unwrap());
+    assert_eq!(&*report.text, "conflict: eve published version 2 first");
+}
--- /dev/null
+++ b/camphorweir/tests/resolve.rs
@@ -0,0 +1,238 @@
+//! `resolve` against a log with faults: a key is settled once, as every entry reads it, and whoever
+//! comes second is told.
+
+mod common;
+
+use {
+    camphorweir::{args, exit::Exit, report::Report},
+    camphorweir_policy::claim::{Standing, Table},
+    camphorweir_wire::{
+        claim::{Body, FORMAT, Key, Owner, Record, Resolve, Start, stream},
+        codec,
+        log::Stored,
+        outcome::Answer,
+    },
+    common::{Fate, Log, State},
+    serde_bytes::ByteBuf,
+    uuid::Uuid,
+};
+
+/// A key issued at this time, in milliseconds since 1970.
+const ISSUED: u64 = 0x0193_a1b2_0000;
+const KEY: &str = "0193a1b2-0000-7000-8000-000000000001";
+/// The nonce of its start.
+const NONCE: u64 = 5;
+
+fn key() -> Key {
+    Key {
+        workspace: "depot-7".to_owned(),
+        id: Uuid::try_parse(KEY).unwrap().as_u128(),
+    }
+}
+
+fn record(nonce: u64, body: Body) -> Vec<u8> {
+    codec::encode(&Record {
+        format: FORMAT,
+        key: key(),
+        nonce,
+        body,
+    })
+}
+
+fn start(nonce: u64) -> Vec<u8> {
+    let owner = Owner {
+        entry: "a1".to_owned(),
+        incarnation: 1,
+    };
+    record(
+        nonce,
+        Body::Start(Start {
+            owner,
+            fingerprint: 9,
+        }),
+    )
+}
+
+fn word(operator: &str, ran: bool) -> Vec<u8> {
+    let operator = operator.to_owned();
+    record(NONCE, Body::Resolve(Resolve { ran, operator }))
+}
+
+fn answer() -> Vec<u8> {
+    let answer = Answer {
+        status: 200,
+        content_type: String::new(),
+        body: Vec::new(),
+    };
+    record(NONCE, Body::Done(answer))
+}
+
+/// A log in which the key is claimed, with these records after the start.
+fn state(more: &[Vec<u8>]) -> State {
+    let mut records = vec![start(NONCE)];
+    records.extend_from_slice(more);
+    State {
+        times: vec![ISSUED; records.len() + 10],
+        records,
+        stream: stream(key().partition()),
+        ..State::default()
+    }
+}
+
+fn unknown() -> Vec<u8> {
+    record(NONCE, Body::Unknown)
+}
+
+fn resolve(log: &Log, ran: &str, more: &[&str]) -> Report {
+    let url = log.url();
+    let mut words = vec![
+        "resolve", KEY, "--ran", ran, "--log", &url, "--author", "ada",
+    ];
+    words.extend(more);
+    camphorweir::run(args::command().run_inner(&words[..]).unwrap())
+}
+
+/// What every entry makes of the log.
+fn settled(log: &Log) -> Option<bool> {
+    let state = log.state.lock().unwrap();
+    let mut table = Table::default();
+    for (offset, body) in state.records.iter().enumerate() {
+        table.apply(&Stored {
+            offset: offset as u64,
+            time_ms: state.times.get(offset).copied().unwrap_or(ISSUED),
+            body: ByteBuf::from(body.clone()),
+        });
+    }
+    match table.standing(key().id) {
+        Standing::Resolved { ran } => Some(ran),
+        Standing::Done(_) => Some(true),
+        Standing::Free | Standing::Started(_) => None,
+    }
+}
+
+#[test]
+fn a_key_is_settled_once() {
+    let log = Log::start(state(&[unknown()]));
+    let report = resolve(&log, "no", &[]);
+    assert_eq!(report.exit, Exit::Done, "{}", report.text);
+    assert_eq!(report.text, format!("settled: {KEY} ran: no"));
+    assert_eq!(settled(&log), Some(false));
+    assert_eq!(resolve(&log, "no", &[]).exit, Exit::Done);
+    let other = resolve(&log, "yes", &[]);
+    assert_eq!(other.exit, Exit::Conflict);
+    assert_eq!(log.state.lock().unwrap().appends, 1);
+}
+
+#[test]
+fn the_second_of_two_operators_is_told() {
+    let mut state = state(&[unknown()]);
+    state.fates.push_back(Fate::After(vec![word("eve", true)]));
+    let log = Log::start(state);
+    let report = resolve(&log, "no", &[]);
+    assert_eq!(report.exit, Exit::Conflict);
+    let words = format!("conflict: eve settled {KEY} first, ran: yes");
+    assert_eq!(report.text, words);
+    assert_eq!(settled(&log), Some(true));
+}
+
+#[test]
+fn an_answer_that_lands_first_stands_above_an_operator() {
+    let mut state = state(&[unknown()]);
+    state.fates.push_back(Fate::After(vec![answer()]));
+    let log = Log::start(state);
+    let report = resolve(&log, "no", &["--json"]);
+    assert_eq!(report.exit, Exit::Conflict);
+    assert!(
+        report.text.contains("\"outcome\":\"recorded\""),
+        "{}",
+        report.text
+    );
+    assert_eq!(settled(&log), Some(true));
+}
+
+#[test]
+fn lost_answers_and_late_appends_settle_it_all_the_same() {
+    let cases = [
+        vec![Fate::AnswerLost],
+        vec![Fate::Lost, Fate::AnswerLost],
+        vec![Fate::Late(1)],
+        vec![Fate::Late(2), Fate::Lost],
+    ];
+    for fates in cases {
+        let mut state = state(&[unknown()]);
+        state.fates.extend(fates.clone());
+        state.reads_fail = Some((2, 2));
+        let log = Log::start(state);
+        let report = resolve(&log, "yes", &[]);
+        assert_eq!(report.exit, Exit::Done, "{fates:?}: {}", report.text);
+        assert_eq!(settled(&log), Some(true), "{fates:?}");
+    }
+}
+
+#[test]
+fn nothing_is_appended_where_there_is_nothing_to_settle() {
+    let void = record(NONCE, Body::Void);
+    let cases = [
+        (vec![], Exit::Conflict, "open: no record says"),
+        (vec![answer()], Exit::Conflict, "conflict: the outcome"),
+        (
+            vec![record(NONCE, Body::Ran)],
+            Exit::Conflict,
+            "conflict: the outcome",
+        ),
+        (vec![void], Exit::NotFound, "not found: nothing is open"),
+        (
+            vec![codec::encode(&(9_u16, 1, 2, 3))],
+            Exit::Outdated,
+            "outdated",
+        ),
+    ];
+    for (more, exit, text) in cases {
+        let log = Log::start(state(&more));
+        let report = resolve(&log, "no", &[]);
+        assert_eq!(report.exit, exit, "{}", report.text);
+        assert!(report.text.starts_with(text), "{}", report.text);
+        assert_eq!(log.state.lock().unwrap().appends, 0);
+    }
+    let log = Log::start(state(&[]));
+    let report = resolve(&log, "no", &["--owner-gone"]);
+    assert_eq!(report.exit, Exit::Done, "{}", report.text);
+}
+
+#[test]
+fn a_log_that_is_down_is_unreachable_with_nothing_sent() {
+    let mut state = state(&[unknown()]);
+    state.reads_fail = Some((0, usize::MAX));
+    let log = Log::start(state);
+    let report = resolve(&log, "no", &["--timeout", "1"]);
+    assert_eq!(report.exit, Exit::Unreachable);
+    assert!(report.text.contains("nothing was sent"), "{}", report.text);
+    assert_eq!(log.state.lock().unwrap().appends, 0);
+}
+
+#[test]
+fn a_key_among_many_is_found_by_its_time() {
+    let other = |number: u64| {
+        codec::encode(&Record {
+            format: FORMAT,
+            key: Key {
+                workspace: "depot-9".to_owned(),
+                id: u128::from(number),
+            },
+            nonce: number,
+            body: Body::Void,
+        })
+    };
+    let mut state = state(&[]);
+    state.records = (0..4000).map(other).collect();
+    state.times = (0..4000)
+        .map(|number| ISSUED - 4_000_000 + number * 1000)
+        .collect();
+    state.records.extend([start(NONCE), unknown()]);
+    state.times.extend([ISSUED; 10]);
+    // A record from before the key was issued, which the search passes over.
+    state.records[0] = b"not read".to_vec();
+    let log = Log::start(state);
+    let report = resolve(&log, "yes", &[]);
+    assert_eq!(report.exit, Exit::Done, "{}", report.text);
+}
