--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -6,6 +6,7 @@
         pipeline::Start,
         request::{Body, Head, Request},
         timer::Timer,
+        timing::Timing,
     },
     camphorweir_config::model::{Route, WorkspaceId},
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
@@ -62,6 +63,7 @@
             attempts: 0,
             started: None,
             first_token: None,
+            timing: Timing::default(),
         }
     }
 
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod outcome;
 pub mod peer;
 pub mod prefix;
+pub mod status;
