Prove the promises with every part as a process of its own

Cause: the whole path was proved inside one process only, so nothing showed that separate processes keep the promises under signals. Before: stand-ins had tests as processes, the entry and the command line had none together. Ruled out: one test program for each file, as each would link the whole workspace again and the bound on processes at a time would not hold over them.

--- /dev/null
+++ b/camphorweir-standin/tests/process/stops.rs
@@ -0,0 +1,234 @@
+//! Planned stops under load, of entries, engines and services: nothing is cut.
+
+use {
+    crate::{
+        caller::Caller,
+        child::{LOOK, until},
+        deployment::{Deployment, Plan, Told},
+    },
+    serde_json::{Value, json},
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
+};
+
+/// The promise: a leaving target gets no new work after this time.
+const LEAVE: Duration = Duration::from_secs(3);
+
+/// Seals under way on the ledgers.
+async fn seals(deployment: &Deployment, caller: Caller, count: usize) -> Vec<Seal> {
+    let mut seals = Vec::new();
+    for _ in 0..count {
+        let told = Told::new();
+        let key = told.key;
+        let sent = tokio::spawn(async move { caller.seal(key, 1).await });
+        seals.push(Seal { told, sent });
+    }
+    for seal in &seals {
+        deployment.running(seal.told.key).await;
+    }
+    seals
+}
+
+struct Seal {
+    told: Told,
+    sent: tokio::task::JoinHandle<Option<crate::caller::Answer>>,
+}
+
+/// Every seal is answered, and gives the same answer through another entry.
+async fn answered(deployment: &Deployment, seals: Vec<Seal>, other: Caller) {
+    for mut seal in seals {
+        let answer = seal.sent.await.unwrap().expect("cut");
+        answer.run();
+        seal.told.take(Some(answer));
+        let again = until("the first answer", || async {
+            let answer = other.seal(seal.told.key, 1).await.unwrap();
+            (answer.status == 200).then_some(answer)
+        })
+        .await;
+        assert!(again.replayed);
+        seal.told.take(Some(again));
+        seal.told.check(deployment).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_stops_under_load_and_cuts_nothing() {
+    let plan = Plan {
+        entries: 2,
+        decode_layer_us: 2000.0,
+        grace: 1000,
+    };
+    let mut deployment = Deployment::start(plan).await;
+    deployment
+        .service_faults("ledger", json!({"run_ms": 1500}))
+        .await;
+    let [stopping, other] = deployment.callers()[..] else {
+        panic!("two entries");
+    };
+    let mut streams = Vec::new();
+    for number in 0..8 {
+        streams.push(stopping.stream(&format!("stream {number}"), 60).await);
+    }
+    let seals = seals(&deployment, stopping, 4).await;
+    let claiming = Told::new();
+    let key = claiming.key;
+    let open = tokio::spawn(async move { stopping.seal(key, 1).await });
+
+    deployment.entries[0].child.signal("TERM");
+    until("readiness going false", || async {
+        let ready = stopping.ready().await;
+        assert_ne!(
+            ready, None,
+            "the listener closed before readiness was false"
+        );
+        (ready == Some(false)).then_some(())
+    })
+    .await;
+    stopping.right_chat("within the balancer's grace", 5).await;
+    deployment.entries[0].child.signal("TERM");
+    for stream in streams {
+        stream.finish().await;
+    }
+    let claimed = Seal {
+        told: claiming,
+        sent: open,
+    };
+    answered(&deployment, seals, other).await;
+    answered(&deployment, vec![claimed], other).await;
+    assert_eq!(deployment.entries[0].child.exit().await, Some(0));
+    assert_eq!(stopping.ready().await, None);
+    other.right_chat("the other one goes on", 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_stops_in_a_log_outage_loses_no_outcome() {
+    let plan = Plan {
+        entries: 2,
+        decode_layer_us: 1000.0,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await;
+    deployment
+        .service_faults("ledger", json!({"run_ms": 800}))
+        .await;
+    let [stopping, other] = deployment.callers()[..] else {
+        panic!("two entries");
+    };
+    let stream = stopping.stream("through the outage", 60).await;
+    let seals = seals(&deployment, stopping, 3).await;
+    deployment
+        .log
+        .faults(json!({"net": {"down": "drop"}}))
+        .await;
+    deployment.entries[0].child.signal("TERM");
+    stream.finish().await;
+    for seal in &seals {
+        while !seal.sent.is_finished() {
+            sleep(LOOK).await;
+        }
+    }
+    deployment.entries[0].child.signal("TERM");
+    assert!(
+        deployment.entries[0].child.is_running(),
+        "outcomes are lost"
+    );
+    deployment.log.faults(json!({})).await;
+    assert_eq!(deployment.entries[0].child.exit().await, Some(0));
+    answered(&deployment, seals, other).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_leaves_under_load_gets_no_new_work_and_cuts_nothing() {
+    let plan = Plan {
+        entries: 2,
+        decode_layer_us: 2000.0,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await;
+    let callers = deployment.callers();
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let caller = callers[number % 2];
+        streams.push(caller.stream(&format!("stream {number}"), 240).await);
+    }
+    for stream in &mut streams {
+        stream.reach(2).await;
+    }
+    let leaving = deployment.path(streams[0].request).await[1].clone();
+    deployment.targets[&leaving].child.signal("TERM");
+    sleep(LEAVE).await;
+    let before = deployment.steps(&leaving).await;
+    for number in 0..6 {
+        let prompt = format!("after leaving {number}");
+        let stream = callers[number % 2].stream(&prompt, 3).await;
+        let request = stream.request;
+        stream.finish().await;
+        assert!(!deployment.path(request).await.contains(&leaving));
+    }
+    assert!(!before.is_empty());
+    for stream in streams {
+        stream.finish().await;
+    }
+    let child = &mut deployment.targets.get_mut(&leaving).unwrap().child;
+    assert_eq!(child.exit().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_service_that_leaves_gets_no_new_work_and_cuts_nothing() {
+    let mut deployment = Deployment::start(Plan::default()).await;
+    let callers = deployment.callers();
+    let runs = async |deployment: &Deployment| -> Value {
+        deployment.targets["lookup-a"].report("stats").await
+    };
+    deployment.list_leaving("lookup-a").await;
+    let listed = Instant::now();
+    while listed.elapsed() < LEAVE {
+        callers[0].right_status(1).await;
+    }
+    let before = runs(&deployment).await;
+    for batch in 0..20 {
+        callers[0].right_status(batch).await;
+    }
+    assert_eq!(runs(&deployment).await, before);
+
+    deployment
+        .service_faults("ledger", json!({"run_ms": 1000}))
+        .await;
+    let seals = seals(&deployment, callers[0], 6).await;
+    deployment.targets["ledger-a"].child.signal("TERM");
+    let statuses = (0..20).map(|batch| callers[0].right_status(batch));
+    futures::future::join_all(statuses).await;
+    for seal in &seals {
+        while !seal.sent.is_finished() {
+            sleep(LOOK).await;
+        }
+    }
+    let ledger = deployment.targets.get_mut("ledger-a").unwrap();
+    assert_eq!(ledger.child.exit().await, Some(0));
+    for seal in seals {
+        let answer = seal.sent.await.unwrap().expect("cut");
+        answer.run();
+    }
+    let told = Told::new();
+    until("a seal on another ledger", || async {
+        let answer = callers[0].seal(told.key, 2).await.unwrap();
+        assert_ne!(answer.ran, "unknown", "{answer:?}");
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    assert_eq!(deployment_runs(&deployment, &told).await, 1);
+}
+
+/// Runs of a key on the ledgers that are still there.
+async fn deployment_runs(deployment: &Deployment, told: &Told) -> usize {
+    let key = told.key.to_string();
+    let mut count = 0;
+    for name in ["ledger-b", "ledger-c"] {
+        let audit: Vec<Value> = deployment.targets[name].report("audit").await;
+        count += audit
+            .iter()
+            .filter(|run| run["key"] == key.as_str())
+            .count();
+    }
+    count
+}
