Join the operators' view, the decisions and the claims

Cause: the parts were built side by side; a carried start was unknown to the operators' reader, and the fake let a process exit before it had read what came while it was frozen. Ruled out: easing the check of a planned stop; only requests that the process still holds unread are let through, as the process serves them before it ends. Before: the merged tree did not build, then a fuzz case failed.

--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -642,6 +642,11 @@
     }
 
     fn exit(&mut self, number: usize) {
+        // The process serves what waits in its own queue before it ends.
+        let arrives = |parcel: &Parcel| matches!(parcel, Parcel::Event(_, _, Event::Arrive(_)));
+        if self.entries[number].backlog.iter().any(arrives) {
+            return;
+        }
         let waits =
             |call: &oracle::Call| call.entry == number && call.end.is_none() && !call.orphan;
         let cut = self.oracle.calls.values().any(waits);
--- a/camphorweir/src/resolve.rs
+++ b/camphorweir/src/resolve.rs
@@ -45,7 +45,7 @@
             self.workspace = record.key.workspace;
         }
         match record.body {
-            Body::Start(_) => {
+            Body::Start(_) | Body::Carry(_) => {
                 let known = self.starts.iter().any(|(nonce, _)| *nonce == record.nonce);
                 if self.end.is_none() && !known && !self.voids.contains(&record.nonce) {
                     self.starts.push((record.nonce, false));
