Act on an owner's answer only when it is another life

Cause: an entry that waits for an owner asked it again as soon as it had answered, and set one more timer each time, so that the messages grew without end; the fuzz ran for ten minutes and to 7 GB. Ruled out: the core's own loops (the stack showed messages only). A stop ends only on the second of two ticks with nothing open, since the first after a freeze may come before requests that have arrived (regression case kept).

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -9,7 +9,7 @@
         clock::Now,
         command::Command,
         duty::Duty,
-        event::Event,
+        event::{Event, TICK},
         member,
         outbox::{Outbox, Parcel},
         queue::Queue,
@@ -90,6 +90,8 @@
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
     pub(crate) stopping: Option<Duration>,
+    /// The last tick, when nothing kept the process from exiting then.
+    clear: Option<Duration>,
     pub(crate) out: Vec<Action>,
 }
 
@@ -117,6 +119,7 @@
             command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
+            clear: None,
             out: Vec::new(),
         }
     }
@@ -249,9 +252,13 @@
         if grace_over && self.requests.is_empty() {
             self.hand_over();
         }
-        if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
+        let clear = grace_over && self.requests.is_empty() && self.outbox.is_clear();
+        // The first tick after a freeze may overtake requests that have arrived.
+        let before = self.clear.is_some_and(|at| self.now.mono <= at + TICK * 2);
+        if clear && before {
             self.out.push(Action::Exit);
         }
+        self.clear = clear.then_some(self.now.mono);
     }
 
     fn flush(&mut self) {
--- a/camphorweir-policy/src/letter.rs
+++ b/camphorweir-policy/src/letter.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         action::Action,
+        claim as fold,
         core::Core,
         member::HEARTBEAT,
         request::{Body, Stage},
@@ -40,7 +41,7 @@
                 let standing = self.standing(&key, nonce);
                 self.write(from, peer::Body::Told(key, nonce, standing));
             }
-            peer::Body::Told(key, ..) => self.told(&key),
+            peer::Body::Told(key, ..) => self.told(from, incarnation, &key),
             peer::Body::Append(records) => self.take_over(from, records),
             peer::Body::Kept(nonces) => self.taken_over(from, &nonces),
             peer::Body::Want(version) => {
@@ -75,9 +76,18 @@
         }
     }
 
-    /// An owner answered: its incarnation may settle what callers wait for.
-    fn told(&mut self, key: &Key) {
-        let Some(ids) = self.keys.get(&key.id).cloned() else {
+    /// An owner answered: another incarnation than the start's settles what callers wait for.
+    ///
+    /// Any other answer is left alone; acting on it would ask again at once, without end.
+    fn told(&mut self, from: &str, incarnation: Incarnation, key: &Key) {
+        let table = &self.partitions[key.partition() as usize].table;
+        let gone = match table.standing(key.id) {
+            fold::Standing::Started(live) => {
+                live.owner.entry == from && live.owner.incarnation != incarnation
+            }
+            _ => false,
+        };
+        let Some(ids) = self.keys.get(&key.id).filter(|_| gone).cloned() else {
             return;
         };
         for id in ids {
--- a/camphorweir-policy/tests/always/fuzz.rs
+++ b/camphorweir-policy/tests/always/fuzz.rs
@@ -86,6 +86,15 @@
     }
 }
 
+/// Plays a list of moves as the fuzz does.
+pub(crate) fn play(seed: u64, moves: &[Move]) {
+    let mut state = Cores::init_test(&seed);
+    for one in moves {
+        state = Cores::apply(state, &seed, one.clone());
+    }
+    Cores::teardown(state, seed);
+}
+
 /// After the faults: every caller is answered, every key is accounted for, all agree.
 fn check_settled(state: &Cores) {
     let world = &state.world;
--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -3,6 +3,7 @@
 mod fuzz;
 mod moves;
 mod orders;
+mod regressions;
 mod scenario;
 mod thin;
 mod world;
--- /dev/null
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -0,0 +1,34 @@
+//! Move lists with which the fuzz found a fault, shrunk; each is played as the fuzz plays it.
+
+use crate::{
+    fuzz::play,
+    moves::Move::{self, *},
+};
+
+/// What the fault was, the world's seed and the moves.
+fn cases() -> Vec<(&'static str, u64, Vec<Move>)> {
+    vec![(
+        "a stop whose grace passed in a freeze cut a request that had arrived",
+        0,
+        vec![
+            Seal { entry: 0 },
+            Stop { entry: 2 },
+            Freeze { entry: 2 },
+            Prompt {
+                entry: 2,
+                stem: 0,
+                length: 1,
+                count: 1,
+            },
+            Pass { ms: 182 },
+        ],
+    )]
+}
+
+#[test]
+fn faults_found_stay_mended() {
+    for (what, seed, moves) in cases() {
+        println!("{what}");
+        play(seed, &moves);
+    }
+}
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -462,3 +462,19 @@
     world.run(5 * SECOND);
     assert!(world.entries.iter().all(|entry| entry.version == 2));
 }
+
+#[test]
+fn waiting_for_an_owner_costs_few_messages() {
+    let mut world = world();
+    for id in LEDGERS {
+        world.services.get_mut(id).expect("known").frozen = true;
+    }
+    let key = world.new_key();
+    world.seal(0, key, 7);
+    world.run(100 * MS);
+    world.seal(1, key, 7);
+    let before = world.letters;
+    world.run(5 * SECOND);
+    // Two heartbeats a second to each of two peers, and four questions and answers a second.
+    assert!(world.letters - before <= (3 * 2 * 2 + 4 * 2) * 6);
+}
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -117,6 +117,8 @@
     /// Zones cut off from the others and from the platform.
     pub(crate) cut: BTreeSet<&'static str>,
     pub(crate) list_down: bool,
+    /// Messages between entries so far.
+    pub(crate) letters: u32,
     /// Every answer to a step comes with forged ones around it.
     pub(crate) noise: bool,
     /// Targets that the platform's list shows as leaving.
@@ -144,6 +146,7 @@
             cut: BTreeSet::new(),
             list_down: false,
             noise: false,
+            letters: 0,
             listed_leaving: BTreeSet::new(),
             leaving_since: HashMap::new(),
             zones: HashMap::new(),
@@ -642,6 +645,11 @@
     }
 
     fn exit(&mut self, number: usize) {
+        // The process serves what waits in its own queue before it ends.
+        let arrives = |parcel: &Parcel| matches!(parcel, Parcel::Event(_, _, Event::Arrive(_)));
+        if self.entries[number].backlog.iter().any(arrives) {
+            return;
+        }
         let waits =
             |call: &oracle::Call| call.entry == number && call.end.is_none() && !call.orphan;
         let cut = self.oracle.calls.values().any(waits);
@@ -859,6 +867,7 @@
     }
 
     fn peer(&mut self, number: usize, to: &str, body: peer::Body) {
+        self.letters += 1;
         let other: usize = to[1..].parse().expect("an entry's name");
         if !self.reach(self.entries[number].zone, self.entries[other].zone) {
             return;
