--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -29,10 +29,12 @@
 
 /// Attempts of one request.
 const ATTEMPTS: AttemptId = 8;
-/// Shortest time that a step may take before its target is taken for frozen.
-const STEP_MIN: Duration = Duration::from_millis(500);
-/// A step may take this many times what was projected.
-const STEP_FACTOR: u32 = 4;
+/// Shortest silence, while a step is under way, after which a target is taken for frozen.
+const STEP_MIN: Duration = Duration::from_millis(300);
+/// A target may be silent for this many times what a step was projected to take.
+const STEP_FACTOR: u32 = 3;
+/// Time after which the answer of a target that does answer others is taken for lost.
+const STEP_LOST: Duration = Duration::from_secs(3);
 /// How long an interrupted answer waits for a path.
 const WAIT_FOR_PATH: Duration = Duration::from_secs(2);
 
@@ -93,19 +95,7 @@
         self.head(id, workspace, route, fingerprint)
     }
 
-    /// Starts waiting requests, the first class first, as far as there is room.
-    pub(crate) fn start_queued(&mut self) {
-        for priority in camphorweir_config::model::Priority::ALL {
-            while let Some(id) = self.queue.pop(priority) {
-                if self.start_request(id) == Start::Blocked {
-                    self.queue.push_front(priority, id);
-                    break;
-                }
-            }
-        }
-    }
-
-    fn start_request(&mut self, id: RequestId) -> Start {
+    pub(crate) fn start_request(&mut self, id: RequestId) -> Start {
         match self.requests.get(&id).map(|request| &request.body) {
             Some(Body::Stream(_)) => self.start_stream(id),
             Some(Body::Plain(_)) => self.start_plain(id),
@@ -127,6 +117,7 @@
             activation: stream.activation,
             positions: stream.tokens.len() as u32,
             tokens: stream.max_tokens - stream.delivered(),
+            prefix: &stream.prefix,
             avoid: &stream.avoid,
         };
         match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
@@ -168,10 +159,11 @@
             return;
         };
         let attempt = attempt(request.head.next_attempt(self.now.mono));
-        let prefix = prefix::hashes(&stream.tokens);
+        let prefix = &stream.prefix;
         for hop in attempt.path.hops() {
             let target = self.targets.get_mut(hop.target);
             target.open += 1;
+            target.chosen += 1;
             let open = Open {
                 request: id,
                 attempt: attempt.id,
@@ -182,9 +174,10 @@
             let order = Order::Open(open);
             self.out.push(Action::Order(target.id.clone(), order));
         }
-        let late = self.now.mono + STEP_MIN;
-        self.timers
-            .set(late, Timer::Step(id, attempt.id, attempt.sequence));
+        stream.sent = self.now.mono;
+        stream.limit = STEP_MIN;
+        let timer = Timer::Step(id, attempt.id, attempt.sequence);
+        self.timers.set(stream.sent + stream.limit, timer);
         stream.attempt = Some(Any::Opening(attempt));
     }
 
@@ -216,6 +209,7 @@
         match self.take_attempt(id, opened.attempt) {
             Some(Any::Opening(mut attempt)) => {
                 attempt.opened(target, opened.held);
+                self.learn(id, target, opened.held);
                 let total = self.stream_mut(id).map_or(0, |stream| stream.tokens.len());
                 match attempt.run(total as u32) {
                     Ok(running) => self.step(id, running),
@@ -227,6 +221,15 @@
         }
     }
 
+    /// An engine holds this much of a request's prompt.
+    fn learn(&mut self, id: RequestId, target: Index, held: u32) {
+        let Some(Body::Stream(stream)) = self.requests.get(&id).map(|request| &request.body) else {
+            return;
+        };
+        let cache = &mut self.targets.get_mut(target).cache;
+        cache.correct(&stream.prefix, held);
+    }
+
     /// Sends the first hop's step: the input is tokens.
     fn step(&mut self, id: RequestId, attempt: Attempt<Running>) {
         let first = attempt.position() as usize;
@@ -242,7 +245,7 @@
     }
 
     fn send_step(&mut self, id: RequestId, attempt: Attempt<Running>, input: Vec<u64>) {
-        let hop = attempt.hop();
+        let (hop, now) = (attempt.hop(), self.now.mono);
         let limit = self.step_limit(id, &attempt);
         let target = self.targets.get_mut(hop.target);
         target.queued += u64::from(attempt.count());
@@ -257,6 +260,10 @@
         self.out.push(Action::Order(target.id.clone(), order));
         let timer = Timer::Step(id, attempt.id, attempt.sequence);
         self.timers.set(self.now.mono + limit, timer);
+        if let Some(stream) = self.stream_mut(id) {
+            stream.sent = now;
+            stream.limit = limit;
+        }
         self.keep_attempt(id, Any::Running(attempt));
     }
 
@@ -273,9 +280,12 @@
             activation: stream.activation,
             positions: attempt.count(),
             tokens: 1,
+            prefix: &[],
             avoid: &[],
         };
-        let cost = self.map.cost(target, hop.layers, &want, self.now.mono);
+        let cost = self
+            .map
+            .cost(target, hop.target, hop.layers, &want, self.now.mono);
         STEP_MIN + cost.min(Duration::from_secs(60)) * STEP_FACTOR
     }
 
@@ -284,6 +294,7 @@
     /// Only the answer to the step under way counts; a late, doubled or foreign one is dropped.
     pub(crate) fn done(&mut self, target: Index, done: &Done) {
         let id = done.request;
+        let now = self.now.mono;
         let attempt = match self.take_attempt(id, done.attempt) {
             Some(Any::Running(attempt)) => attempt,
             Some(opening) => return self.keep_attempt(id, opening),
@@ -299,6 +310,10 @@
         let answered = self.targets.get_mut(target);
         answered.queued = answered.queued.saturating_sub(u64::from(attempt.count()));
         answered.health.succeed();
+        answered.heard = now;
+        if attempt.count() > 1 {
+            self.learn(id, target, u32::MAX);
+        }
         match attempt.advance() {
             Next::Hop(attempt) => self.send_step(id, attempt, done.output.clone()),
             Next::Complete(attempt) => self.complete(id, attempt, done.token),
@@ -321,6 +336,7 @@
         if !stopped {
             stream.tokens.push(token);
             request.head.first_token.get_or_insert(now);
+            request.head.timing.deliver(now, stream.interrupted);
             self.out.push(Action::Token(id, token));
         }
         if stopped || stream.delivered() >= stream.max_tokens {
@@ -350,25 +366,43 @@
         self.fail(refused.request, target, "the engine refused the attempt");
     }
 
-    /// A step has not been answered in time: its target is taken for frozen.
+    /// A step has not been answered in time.
+    ///
+    /// A target that has been silent since is taken for frozen, and everything on it moves at once.
+    /// One that answers others is only busy; an engine may keep a lower class waiting.
     pub(crate) fn step_late(&mut self, id: RequestId, attempt: AttemptId, sequence: u32) {
-        let late = match self
-            .stream_mut(id)
-            .and_then(|stream| stream.attempt.as_ref())
-        {
-            Some(any) if any.id() == attempt && any.sequence() == sequence => any.waits_for(),
-            Some(_) | None => return,
+        let now = self.now.mono;
+        let (late, sent, limit) = match self.stream_mut(id) {
+            Some(stream) => match &stream.attempt {
+                Some(any) if any.id() == attempt && any.sequence() == sequence => {
+                    (any.waits_for(), stream.sent, stream.limit)
+                }
+                Some(_) | None => return,
+            },
+            None => return,
         };
+        let silent: Vec<Index> = late
+            .iter()
+            .copied()
+            .filter(|index| self.targets.get(*index).heard.max(sent) + limit <= now)
+            .collect();
+        for target in &silent {
+            self.eject(*target, "it is silent while a step is under way");
+            self.fail_all(*target, "it is silent while a step is under way");
+        }
+        if !silent.is_empty() {
+            return;
+        }
         let Some(first) = late.first().copied() else {
             return;
         };
-        for target in &late {
-            self.eject(*target, "a step was not answered in time");
+        if now >= sent + limit + STEP_LOST {
+            return self.fail(id, first, "the answer of a step is lost");
         }
-        if let Some(stream) = self.stream_mut(id) {
-            stream.avoid.extend(late);
-        }
-        self.fail(id, first, "a step was not answered in time");
+        let heard = late.iter().map(|index| self.targets.get(*index).heard);
+        let next = heard.min().unwrap_or(now).max(sent) + limit;
+        let timer = Timer::Step(id, attempt, sequence);
+        self.timers.set(next.max(now + STEP_MIN / 4), timer);
     }
 
     /// Takes a target out of use for a while.
@@ -420,10 +454,7 @@
         if attempt.id() + 1 >= ATTEMPTS || !self.budget.spend() {
             return self.give_up(id, Code::RetriesSpent, "no retry is left");
         }
-        if let Some(request) = self.requests.get(&id) {
-            let priority = request.head.priority;
-            self.queue.push_front(priority, id);
-        }
+        self.queue_again(id);
     }
 
     /// Ends a request at once, with the time to come back.
@@ -478,5 +509,8 @@
         attempt: None,
         avoid: Vec::new(),
         interrupted: None,
+        sent: Duration::ZERO,
+        limit: Duration::ZERO,
+        prefix: prefix::hashes(&tokens.prompt),
     }
 }
