Quarantine a request at the second target that it crashes

Cause: a request that crashes each target that runs it was resumed on the next one, eight times for each time its caller sent it. Before: scenario with six sends through three entries lost all three targets of the first range. After: it loses two, peers know at once, suspects run apart from each other, and innocents finish.

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -14,7 +14,7 @@
         outbox::{Outbox, Parcel},
         queue::Queue,
         request::{Body, Head, Request},
-        retry, route,
+        retry, route, suspect,
         target::{Index, Table},
         timer::{Heap, Timer},
     },
@@ -85,6 +85,8 @@
     pub(crate) partitions: Vec<Partition>,
     /// The lease, and orders to engines under it.
     pub(crate) command: Command,
+    /// Requests that were in flight at crashes.
+    pub(crate) suspects: suspect::Table,
     /// What this entry does for all.
     pub(crate) duty: Duty,
     /// When the next heartbeat is due.
@@ -117,6 +119,7 @@
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            suspects: suspect::Table::default(),
             duty: Duty::default(),
             command: Command::default(),
             heartbeat: Duration::ZERO,
@@ -228,6 +231,7 @@
                 Timer::Exchange(id, attempt) => self.exchange_late(id, attempt),
                 Timer::Claim(id) => self.claim_late(id),
                 Timer::Recheck(id) => self.evaluate(id),
+                Timer::Apart(id) => self.retry_apart(id),
             }
         }
     }
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -138,6 +138,8 @@
                 }
                 let now = self.now.mono;
                 let version = digest.version;
+                self.suspects
+                    .told(&message.from, &digest.suspects, self.now.mono);
                 self.members
                     .heard(&message.from, message.incarnation, digest, now);
                 self.want(&message.from, version);
@@ -178,7 +180,8 @@
         }
     }
 
-    fn digest(&self) -> Digest {
+    fn digest(&mut self) -> Digest {
+        let suspects = self.suspects();
         let targets_leaving = self
             .targets
             .iter()
@@ -189,7 +192,7 @@
             version: self.fold.version(),
             leaving: self.stopping.is_some(),
             targets_leaving,
-            suspects: Vec::new(),
+            suspects,
             demand: Vec::new(),
         }
     }
@@ -197,6 +200,8 @@
     /// The connection to an engine is up.
     pub(crate) fn linked(&mut self, id: &str, hello: &Hello) {
         if let Some(index) = self.targets.find(id) {
+            self.crashed(index);
+            self.returned(index, hello.incarnation);
             self.fail_all(index, "the engine is another incarnation");
         }
         let before = self
@@ -215,6 +220,7 @@
         let Some(index) = self.targets.find(id) else {
             return;
         };
+        self.crashed(index);
         self.targets.get_mut(index).link = Link::Down;
         self.fail_all(index, "the connection was lost");
     }
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod route;
 mod service;
 pub mod status;
+mod suspect;
 pub mod target;
 pub mod timer;
 pub mod timing;
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -75,6 +75,9 @@
         }
         debug_assert_eq!(route.repeat, Repeat::Idempotent);
         let head = self.head_of_stream(id, workspace, route, tokens);
+        if let Err(refusal) = self.check_suspect(head.fingerprint) {
+            return self.turn_away(id, refusal);
+        }
         let body = Body::Stream(stream(pipeline, model, tokens));
         self.enqueue(head, body);
     }
@@ -122,6 +125,10 @@
         };
         match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
             Ok(path) => {
+                let hops: Vec<Index> = path.hops().iter().map(|hop| hop.target).collect();
+                if self.keep_apart(id, &hops) {
+                    return Start::Over;
+                }
                 self.open(id, |attempt| Attempt::new(attempt, path));
                 Start::Over
             }
@@ -345,6 +352,7 @@
                 self.targets.get_mut(hop.target).health.succeed();
             }
             stream.attempt = Some(Any::Running(attempt));
+            self.suspects.clear(request.head.fingerprint);
             self.budget.earn();
             return self.end(id, None, end);
         }
@@ -451,6 +459,10 @@
         self.out
             .push(Action::Note(Note::Failed(id, attempt.id(), name, why)));
         self.abandon(id, &attempt);
+        let print = self.requests.get(&id).map(|one| one.head.fingerprint);
+        if let Some(Err(refusal)) = print.map(|print| self.check_suspect(print)) {
+            return self.give_up(id, refusal.code, &refusal.detail);
+        }
         if attempt.id() + 1 >= ATTEMPTS || !self.budget.spend() {
             return self.give_up(id, Code::RetriesSpent, "no retry is left");
         }
--- /dev/null
+++ b/camphorweir-policy/src/suspect.rs
@@ -0,0 +1,234 @@
+//! Requests that were in flight on targets that crashed: tried apart, and quarantined at the second
+//! crash.
+//!
+//! A request is suspected by its fingerprint when a target is lost while it computes the request's
+//! first pass. Suspects run on targets that no other suspect uses, so that a second crash has one
+//! cause; one that finishes is cleared.
+
+use {
+    crate::{
+        attempt::Any,
+        core::Core,
+        request::{Body, Request},
+        target::{Index, Link},
+        timer::Timer,
+    },
+    camphorweir_config::model::ZoneId,
+    camphorweir_wire::{
+        code::Code,
+        ids::{EntryId, Incarnation, RequestId},
+        outcome::Refusal,
+        peer::Suspect,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        time::Duration,
+    },
+};
+
+/// Crashes at which a request is quarantined.
+const LIMIT: u32 = 2;
+/// Time after its last crash in which a request stays under suspicion or in quarantine.
+const REMEMBER: Duration = Duration::from_secs(3600);
+/// Targets of one zone that are lost within this time are cut off, not crashed by a request.
+const TOGETHER: Duration = Duration::from_millis(100);
+/// Time between two tries to start a suspect apart from the others.
+const APART: Duration = Duration::from_millis(20);
+
+/// Crashes with one request in flight.
+#[derive(Debug, Default)]
+struct Record {
+    crashes: u32,
+    last: Duration,
+}
+
+/// A target whose connection was lost.
+#[derive(Debug)]
+struct Loss {
+    incarnation: Incarnation,
+    suspects: BTreeSet<u64>,
+}
+
+/// All requests under suspicion.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    /// By this entry's own sight, and quarantines learnt from peers.
+    own: BTreeMap<u64, Record>,
+    peers: HashMap<EntryId, Vec<Suspect>>,
+    /// The last loss of each target, taken back when the same life of it returns.
+    losses: HashMap<Index, Loss>,
+    /// The zone and time of the last loss.
+    last: Option<(ZoneId, Duration)>,
+}
+
+impl Table {
+    fn crashes(&self, fingerprint: u64) -> u32 {
+        let own = self.own.get(&fingerprint).map_or(0, |own| own.crashes);
+        let told = self.peers.values().flatten();
+        let told = told.filter(|told| told.fingerprint == fingerprint);
+        told.fold(own, |sum, told| sum.saturating_add(told.crashes))
+    }
+
+    /// Whether a peer runs a suspect now.
+    fn runs_elsewhere(&self, fingerprint: u64) -> bool {
+        let mut told = self.peers.values().flatten();
+        told.any(|told| told.fingerprint == fingerprint && told.running)
+    }
+
+    /// A request finished: it crashes nothing.
+    pub(crate) fn clear(&mut self, fingerprint: u64) {
+        self.own.remove(&fingerprint);
+    }
+
+    /// A peer's heartbeat; a quarantine is kept here, too, so that it outlives the peer.
+    pub(crate) fn told(&mut self, from: &str, suspects: &[Suspect], now: Duration) {
+        self.peers.insert(from.to_owned(), suspects.to_vec());
+        for told in suspects {
+            if self.crashes(told.fingerprint) >= LIMIT {
+                let own = self.own.entry(told.fingerprint).or_default();
+                own.crashes = own.crashes.max(LIMIT);
+                own.last = now;
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Whether a request is quarantined, or is under suspicion and runs elsewhere.
+    pub(crate) fn check_suspect(&self, fingerprint: u64) -> Result<(), Refusal> {
+        if self.suspects.crashes(fingerprint) >= LIMIT {
+            let detail = "requests like this one have crashed targets";
+            return Err(Refusal::not_run(Code::Quarantined, detail));
+        }
+        if self.suspects.crashes(fingerprint) > 0 && self.suspects.runs_elsewhere(fingerprint) {
+            let detail = "a request like this one is tried apart from others now";
+            return Err(Refusal::not_run(Code::Quarantined, detail).after(APART * 50));
+        }
+        Ok(())
+    }
+
+    /// Whether a request has to wait, since it is a suspect and `targets` has another or its like
+    /// runs now; linear in the requests in flight, for suspects only.
+    pub(crate) fn keep_apart(&mut self, id: RequestId, targets: &[Index]) -> bool {
+        let Some(fingerprint) = self.requests.get(&id).map(|one| one.head.fingerprint) else {
+            return false;
+        };
+        if self.suspects.crashes(fingerprint) == 0 {
+            return false;
+        }
+        let clash = self.requests.values().any(|other| {
+            let Some(attempt) = attempt_of(other) else {
+                return false;
+            };
+            let print = other.head.fingerprint;
+            let shares = targets
+                .iter()
+                .any(|target| attempt.path().contains(*target));
+            print == fingerprint || (shares && self.suspects.crashes(print) > 0)
+        });
+        if clash {
+            self.timers.set(self.now.mono + APART, Timer::Apart(id));
+        }
+        clash
+    }
+
+    /// A suspect that had to wait is tried again.
+    pub(crate) fn retry_apart(&mut self, id: RequestId) {
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|one| attempt_of(one).is_none())
+        {
+            self.queue_again(id);
+        }
+    }
+
+    /// The connection to an engine was lost without its having said that it leaves.
+    pub(crate) fn crashed(&mut self, index: Index) {
+        let target = self.targets.get(index);
+        let Link::Up { incarnation, .. } = target.link else {
+            return;
+        };
+        if target.leaving.is_leaving() {
+            return;
+        }
+        let (now, zone) = (self.now.mono, target.zone.clone());
+        let together = self
+            .suspects
+            .last
+            .replace((zone.clone(), now))
+            .is_some_and(|(other, at)| other == zone && now < at + TOGETHER);
+        if together {
+            return;
+        }
+        let hit = self.requests.values().filter(|one| first_pass(one, index));
+        let suspects: BTreeSet<u64> = hit.map(|one| one.head.fingerprint).collect();
+        for fingerprint in &suspects {
+            let own = self.suspects.own.entry(*fingerprint).or_default();
+            own.crashes += 1;
+            own.last = now;
+        }
+        if !suspects.is_empty() {
+            // Peers are told at once.
+            self.heartbeat = now;
+        }
+        let loss = Loss {
+            incarnation,
+            suspects,
+        };
+        self.suspects.losses.insert(index, loss);
+    }
+
+    /// An engine is back; if it is the same life, only its connection had been lost.
+    pub(crate) fn returned(&mut self, index: Index, incarnation: Incarnation) {
+        let Some(loss) = self.suspects.losses.remove(&index) else {
+            return;
+        };
+        if loss.incarnation != incarnation {
+            return;
+        }
+        for fingerprint in loss.suspects {
+            if let Some(own) = self.suspects.own.get_mut(&fingerprint) {
+                own.crashes = own.crashes.saturating_sub(1);
+            }
+        }
+    }
+
+    /// What peers are told.
+    pub(crate) fn suspects(&mut self) -> Vec<Suspect> {
+        let now = self.now.mono;
+        self.suspects
+            .own
+            .retain(|_, own| own.crashes > 0 && now < own.last + REMEMBER);
+        let running: BTreeSet<u64> = self
+            .requests
+            .values()
+            .filter(|one| attempt_of(one).is_some())
+            .map(|one| one.head.fingerprint)
+            .collect();
+        let told = |(fingerprint, own): (&u64, &Record)| Suspect {
+            fingerprint: *fingerprint,
+            crashes: own.crashes,
+            running: running.contains(fingerprint),
+        };
+        self.suspects.own.iter().map(told).collect()
+    }
+}
+
+fn attempt_of(request: &Request) -> Option<&Any> {
+    match &request.body {
+        Body::Stream(stream) => stream.attempt.as_ref(),
+        Body::Plain(_) | Body::Once(_) => None,
+    }
+}
+
+/// Whether the target computes a request's first pass of an attempt now.
+fn first_pass(request: &Request, target: Index) -> bool {
+    match attempt_of(request) {
+        Some(Any::Running(attempt)) => {
+            let hops = attempt.path.hops().len();
+            attempt.hop().target == target && attempt.sequence as usize <= hops
+        }
+        Some(Any::Opening(_)) | None => false,
+    }
+}
--- a/camphorweir-policy/src/timer.rs
+++ b/camphorweir-policy/src/timer.rs
@@ -18,6 +18,8 @@
     Claim(RequestId),
     /// What the log says about a request's key is looked at again.
     Recheck(RequestId),
+    /// A request under suspicion is tried again apart from others.
+    Apart(RequestId),
 }
 
 /// All timers, the earliest first.
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -478,3 +478,41 @@
     // Two heartbeats a second to each of two peers, and four questions and answers a second.
     assert!(world.letters - before <= (3 * 2 * 2 + 4 * 2) * 6);
 }
+
+#[test]
+fn a_request_that_crashes_targets_kills_two_and_no_more() {
+    let mut world = world();
+    for engine in world.engines.values_mut() {
+        engine.poison = Some(99);
+    }
+    let mut innocents = Vec::new();
+    let mut poison = Vec::new();
+    for round in 0..6 {
+        let entry = round % 3;
+        let others = (0..4).map(|stem| world.prompt(entry, vec![stem, round as u32, 3], 12));
+        innocents.extend(others);
+        poison.push(world.prompt(entry, vec![99, 1, 2], 12));
+        world.run(2 * SECOND);
+    }
+    world.run(5 * SECOND);
+    let crashed = world.engines.values().filter(|engine| !engine.up).count();
+    assert!(crashed <= 2, "{crashed} targets crashed");
+    assert!(innocents.into_iter().all(|id| finished(&world, id)));
+    assert_eq!(refusal(&world, poison[0]).0, Code::Quarantined);
+    assert_eq!(refusal(&world, poison[5]), (Code::Quarantined, Ran::No));
+}
+
+#[test]
+fn a_cut_makes_no_suspects() {
+    let mut world = world();
+    let prompt: Vec<u32> = (0..60).collect();
+    for _ in 0..4 {
+        let id = world.prompt(0, prompt.clone(), 60);
+        world.run(8 * MS);
+        world.cut_zone("a");
+        world.run(SECOND);
+        world.mend_zone("a");
+        world.run(5 * SECOND);
+        assert!(finished(&world, id));
+    }
+}
