--- a/camphorweir-policy/tests/always/fuzz.rs
+++ b/camphorweir-policy/tests/always/fuzz.rs
@@ -105,6 +105,15 @@
     }
     check_versions(world);
     check_keys(world);
+    check_crashes(state);
+}
+
+/// Each of the two kinds of poison crashes two targets, and as many more for each fault that keeps
+/// an entry from hearing of it.
+fn check_crashes(state: &Cores) {
+    let allowed = 2 * 2 * (1 + state.past.silenced);
+    let crashes = state.world.crashes;
+    assert!(crashes <= allowed, "{crashes} crashes, {allowed} allowed");
 }
 
 fn check_versions(world: &World) {
--- a/camphorweir-policy/tests/always/moves.rs
+++ b/camphorweir-policy/tests/always/moves.rs
@@ -1,7 +1,7 @@
 //! What may happen at any moment: requests, faults, operators, and time passing.
 
 use {
-    crate::world::{World, ZONES, service::Mood},
+    crate::world::{World, ZONES, engine::POISON, service::Mood},
     camphorweir_config::{model::Service, record::Edit},
     camphorweir_policy::event::Event,
     camphorweir_wire::engine::Reply,
@@ -24,6 +24,8 @@
         length: u32,
         count: u32,
     },
+    /// A caller sends a prompt that crashes every engine that computes it.
+    Poison { entry: usize, which: u32 },
     /// A caller makes an idempotent call.
     Lookup { entry: usize },
     /// A caller makes a never-repeat call under a new key.
@@ -103,6 +105,7 @@
     let requests = prop_oneof![
         3 => (entry.clone(), 0..4_u32, 1..60_u32, 1..30_u32)
             .prop_map(|(entry, stem, length, count)| Move::Prompt { entry, stem, length, count }),
+        1 => (entry.clone(), 0..2_u32).prop_map(|(entry, which)| Move::Poison { entry, which }),
         1 => entry.clone().prop_map(|entry| Move::Lookup { entry }),
         2 => entry.clone().prop_map(|entry| Move::Seal { entry }),
         3 => (entry.clone(), 0..8_usize, prop::bool::weighted(0.1))
@@ -161,12 +164,26 @@
     /// A checkpoint of an earlier version.
     stale: Option<Vec<u8>>,
     published: u64,
+    /// Faults that keep entries from telling each other of a crash.
+    pub(crate) silenced: u32,
 }
 
 /// Makes a move; one that has no object does nothing.
 pub(crate) fn make(world: &mut World, past: &mut Past, one: &Move) {
+    let silences = matches!(
+        one,
+        Move::Restart { .. }
+            | Move::Freeze { .. }
+            | Move::Stop { .. }
+            | Move::Cut { cut: true, .. }
+    );
+    past.silenced += u32::from(silences);
     match one {
-        Move::Prompt { .. } | Move::Lookup { .. } | Move::Seal { .. } | Move::SealAgain { .. } => {
+        Move::Prompt { .. }
+        | Move::Poison { .. }
+        | Move::Lookup { .. }
+        | Move::Seal { .. }
+        | Move::SealAgain { .. } => {
             ask(world, past, one);
         }
         Move::Hangup { call } => hang_up(world, *call),
@@ -215,6 +232,7 @@
 fn ask(world: &mut World, past: &mut Past, one: &Move) {
     let entry = match one {
         Move::Prompt { entry, .. }
+        | Move::Poison { entry, .. }
         | Move::Lookup { entry }
         | Move::Seal { entry }
         | Move::SealAgain { entry, .. } => *entry,
@@ -233,6 +251,9 @@
             let prompt = (0..*length).map(|place| stem * 7 + place % 11).collect();
             world.prompt(entry, prompt, *count);
         }
+        Move::Poison { which, .. } => {
+            world.prompt(entry, vec![POISON, *which], 4);
+        }
         Move::Seal { .. } => {
             let key = world.new_key();
             let print = past.keys.len() as u64;
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -1,7 +1,7 @@
 //! Single faults at the moment at which each mechanism matters; random search meets them seldom.
 
 use {
-    crate::world::{World, oracle::Sent, service::Mood},
+    crate::world::{World, engine::POISON, oracle::Sent, service::Mood},
     camphorweir_config::{
         model::Service,
         record::{Edit, STREAM},
@@ -482,16 +482,13 @@
 #[test]
 fn a_request_that_crashes_targets_kills_two_and_no_more() {
     let mut world = world();
-    for engine in world.engines.values_mut() {
-        engine.poison = Some(99);
-    }
     let mut innocents = Vec::new();
     let mut poison = Vec::new();
     for round in 0..6 {
         let entry = round % 3;
         let others = (0..4).map(|stem| world.prompt(entry, vec![stem, round as u32, 3], 12));
         innocents.extend(others);
-        poison.push(world.prompt(entry, vec![99, 1, 2], 12));
+        poison.push(world.prompt(entry, vec![POISON, 1, 2], 12));
         world.run(2 * SECOND);
     }
     world.run(5 * SECOND);
--- a/camphorweir-policy/tests/always/world/engine.rs
+++ b/camphorweir-policy/tests/always/world/engine.rs
@@ -74,6 +74,9 @@
     forged.into_iter().map(Reply::Done).collect()
 }
 
+/// The first token of prompts that crash every engine that computes them.
+pub(crate) const POISON: Token = 99_999;
+
 struct Attempt {
     layers: Layers,
     prefix: Vec<u64>,
@@ -116,7 +119,7 @@
             leaving: false,
             drop_answers: 0,
             double_answers: 0,
-            poison: None,
+            poison: Some(POISON),
             attempts: HashMap::new(),
             cache: HashMap::new(),
         }
@@ -142,7 +145,7 @@
 
     /// Attempts that are open, for telling that none is left behind.
     pub(crate) fn open(&self) -> usize {
-        self.attempts.len()
+        if self.up { self.attempts.len() } else { 0 }
     }
 
     /// Forgets the attempts of an entry whose connection is lost.
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -119,6 +119,8 @@
     pub(crate) list_down: bool,
     /// Messages between entries so far.
     pub(crate) letters: u32,
+    /// Crashes that requests caused.
+    pub(crate) crashes: u32,
     /// Every answer to a step comes with forged ones around it.
     pub(crate) noise: bool,
     /// Targets that the platform's list shows as leaving.
@@ -147,6 +149,7 @@
             list_down: false,
             noise: false,
             letters: 0,
+            crashes: 0,
             listed_leaving: BTreeSet::new(),
             leaving_since: HashMap::new(),
             zones: HashMap::new(),
@@ -752,6 +755,7 @@
         };
         let replies = engine.order(number, order);
         if !engine.up {
+            self.crashes += 1;
             return self.kill_engine(target);
         }
         for reply in forged.into_iter().chain(replies) {
