--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -9,12 +9,12 @@
         clock::Now,
         command::Command,
         duty::Duty,
-        event::Event,
+        event::{Event, TICK},
         map, member,
         outbox::{Outbox, Parcel},
         queue::Queue,
         request::{Body, Head, Request},
-        retry, route,
+        retry, route, suspect,
         target::{Index, Table},
         timer::{Heap, Timer},
     },
@@ -85,12 +85,16 @@
     pub(crate) partitions: Vec<Partition>,
     /// The lease, and orders to engines under it.
     pub(crate) command: Command,
+    /// Requests that were in flight at crashes.
+    pub(crate) suspects: suspect::Table,
     /// What this entry does for all.
     pub(crate) duty: Duty,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
     pub(crate) stopping: Option<Duration>,
+    /// The last tick, when nothing kept the process from exiting then.
+    clear: Option<Duration>,
     pub(crate) out: Vec<Action>,
 }
 
@@ -115,10 +119,12 @@
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            suspects: suspect::Table::default(),
             duty: Duty::default(),
             command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
+            clear: None,
             out: Vec::new(),
         }
     }
@@ -225,6 +231,7 @@
                 Timer::Exchange(id, attempt) => self.exchange_late(id, attempt),
                 Timer::Claim(id) => self.claim_late(id),
                 Timer::Recheck(id) => self.evaluate(id),
+                Timer::Apart(id) => self.retry_apart(id),
             }
         }
     }
@@ -260,9 +267,13 @@
         if grace_over && self.requests.is_empty() {
             self.hand_over();
         }
-        if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
+        let clear = grace_over && self.requests.is_empty() && self.outbox.is_clear();
+        // The first tick after a freeze may overtake requests that have arrived.
+        let before = self.clear.is_some_and(|at| self.now.mono <= at + TICK * 2);
+        if clear && before {
             self.out.push(Action::Exit);
         }
+        self.clear = clear.then_some(self.now.mono);
     }
 
     fn flush(&mut self) {
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -1,7 +1,7 @@
 //! Single faults at the moment at which each mechanism matters; random search meets them seldom.
 
 use {
-    crate::world::{World, oracle::Sent, service::Mood},
+    crate::world::{World, engine::POISON, oracle::Sent, service::Mood},
     camphorweir_config::{
         model::Service,
         record::{Edit, STREAM},
@@ -462,3 +462,54 @@
     world.run(5 * SECOND);
     assert!(world.entries.iter().all(|entry| entry.version == 2));
 }
+
+#[test]
+fn waiting_for_an_owner_costs_few_messages() {
+    let mut world = world();
+    for id in LEDGERS {
+        world.services.get_mut(id).expect("known").frozen = true;
+    }
+    let key = world.new_key();
+    world.seal(0, key, 7);
+    world.run(100 * MS);
+    world.seal(1, key, 7);
+    let before = world.letters;
+    world.run(5 * SECOND);
+    // Two heartbeats a second to each of two peers, and four questions and answers a second.
+    assert!(world.letters - before <= (3 * 2 * 2 + 4 * 2) * 6);
+}
+
+#[test]
+fn a_request_that_crashes_targets_kills_two_and_no_more() {
+    let mut world = world();
+    let mut innocents = Vec::new();
+    let mut poison = Vec::new();
+    for round in 0..6 {
+        let entry = round % 3;
+        let others = (0..4).map(|stem| world.prompt(entry, vec![stem, round as u32, 3], 12));
+        innocents.extend(others);
+        poison.push(world.prompt(entry, vec![POISON, 1, 2], 12));
+        world.run(2 * SECOND);
+    }
+    world.run(5 * SECOND);
+    let crashed = world.engines.values().filter(|engine| !engine.up).count();
+    assert!(crashed <= 2, "{crashed} targets crashed");
+    assert!(innocents.into_iter().all(|id| finished(&world, id)));
+    assert_eq!(refusal(&world, poison[0]).0, Code::Quarantined);
+    assert_eq!(refusal(&world, poison[5]), (Code::Quarantined, Ran::No));
+}
+
+#[test]
+fn a_cut_makes_no_suspects() {
+    let mut world = world();
+    let prompt: Vec<u32> = (0..60).collect();
+    for _ in 0..4 {
+        let id = world.prompt(0, prompt.clone(), 60);
+        world.run(8 * MS);
+        world.cut_zone("a");
+        world.run(SECOND);
+        world.mend_zone("a");
+        world.run(5 * SECOND);
+        assert!(finished(&world, id));
+    }
+}
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -117,6 +117,10 @@
     /// Zones cut off from the others and from the platform.
     pub(crate) cut: BTreeSet<&'static str>,
     pub(crate) list_down: bool,
+    /// Messages between entries so far.
+    pub(crate) letters: u32,
+    /// Crashes that requests caused.
+    pub(crate) crashes: u32,
     /// Every answer to a step comes with forged ones around it.
     pub(crate) noise: bool,
     /// Targets that the platform's list shows as leaving.
@@ -144,6 +148,8 @@
             cut: BTreeSet::new(),
             list_down: false,
             noise: false,
+            letters: 0,
+            crashes: 0,
             listed_leaving: BTreeSet::new(),
             leaving_since: HashMap::new(),
             zones: HashMap::new(),
@@ -749,6 +755,7 @@
         };
         let replies = engine.order(number, order);
         if !engine.up {
+            self.crashes += 1;
             return self.kill_engine(target);
         }
         for reply in forged.into_iter().chain(replies) {
@@ -864,6 +871,7 @@
     }
 
     fn peer(&mut self, number: usize, to: &str, body: peer::Body) {
+        self.letters += 1;
         let other: usize = to[1..].parse().expect("an entry's name");
         if !self.reach(self.entries[number].zone, self.entries[other].zone) {
             return;
