Hold the pages of codes and settings to the code, and the logs to silence about callers

Cause: codes and settings were documented in the code alone, and nothing proved that logs hold no prompt, key or body. Ruled out: generating the settings page, since its examples and defaults can be tried instead.

--- a/camphorweir-entry/tests/settings.rs
+++ b/camphorweir-entry/tests/settings.rs
@@ -106,3 +106,75 @@
         assert!(parse_size(wrong).is_err(), "{wrong}");
     }
 }
+
+/// A row of the table in docs/SETTINGS.md.
+struct Row<'a> {
+    field: &'a str,
+    default: &'a str,
+    example: &'a str,
+}
+
+fn rows(page: &str) -> Vec<Row<'_>> {
+    let row = |line| {
+        let cells: Vec<&str> = str::split(line, '|').map(str::trim).collect();
+        let [_, field, default, example, meaning, _] = cells[..] else {
+            panic!("not a row: {line}");
+        };
+        assert!(meaning.ends_with('.'), "{line}");
+        let code = |cell: &'_ str| cell.strip_prefix('`')?.strip_suffix('`').map(str::len);
+        let inner = |cell| match code(cell) {
+            Some(length) => &cell[1..=length],
+            None => cell,
+        };
+        Row {
+            field: inner(field),
+            default: inner(default),
+            example: inner(example),
+        }
+    };
+    page.lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(row)
+        .collect()
+}
+
+/// A settings file with these fields.
+fn file<'a>(fields: impl Iterator<Item = (&'a str, &'a str)>) -> String {
+    let mut groups = std::collections::BTreeMap::<&str, String>::new();
+    let mut text = String::new();
+    for (field, value) in fields {
+        match field.split_once('.') {
+            Some((group, name)) => {
+                *groups.entry(group).or_default() += &format!("  {name}: {value}\n");
+            }
+            None => text += &format!("{field}: {value}\n"),
+        }
+    }
+    for (group, fields) in groups {
+        text += &format!("{group}:\n{fields}");
+    }
+    text
+}
+
+#[test]
+fn the_page_of_settings_is_up_to_date() {
+    let rows = rows(include_str!("../../docs/SETTINGS.md"));
+    let read = |text: &str| settings::parse(text, &cases()).unwrap();
+    let required = rows.iter().filter(|row| row.default == "required");
+    let bare = file(required.clone().map(|row| (row.field, row.example)));
+    // Every field that the page gives a default has it, every other exists, and none is left out.
+    let defaults = rows
+        .iter()
+        .filter(|row| !["required", "none"].contains(&row.default));
+    let defaults = defaults.map(|row| (row.field, row.default));
+    let full = file(required.map(|row| (row.field, row.example)).chain(defaults));
+    assert_eq!(format!("{:?}", read(&bare)), format!("{:?}", read(&full)));
+    read(&file(rows.iter().map(|row| (row.field, row.example))));
+    let source = include_str!("../src/settings.rs");
+    let reads = source.matches(".required(\"").count() + source.matches(".optional(\"").count();
+    assert_eq!(
+        rows.len(),
+        reads,
+        "a field is missing on the page, or stands there twice"
+    );
+}
--- a/camphorweir-standin/tests/operators.rs
+++ b/camphorweir-standin/tests/operators.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use {
+    ::log as logs,
     camphorweir::{args, exit::Exit, report::Report},
     camphorweir_config::{model::Serves, print},
     camphorweir_entry::{process, settings},
@@ -14,6 +15,7 @@
         fs,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
+        sync::Mutex,
         time::Duration,
     },
     support::{Answer, send},
@@ -21,6 +23,42 @@
     uuid::Uuid,
 };
 
+/// Parts of the prompt, of a call's body and of a service's path, which no log line may hold.
+const PRIVATE: [&str; 3] = ["kiln 4 glows", "batch-body", "batches/17"];
+
+/// Keeps every log line in memory, with its fields.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl logs::Log for Lines {
+    fn enabled(&self, _: &logs::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &logs::Record<'_>) {
+        let mut line = format!("{}", record.args());
+        let mut visit = Fields(&mut line);
+        record.key_values().visit(&mut visit).unwrap();
+        self.0.lock().unwrap().push(line);
+    }
+
+    fn flush(&self) {}
+}
+
+struct Fields<'a>(&'a mut String);
+
+impl<'kvs> logs::kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: logs::kv::Key<'kvs>,
+        value: logs::kv::Value<'kvs>,
+    ) -> Result<(), logs::kv::Error> {
+        *self.0 += &format!(" {key}={value}");
+        Ok(())
+    }
+}
+
 /// What must come about is looked for this many times, with [`PAUSE`] between.
 const LOOKS: usize = 400;
 const PAUSE: Duration = Duration::from_millis(50);
@@ -181,6 +219,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_see_and_settle_what_happens() {
+    logs::set_logger(&LINES).unwrap();
+    logs::set_max_level(logs::LevelFilter::Trace);
     let world = World::start().await;
     let all_usable = |status: &Value| {
         let targets = status["targets"].as_array().unwrap();
@@ -194,7 +234,7 @@
     assert_eq!(status["configuration"]["version"], 1);
 
     // Known traffic: three prompts of four tokens each.
-    let prompt = r#"{"model": "burn-notes", "prompt": "kiln 4", "max_tokens": 4}"#;
+    let prompt = r#"{"model": "burn-notes", "prompt": "kiln 4 glows", "max_tokens": 4}"#;
     for _ in 0..3 {
         assert_eq!(
             world.call("/v1/completions", &[], prompt).await.status(),
@@ -259,7 +299,9 @@
     let key = Uuid::now_v7().to_string();
     let headers = [("idempotency-key", key.as_str())];
     let seal = "/services/seal/batches/17/seal";
-    let answer = world.call(seal, &headers, "{}").await;
+    let answer = world
+        .call(seal, &headers, r#"{"note": "batch-body"}"#)
+        .await;
     assert_eq!(code(&answer), "4003", "{answer:?}");
     world.until(|status| status["unresolved"] == 1).await;
     let report = world.ask("unresolved", &[]).await;
@@ -276,7 +318,9 @@
     let report = world.on_log(&["resolve", &key, "--ran", "no"]).await;
     assert_eq!(report.exit, Exit::Conflict, "{}", report.text);
     world.until(|status| status["unresolved"] == 0).await;
-    let answer = world.call(seal, &headers, "{}").await;
+    let answer = world
+        .call(seal, &headers, r#"{"note": "batch-body"}"#)
+        .await;
     assert_eq!(code(&answer), "4005", "{answer:?}");
 
     // An entry that does not answer, and a key that is not known, are named.
@@ -299,4 +343,20 @@
         .run(words.iter().map(|word| (*word).to_owned()).collect())
         .await;
     assert_eq!(report.exit, Exit::Forbidden, "{}", report.text);
+
+    // One event a fact, and nothing of what callers said.
+    let lines = LINES.0.lock().unwrap().clone();
+    let request = answer.headers()["camphorweir-request"].to_str().unwrap();
+    let ended = format!("request ended request={request} workspace=depot-7 class=normal code=4005");
+    let found = lines.iter().filter(|line| line.starts_with(&ended)).count();
+    assert_eq!(found, 1, "{lines:#?}");
+    let hash = blake3::hash(fleet::KEY.as_bytes()).to_hex().to_string();
+    let private = PRIVATE
+        .iter()
+        .copied()
+        .chain([fleet::KEY, &hash, &key, "0808080808"]);
+    for word in private {
+        let told = lines.iter().find(|line| line.contains(word));
+        assert_eq!(told, None, "{word}");
+    }
 }
--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -67,6 +67,8 @@
     Explain {
         /// Answer in JSON
         json: bool,
+        /// Print the table of docs/ERRORS.md
+        markdown: bool,
         /// The number of a result or of a fault
         #[bpaf(positional("CODE"))]
         code: Option<u16>,
--- a/camphorweir/src/explain.rs
+++ b/camphorweir/src/explain.rs
@@ -7,6 +7,20 @@
     serde_json::{Value, json},
 };
 
+/// What the page of all codes begins with.
+const INTRODUCTION: &str = "\
+# Result codes
+
+Printed by `camphorweir explain --markdown > docs/ERRORS.md`; a test holds it to the code.
+
+Every answer that is not a plain success carries one of these numbers, in its body and in the header
+`camphorweir-code`. The header `camphorweir-ran` says whether the request ran: `yes`, `no` or `unknown`.
+Codes without a status are faults of a configuration file.
+
+| code | name | HTTP status | meaning | what to do |
+|---|---|---|---|---|
+";
+
 /// One line of the table of codes.
 struct Entry {
     number: u16,
@@ -31,6 +45,20 @@
     }
 }
 
+/// The page that documents all codes.
+pub(crate) fn markdown() -> Report {
+    let mut text = INTRODUCTION.to_owned();
+    for entry in entries() {
+        let status = entry
+            .status
+            .map_or("-".to_owned(), |status| status.to_string());
+        let (meaning, remedy) = (entry.meaning.trim(), entry.remedy);
+        let (number, name) = (entry.number, entry.name);
+        text += &format!("| {number} | {name} | {status} | {meaning} | {remedy} |\n");
+    }
+    Report::new(Exit::Done, false, text, json!(null))
+}
+
 /// All codes by number.
 fn entries() -> Vec<Entry> {
     let results = code::Code::ALL.iter().map(|code| Entry {
