Let an operator's program be about twenty statements long

Cause: the two operators' programs named every engine by hand, in about a hundred lines. After: a region links its zones, a chain of stages takes addresses in a row, kinds and models have constructors, and a program ends by printing its document or every fault. A chain that does not hold the whole model is a fault. Ruled out: a macro, which would hide what the types refuse.

--- a/camphorweir-config/src/build.rs
+++ b/camphorweir-config/src/build.rs
@@ -21,7 +21,12 @@
             self, Document, Engine, KeyHash, Limits, Priority, Repeat, Route, Serves, Target, To,
         },
     },
-    std::{collections::BTreeMap, net::SocketAddr, ops::Range, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr},
+        ops::Range,
+        time::Duration,
+    },
 };
 
 /// The hash of a bearer key, as configurations hold it.
@@ -70,6 +75,24 @@
         handle::Zone(name.to_owned())
     }
 
+    /// Adds the zones of a region and links each with each other: one-way delay, and bytes carried in
+    /// a second.
+    pub fn region<const N: usize>(
+        &mut self,
+        region: &str,
+        zones: [&str; N],
+        delay: Duration,
+        rate: f64,
+    ) -> [handle::Zone; N] {
+        let zones = zones.map(|name| self.zone(name, region));
+        for (number, one) in zones.iter().enumerate() {
+            for other in &zones[number + 1..] {
+                self.link([one, other], delay, rate);
+            }
+        }
+        zones
+    }
+
     /// Links two zones, or one with itself: one-way delay, and bytes carried in a second.
     pub fn link(&mut self, ends: [&handle::Zone; 2], delay: Duration, rate: f64) -> &mut Self {
         let delay_us = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
@@ -139,6 +162,32 @@
         self.target(name, address, zone, serves)
     }
 
+    /// Adds engines that hold a model's layers one after another, named `NAME-0` and so on; each stage
+    /// says how many layers it holds, and on which kind of accelerator.
+    pub fn chain(
+        &mut self,
+        name: &str,
+        hosts: &mut Hosts,
+        zone: &handle::Zone,
+        model: &handle::Model,
+        stages: &[(u32, &handle::Kind)],
+    ) -> &mut Self {
+        let mut first: u32 = 0;
+        for (stage, (layers, kind)) in stages.iter().enumerate() {
+            let end = first.saturating_add(*layers);
+            let name = format!("{name}-{stage}");
+            self.engine(&name, hosts.take(), zone, kind, model, first..end);
+            first = end;
+        }
+        let whole = self.document.models.get(&model.0).map(|model| model.layers);
+        if whole.is_some_and(|whole| whole != first) {
+            let text = format!("the chain holds {first} layers, which is not the whole model");
+            self.faults
+                .push(Fault::new(Code::BadLayers, &["targets", name], text));
+        }
+        self
+    }
+
     /// Adds a target that serves a plain service.
     pub fn server(
         &mut self,
@@ -210,6 +259,30 @@
     section.entry(name.to_owned()).insert_entry(item).into_mut()
 }
 
+/// Hands out one address after another, all with the same port.
+#[derive(Clone, Debug)]
+pub struct Hosts {
+    next: SocketAddr,
+}
+
+impl Hosts {
+    /// Starts with this address.
+    pub fn from(first: impl Into<SocketAddr>) -> Self {
+        Self { next: first.into() }
+    }
+
+    /// The next address; past the last one the first follows, which `check` finds as a duplicate.
+    pub fn take(&mut self) -> SocketAddr {
+        let address = self.next;
+        let next = match address.ip() {
+            IpAddr::V4(ip) => IpAddr::from(Ipv4Addr::from(u32::from(ip).wrapping_add(1))),
+            IpAddr::V6(ip) => IpAddr::from(Ipv6Addr::from(u128::from(ip).wrapping_add(1))),
+        };
+        self.next.set_ip(next);
+        address
+    }
+}
+
 /// A workspace under construction.
 #[derive(Debug)]
 pub struct Workspace<'a> {
--- a/camphorweir-config/src/handle.rs
+++ b/camphorweir-config/src/handle.rs
@@ -1,6 +1,9 @@
 //! Names that a [`Builder`](crate::build::Builder) gave out, each for one kind of item.
 
-use crate::model::{KindId, ModelId, PipelineId, ServiceId, ZoneId};
+use {
+    crate::model::{KindId, ModelId, PipelineId, ServiceId, ZoneId},
+    std::fmt::{self, Display, Formatter},
+};
 
 /// A kind of accelerator.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,3 +24,9 @@
 /// An availability zone.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Zone(pub(crate) ZoneId);
+
+impl Display for Zone {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/camphorweir-config/src/model.rs
+++ b/camphorweir-config/src/model.rs
@@ -60,6 +60,18 @@
     pub batch: u32,
 }
 
+impl Kind {
+    /// A kind with these positions a second for each layer while prefilling, microseconds of a decode
+    /// step for each layer, and requests stepped together.
+    pub fn new(prefill_rate: f64, decode_layer_us: f64, batch: u32) -> Self {
+        Self {
+            prefill_rate,
+            decode_layer_us,
+            batch,
+        }
+    }
+}
+
 /// An availability zone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -106,6 +118,21 @@
 }
 
 impl Model {
+    /// A model with this many layers, the usual activation and no end token.
+    pub fn new(layers: u32) -> Self {
+        Self {
+            layers,
+            activation: Self::default_activation(),
+            end_token: None,
+        }
+    }
+
+    /// The same model with the token that ends an answer early.
+    pub fn end_token(mut self, token: u32) -> Self {
+        self.end_token = Some(token);
+        self
+    }
+
     fn default_activation() -> u64 {
         8192
     }
@@ -213,6 +240,17 @@
     pub concurrent: u32,
 }
 
+impl Limits {
+    /// So many requests a second, and 500 tokens a second for each.
+    pub fn of(requests: f64) -> Self {
+        Self {
+            requests,
+            tokens: requests * 500.0,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/camphorweir-config/src/print.rs
+++ b/camphorweir-config/src/print.rs
@@ -1,11 +1,18 @@
 //! A document as YAML text, the same text for the same document.
 
 use {
-    crate::model::Document,
+    crate::{fault::Fault, model::Document},
     serde_saphyr::ser_error,
     snafu::{ResultExt, Snafu},
+    std::{
+        io::{self, Write},
+        process::ExitCode,
+    },
 };
 
+/// Exit status of an operators' program whose document has faults.
+const FAULTY: u8 = 2;
+
 /// A document that has no text.
 #[derive(Debug, Snafu)]
 #[snafu(display("the document can't be printed: {source}"))]
@@ -28,3 +35,23 @@
     };
     serde_saphyr::to_string_with_options(document, options).context(Snafu)
 }
+
+/// Ends an operators' program: the document goes to standard output, or every fault to standard error.
+pub fn show(built: Result<Document, Vec<Fault>>) -> ExitCode {
+    let document = match built {
+        Ok(document) => document,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return ExitCode::from(FAULTY);
+        }
+    };
+    let printed = text(&document).map_err(io::Error::other);
+    let printed = printed.and_then(|text| io::stdout().write_all(text.as_bytes()));
+    match printed {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/camphorweir-config/tests/build.rs
+++ b/camphorweir-config/tests/build.rs
@@ -4,9 +4,9 @@
 
 use {
     camphorweir_config::{
-        build::{Builder, key_hash},
+        build::{Builder, Hosts, key_hash},
         describe::{Weight, notes},
-        fault::Code,
+        fault::{Code, Fault},
         model::{Document, Kind, Model, Priority, Repeat, To, Workspace},
         print,
     },
@@ -215,6 +215,37 @@
     assert_eq!(harmless, Vec::<String>::new());
 }
 
+#[test]
+fn a_chain_holds_the_whole_model_on_addresses_in_a_row() {
+    let build = |last| {
+        let mut b = Builder::new();
+        let [zone] = b.region("r", ["a"], Duration::from_millis(1), 1e6);
+        let l40 = b.kind("l40", Kind::new(1e3, 10.0, 8));
+        let model = b.model("pine", Model::new(12));
+        let mut hosts = Hosts::from(([10, 0, 0, 255], 80));
+        b.chain(
+            "pine-a",
+            &mut hosts,
+            &zone,
+            &model,
+            &[(4, &l40), (last, &l40)],
+        );
+        b.finish()
+    };
+    let document = build(8).unwrap();
+    let addresses = document.targets.values().map(|target| &*target.address);
+    assert_eq!(
+        addresses.collect::<Vec<_>>(),
+        ["10.0.0.255:80", "10.0.1.0:80"]
+    );
+    for wrong in [7, 9, u32::MAX] {
+        let faults = build(wrong).unwrap_err();
+        let short =
+            |fault: &Fault| fault.code == Code::BadLayers && fault.place.path() == "targets.pine-a";
+        assert!(faults.iter().any(short), "{wrong}: {faults:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(cases(100))]
 
