--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -5,7 +5,6 @@
         action::{Action, Note},
         core::Core,
         member::HEARTBEAT,
-        route,
         target::{Change, Link},
     },
     camphorweir_config::{record, view::View},
@@ -43,23 +42,26 @@
         }
         for stored in &page.records {
             self.fold.apply(stored.offset, &stored.body);
+            self.duty.read(&self.fold, stored);
         }
+        self.duty.heard = Some(self.now.mono);
         if self.fold.version() > before {
             self.configure();
         }
     }
 
     /// Takes the version in force over.
-    fn configure(&mut self) {
+    pub(crate) fn configure(&mut self) {
         let document = Arc::clone(self.fold.document());
         let version = self.fold.version();
-        self.map = route::Map::new(&self.setup.zone, &document);
+        self.map.configure(&self.setup.zone, &document);
         for change in self.targets.configure(&document, self.now.mono) {
             self.out.push(match change {
                 Change::Link(id, address) => Action::Link(id, address),
                 Change::Unlink(id) => Action::Unlink(id),
             });
         }
+        self.regroup();
         let first = self.view.is_none();
         self.view = Some(Arc::new(View::new(document, version)));
         self.out.push(Action::Note(Note::Configured(version)));
@@ -92,6 +94,9 @@
 
     /// A tailed stream could not be read.
     pub(crate) fn tail_failed(&mut self, stream: &str) {
+        if stream == record::STREAM {
+            self.duty.heard = None;
+        }
         let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
         if let Some(number) = partition {
             self.partitions[number as usize].heard = None;
@@ -132,13 +137,12 @@
                     self.told_leaving(target, *incarnation);
                 }
                 let now = self.now.mono;
+                let version = digest.version;
                 self.members
                     .heard(&message.from, message.incarnation, digest, now);
+                self.want(&message.from, version);
             }
-            peer::Body::Ask(..)
-            | peer::Body::Told(..)
-            | peer::Body::Append(_)
-            | peer::Body::Kept(_) => {}
+            other => self.letter(&message.from, message.incarnation, other),
         }
     }
 
@@ -163,6 +167,7 @@
             return;
         }
         self.heartbeat = self.now.mono + HEARTBEAT;
+        self.count_entries();
         let digest = self.digest();
         for (id, peer) in self.members.iter() {
             if !peer.address.is_empty() {
@@ -194,7 +199,15 @@
         if let Some(index) = self.targets.find(id) {
             self.fail_all(index, "the engine is another incarnation");
         }
+        let before = self
+            .targets
+            .find(id)
+            .and_then(|index| self.targets.get(index).layers());
         self.targets.greet(id, hello, self.now.mono);
+        if before != Some(hello.holds.layers) {
+            self.regroup();
+        }
+        self.queue.wake_all();
     }
 
     /// The connection to an engine is lost.
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -87,6 +87,25 @@
     pub body: Body,
 }
 
+impl Request {
+    /// The model or service whose targets it needs.
+    pub fn lane(&self) -> &str {
+        match &self.body {
+            Body::Stream(stream) => &stream.model,
+            Body::Plain(plain) => &plain.service,
+            Body::Once(once) => &once.service,
+        }
+    }
+
+    /// The work that it asks for: tokens, or 1 for a call of a plain service.
+    pub fn work(&self) -> u64 {
+        match &self.body {
+            Body::Stream(stream) => u64::from(stream.prompt) + u64::from(stream.max_tokens) * 8,
+            Body::Plain(_) | Body::Once(_) => 1,
+        }
+    }
+}
+
 /// The kinds of request.
 #[derive(Clone, Debug)]
 pub enum Body {
@@ -121,6 +140,12 @@
     pub attempt: Option<attempt::Any>,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<Index>,
+    /// When the step under way was sent.
+    pub sent: Duration,
+    /// How long its target may be silent.
+    pub limit: Duration,
+    /// Hashes of the prompt's blocks.
+    pub prefix: Vec<u64>,
     /// When the last attempt failed.
     pub interrupted: Option<Duration>,
 }
@@ -161,6 +186,9 @@
     pub key: Key,
     /// How far it has come.
     pub stage: Stage,
+    /// Its start counts for sending until then; a process that was frozen past it sends nothing,
+    /// since operators may have settled the key meanwhile.
+    pub send_until: Duration,
     /// Targets that provably did not run it.
     pub avoid: Vec<Index>,
 }
--- a/camphorweir-wire/src/claim.rs
+++ b/camphorweir-wire/src/claim.rs
@@ -84,6 +84,8 @@
     Unknown,
     /// An operator settles it.
     Resolve(Resolve),
+    /// The start has no outcome; any entry appends it again before retention drops it.
+    Carry(Start),
 }
 
 /// The start of a claimed request.
--- a/camphorweir-wire/src/peer.rs
+++ b/camphorweir-wire/src/peer.rs
@@ -52,8 +52,13 @@
     Told(claim::Key, Nonce, Standing),
     /// Records to append for a peer that stops or batches.
     Append(Vec<claim::Record>),
-    /// The peer has taken over the records with these nonces.
+    /// The peer has taken over the records of these nonces.
     Kept(Vec<Nonce>),
+    /// Asks for a configuration above this version.
+    Want(Version),
+    /// Answers [`Body::Want`] with the version in force, a checkpoint record of the configuration
+    /// stream.
+    Config(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
 /// What became of a start, by its owner's word.
@@ -67,6 +72,17 @@
     NotMine,
 }
 
+/// A request that was in flight on a target that crashed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    /// Hash over workspace and request.
+    pub fingerprint: u64,
+    /// Crashes that the sender saw.
+    pub crashes: u32,
+    /// Whether it runs at the sender.
+    pub running: bool,
+}
+
 /// Heartbeat with what peers should know.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Digest {
@@ -78,8 +94,8 @@
     pub leaving: bool,
     /// Targets that said themselves that they are leaving, each with the incarnation that did.
     pub targets_leaving: Vec<(TargetId, Incarnation)>,
-    /// Fingerprints of requests under suspicion and the crashes counted for each.
-    pub suspects: Vec<(u64, u32)>,
+    /// Requests in flight at crashes that the sender saw.
+    pub suspects: Vec<Suspect>,
     /// Demand of the busiest workspaces, in requests a second.
     pub demand: Vec<(String, f64)>,
 }
