End a call whose answer is too large at once, as run

Cause: an answer over the bound counted as a broken connection, so an idempotent call was repeated to no avail and its target ejected, and a never-repeat one stayed unresolved although its head said how it ended. After: the entry reports the head; an idempotent call ends with 2006, a never-repeat one is recorded as run and ends with 2006, ran: yes. A failure status still proves nothing, and camphorweir-ran: no still refuses.

--- a/camphorweir-entry/src/forward.rs
+++ b/camphorweir-entry/src/forward.rs
@@ -13,7 +13,7 @@
         event::{Answered, Exchange},
     },
     camphorweir_wire::outcome::{self, Answer},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
         HeaderMap, Request, Response,
         body::Incoming,
@@ -153,10 +153,12 @@
     line.gate.arm(send_by);
     let answer = timeout_at(until, answer(&mut line.sender, request, max_answer)).await;
     match answer {
-        Ok(Some(answered)) => {
+        Ok(Some(Whole::Answer(answered))) => {
             pool.put(&forward.address, line);
             Exchange::Answered(answered)
         }
+        // The connection is dropped with the rest of the answer.
+        Ok(Some(Whole::TooLarge(head))) => Exchange::TooLarge(head),
         // Nothing is written after the gate is closed, so this is the last word.
         _ => match line.gate.close() {
             true => Exchange::Broken,
@@ -165,29 +167,37 @@
     }
 }
 
+/// How an answer came to its end.
+enum Whole {
+    /// All of it is here.
+    Answer(Answered),
+    /// Its head is here, and its body is longer than the bound.
+    TooLarge(Answered),
+}
+
 async fn answer(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     max_answer: usize,
-) -> Option<Answered> {
+) -> Option<Whole> {
     sender.ready().await.ok()?;
     let response: Response<Incoming> = sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, max_answer)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
     let says = |name: &str, word: &str| text(&head.headers, name) == word;
-    Some(Answered {
+    let answered = |body: Vec<u8>| Answered {
         not_run: says(outcome::RAN, outcome::Ran::No.as_str()),
         leaving: says(outcome::LEAVING, "true"),
         answer: Answer {
             status: head.status.as_u16(),
             content_type: text(&head.headers, CONTENT_TYPE.as_str()).to_owned(),
-            body: body.into(),
+            body,
         },
-    })
+    };
+    match Limited::new(body, max_answer).collect().await {
+        Ok(body) => Some(Whole::Answer(answered(body.to_bytes().into()))),
+        Err(error) if error.is::<LengthLimitError>() => Some(Whole::TooLarge(answered(Vec::new()))),
+        Err(_) => None,
+    }
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/camphorweir-entry/tests/forward.rs
+++ b/camphorweir-entry/tests/forward.rs
@@ -10,6 +10,7 @@
         action::Forward,
         event::{Answered, Exchange},
     },
+    camphorweir_wire::outcome::Answer,
     hyper::{HeaderMap, Method, header::HeaderValue},
     std::{
         net::SocketAddr,
@@ -192,22 +193,31 @@
 }
 
 #[tokio::test]
-async fn an_answer_over_the_bound_is_broken() {
+async fn an_answer_over_the_bound_is_told_by_its_head() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let long = format!(
-            "HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n{}",
+            "HTTP/1.1 201 Created\r\ncontent-length: 2000\r\n\r\n{}",
             "x".repeat(2000)
         );
         stream.write_all(long.as_bytes()).await.unwrap();
         // Held open until the entry drops it.
         let _ = stream.read_to_end(&mut Vec::new()).await;
     });
+    let head = Answered {
+        answer: Answer {
+            status: 201,
+            content_type: String::new(),
+            body: Vec::new(),
+        },
+        not_run: false,
+        leaving: false,
+    };
     assert_eq!(
         run(&Pool::default(), order(address)).await,
-        Exchange::Broken
+        Exchange::TooLarge(head)
     );
 }
 
--- a/camphorweir-policy/src/event.rs
+++ b/camphorweir-policy/src/event.rs
@@ -61,6 +61,8 @@
 pub enum Exchange {
     /// A whole answer.
     Answered(Answered),
+    /// A whole head whose body is longer than this entry takes; the body here is empty.
+    TooLarge(Answered),
     /// Provably no byte of the request left this entry.
     Unsent,
     /// The connection failed, or the answer was cut, after the first byte was written.
--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -13,7 +13,7 @@
         event::{self, Exchange},
         member::Fate,
         request::{Body, Head, Once, Stage},
-        service::no_target,
+        service::{no_target, too_large},
         target::Index,
         timer::Timer,
     },
@@ -339,6 +339,10 @@
                 self.heard(target, &ok);
                 self.answered_once(id, nonce, target, answered, ok);
             }
+            Exchange::TooLarge(head) => {
+                self.heard(target, &head);
+                self.too_large_once(id, nonce, target, answered, &head);
+            }
             Exchange::Unsent => {
                 self.eject(target, "no connection");
                 self.unsent(id, nonce, target, answered);
@@ -383,6 +387,29 @@
         self.answer(id, answer);
     }
 
+    /// The target answered, and the answer is too large to pass on: that it ran is recorded.
+    fn too_large_once(
+        &mut self,
+        id: RequestId,
+        nonce: Nonce,
+        target: Index,
+        answered: bool,
+        head: &event::Answered,
+    ) {
+        if head.not_run {
+            return self.unsent(id, nonce, target, answered);
+        }
+        if head.answer.status >= 500 {
+            return self.broken(id, nonce, "the target failed without saying whether it ran");
+        }
+        let Some(once) = self.once_mut(id) else {
+            return;
+        };
+        let key = once.key.clone();
+        self.record(&key, nonce, claim::Body::Ran, true);
+        self.finish_once(id, Some(too_large()));
+    }
+
     /// The request provably did not run: another target is tried while there is time.
     fn unsent(&mut self, id: RequestId, nonce: Nonce, target: Index, answered: bool) {
         let now = self.now.mono;
--- a/camphorweir-policy/src/service.rs
+++ b/camphorweir-policy/src/service.rs
@@ -20,7 +20,7 @@
     camphorweir_wire::{
         code::Code,
         ids::{AttemptId, RequestId},
-        outcome::Refusal,
+        outcome::{Ran, Refusal},
     },
     rand::Rng,
     std::time::Duration,
@@ -171,6 +171,14 @@
                 };
                 self.answer(id, answer);
             }
+            Exchange::TooLarge(head) => {
+                self.heard(target, &head);
+                if head.not_run {
+                    return self.again(id, attempt, target, "the target refused the call");
+                }
+                // Another target would answer no shorter.
+                self.refuse(id, too_large());
+            }
             Exchange::Unsent => {
                 self.eject(target, "no connection");
                 self.again(id, attempt, target, "no connection");
@@ -234,3 +242,11 @@
 pub(crate) fn no_target() -> Refusal {
     Refusal::not_run(Code::NoTarget, "no live target serves this").after(COME_BACK)
 }
+
+/// The end of a call whose answer is longer than this entry takes.
+pub(crate) fn too_large() -> Refusal {
+    let detail = "the call ran, and its answer is longer than an entry passes on";
+    let mut refusal = Refusal::not_run(Code::AnswerTooLarge, detail);
+    refusal.ran = Ran::Yes;
+    refusal
+}
--- a/camphorweir/src/resolve.rs
+++ b/camphorweir/src/resolve.rs
@@ -10,12 +10,13 @@
         run::block_on,
     },
     camphorweir_wire::{
-        claim::{self, Body, FORMAT, Key, Record, SKEW, stream},
+        claim::{self, Body, FORMAT, Key, Record, SKEW, WINDOW, stream},
         codec,
         ids::{Nonce, Offset},
         log::Page,
     },
     serde_json::json,
+    std::time::Duration,
 };
 
 /// What the log says of one key.
@@ -40,17 +41,23 @@
 }
 
 impl Story {
-    fn tell(&mut self, record: Record) {
+    /// Takes a record in that landed at this time by the log service's clock.
+    fn tell(&mut self, record: Record, landed: Duration) {
         if self.workspace.is_empty() {
-            self.workspace = record.key.workspace;
+            self.workspace.clone_from(&record.key.workspace);
         }
         match record.body {
             Body::Start(_) => {
-                let known = self.starts.iter().any(|(nonce, _)| *nonce == record.nonce);
-                if self.end.is_none() && !known && !self.voids.contains(&record.nonce) {
-                    self.starts.push((record.nonce, false));
+                let issued = record.key.issued();
+                let in_time = landed + SKEW >= issued && landed <= issued + WINDOW;
+                if in_time && self.find(record.nonce).is_none() {
+                    self.start(record.nonce, false);
                 }
             }
+            Body::Carry(_) => match self.find(record.nonce) {
+                Some((_, unknown)) => *unknown = true,
+                None => self.start(record.nonce, true),
+            },
             Body::Void => {
                 self.starts.retain(|(nonce, _)| *nonce != record.nonce);
                 self.voids.push(record.nonce);
@@ -61,11 +68,7 @@
                 self.end.get_or_insert(End::Answered);
             }
             Body::Unknown => {
-                let start = self
-                    .starts
-                    .iter_mut()
-                    .find(|(nonce, _)| *nonce == record.nonce);
-                if let Some((_, unknown)) = start {
+                if let Some((_, unknown)) = self.find(record.nonce) {
                     *unknown = true;
                 }
             }
@@ -74,6 +77,16 @@
             }
         }
     }
+
+    fn find(&mut self, nonce: Nonce) -> Option<&mut (Nonce, bool)> {
+        self.starts.iter_mut().find(|(start, _)| *start == nonce)
+    }
+
+    fn start(&mut self, nonce: Nonce, unknown: bool) {
+        if self.end.is_none() && !self.voids.contains(&nonce) {
+            self.starts.push((nonce, unknown));
+        }
+    }
 }
 
 /// Settles a key.
@@ -210,7 +223,8 @@
             match codec::decode::<Record>(&stored.body) {
                 Ok(record) if record.format <= FORMAT => {
                     if record.key.id == self.key.id {
-                        self.story.tell(record);
+                        self.story
+                            .tell(record, Duration::from_millis(stored.time_ms));
                     }
                 }
                 Ok(record) => self.unknown = Some(record.format),
--- a/camphorweir/tests/resolve.rs
+++ b/camphorweir/tests/resolve.rs
@@ -7,7 +7,7 @@
     camphorweir::{args, exit::Exit, report::Report},
     camphorweir_policy::claim::{Standing, Table},
     camphorweir_wire::{
-        claim::{Body, FORMAT, Key, Owner, Record, Resolve, Start, stream},
+        claim::{Body, FORMAT, Key, Owner, Record, Resolve, Start, WINDOW, stream},
         codec,
         log::Stored,
         outcome::Answer,
@@ -150,6 +150,27 @@
     assert_eq!(settled(&log), Some(true));
 }
 
+#[test]
+fn a_carried_start_is_unknown_and_late_ones_are_none() {
+    let owner = Owner {
+        entry: "a1".to_owned(),
+        incarnation: 1,
+    };
+    let carry = Body::Carry(Start {
+        owner,
+        fingerprint: 9,
+    });
+    let mut carried = state(&[record(NONCE, carry)]);
+    carried.records.remove(0);
+    let log = Log::start(carried);
+    assert_eq!(resolve(&log, "no", &[]).exit, Exit::Done);
+    assert_eq!(settled(&log), Some(false));
+    let mut late = state(&[unknown()]);
+    late.times = vec![ISSUED + WINDOW.as_millis() as u64 + 1; 10];
+    let log = Log::start(late);
+    assert_eq!(resolve(&log, "no", &[]).exit, Exit::NotFound);
+}
+
 #[test]
 fn lost_answers_and_late_appends_settle_it_all_the_same() {
     let cases = [
