Freeze a holder between claim and sending, and stop with a full queue

Cause: the frozen-holder test hit that moment by chance only, and the stopped entry had no request in its queue. Before: a counted append fault of the log stand-in struck whichever record came next, so a test could not aim at the start of one seal. After: the fault may name a stream, and a test waits until every start in it has its end; the holder is then frozen while its start is on its way. The stop test queues more chats than the engines take; leaving is proved by the engine's own word with the list out, and by the list alone. Letters under another key or out of date are refused by number. Ruled out: a late append that waits for any record, which struck the record of an earlier answer.

--- a/camphorweir-standin/src/log.rs
+++ b/camphorweir-standin/src/log.rs
@@ -71,6 +71,8 @@
 pub struct Faults {
     /// Faults of the network.
     pub net: Net,
+    /// The stream whose appends the counts below stand for; empty for every stream.
+    pub stream: String,
     /// So many of the next appends land and their answers are lost.
     pub lost: u32,
     /// So many of the next appends, after the lost ones, get no answer and land later.
@@ -241,9 +243,10 @@
         (stream.page(from, max), stream.grown.subscribe())
     }
 
-    fn fate(&self, from: Option<&str>) -> Fate {
+    fn fate(&self, name: &str, from: Option<&str>) -> Fate {
         let mut faults = lock(&self.faults);
-        if !faults.net.applies(from) {
+        let struck = faults.stream.is_empty() || faults.stream == name;
+        if !struck || !faults.net.applies(from) {
             Fate::Answered
         } else if take(&mut faults.lost) {
             Fate::Lost
@@ -264,7 +267,7 @@
             lock(&self.stats).refused += 1;
             return Some(status(StatusCode::TOO_MANY_REQUESTS));
         }
-        match self.fate(from.as_deref()) {
+        match self.fate(&name, from.as_deref()) {
             Fate::Answered => {
                 let first = self.land(&name, records);
                 Some(whole(codec::encode(&Appended { first })))
--- a/camphorweir-standin/tests/process/bad_input.rs
+++ b/camphorweir-standin/tests/process/bad_input.rs
@@ -7,9 +7,19 @@
         deployment::{Deployment, Plan},
         support,
     },
+    camphorweir_entry::{seal::seal, settings::Secret},
     camphorweir_standin::fleet,
+    camphorweir_wire::{
+        codec,
+        peer::{Body, Digest, Message, PATH},
+    },
     serde_json::{Value, json},
-    std::{fs, net::SocketAddr, process::Command},
+    std::{
+        fs,
+        net::SocketAddr,
+        process::Command,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -215,6 +225,7 @@
         refuse(caller.0, case).await;
     }
     half_sent(caller).await;
+    foreign_letters(deployment.entries[0].peers).await;
     served.await.unwrap();
 
     let ran: usize = {
@@ -240,6 +251,36 @@
     raw(caller.0, half.as_bytes(), true).await;
 }
 
+/// Letters to the peers' listener that no peer has written.
+async fn foreign_letters(peers: SocketAddr) {
+    let message = Message {
+        from: "entry-9".to_owned(),
+        incarnation: 1,
+        body: Body::Digest(Digest::default()),
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let sealed = |key, now| codec::encode(&seal(&Secret::new([key; 32]), now, 1, &message));
+    let cases = [
+        ("no letter", b"hello".to_vec(), 1001),
+        ("another key", sealed(8, now), 6201),
+        (
+            "an old one",
+            sealed(7, now - Duration::from_secs(3600)),
+            6201,
+        ),
+    ];
+    for (name, letter, code) in cases {
+        let answer = support::send("POST", peers, PATH, &[], &letter)
+            .await
+            .unwrap();
+        assert_eq!(
+            answer.headers()["camphorweir-code"],
+            code.to_string(),
+            "{name}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn an_unusable_settings_file_is_named() {
     let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("settings");
--- a/camphorweir-standin/tests/process/deployment.rs
+++ b/camphorweir-standin/tests/process/deployment.rs
@@ -88,6 +88,10 @@
     pub(crate) entries: usize,
     /// Time of one decode step through one layer, in microseconds.
     pub(crate) decode_layer_us: f64,
+    /// Steps that engines run together, by the configuration.
+    pub(crate) batch: u32,
+    /// Milliseconds that the configuration allows for a seal.
+    pub(crate) seal_ms: u64,
     /// Milliseconds from SIGTERM to an entry's listener closing.
     pub(crate) grace: u64,
 }
@@ -97,6 +101,8 @@
         Self {
             entries: 3,
             decode_layer_us: 100.0,
+            batch: 32,
+            seal_ms: 20_000,
             grace: 200,
         }
     }
@@ -245,9 +251,11 @@
         let mut document = fleet::document(&self.members, &addresses.collect());
         for kind in document.kinds.values_mut() {
             kind.decode_layer_us = self.plan.decode_layer_us;
+            kind.batch = self.plan.batch;
         }
         for workspace in document.workspaces.values_mut() {
             workspace.limits = LIMITS;
+            workspace.routes.get_mut("seal").unwrap().deadline_ms = self.plan.seal_ms;
         }
         change(&mut document);
         let file = self.folder.join(format!("{name}.yaml"));
@@ -356,10 +364,16 @@
         found.into_iter().map(|(.., id)| id).collect()
     }
 
-    /// Checks that no engine ran a step of an attempt twice.
+    /// Checks that no engine ran a step of an attempt twice, and that none is left with an attempt.
     pub(crate) async fn check_steps(&self) {
         for member in &self.members {
             if let Serves::Layers(_) = member.serves {
+                let engine = &self.targets[&member.id];
+                until("the end of all attempts", || async {
+                    let stats: Value = engine.report("stats").await;
+                    (stats["open"] == 0).then_some(())
+                })
+                .await;
                 let mut seen = HashSet::new();
                 for run in self.steps(&member.id).await {
                     let place = (run.request, run.attempt, run.layers.first, run.position);
--- a/camphorweir-standin/tests/process/seals.rs
+++ b/camphorweir-standin/tests/process/seals.rs
@@ -9,8 +9,8 @@
     },
     camphorweir_wire::{claim, codec},
     serde_json::{Value, json},
-    std::time::Duration,
-    tokio::time::sleep,
+    std::{collections::HashSet, time::Duration},
+    tokio::{task::JoinHandle, time::sleep},
     uuid::Uuid,
 };
 
@@ -33,18 +33,33 @@
     .await
 }
 
-/// Starts a seal whose start record lands late, and kills its entry before that.
-async fn kill_before_sent(deployment: &mut Deployment, late_ms: u64) -> Told {
-    let faults = json!({"net": {"only": ["entry-0"]}, "late": 1, "late_ms": late_ms});
-    deployment.log.faults(faults).await;
-    let mut told = Told::new();
+type Sent = JoinHandle<Option<Answer>>;
+
+/// Starts a seal through the first entry whose start record is to land late.
+async fn claim_late(deployment: &Deployment, late_ms: u64) -> (Told, Sent) {
+    let told = Told::new();
     let (caller, key) = (deployment.entries[0].caller, told.key);
+    serving(caller).await;
+    quiet(deployment, &stream(key)).await;
+    let faults = json!({
+        "net": {"only": ["entry-0"]},
+        "stream": stream(key),
+        "late": 1,
+        "late_ms": late_ms,
+    });
+    deployment.log.faults(faults).await;
     let sent = tokio::spawn(async move { caller.seal(key, 1).await });
     until("the start on its way", || async {
         let faults: Value = deployment.log.report("faults").await;
         (faults["late"] == 0).then_some(())
     })
     .await;
+    (told, sent)
+}
+
+/// The same, and the first entry is killed before the record lands.
+async fn kill_before_sent(deployment: &mut Deployment, late_ms: u64) -> Told {
+    let (mut told, sent) = claim_late(deployment, late_ms).await;
     deployment.entries[0].child.kill();
     told.take(sent.await.unwrap());
     told
@@ -59,27 +74,53 @@
     serving(deployment.entries[0].caller).await;
 }
 
+/// The records of a claim stream.
+async fn records(deployment: &Deployment, stream: &str) -> Vec<claim::Record> {
+    let page = support::page(deployment.log.address, &format!("{stream}?from=0")).await;
+    let records = page.records.iter();
+    let records = records.map(|stored| codec::decode(&stored.body).unwrap());
+    records.collect()
+}
+
+/// The claim stream of a key.
+fn stream(key: Uuid) -> String {
+    let key = claim::Key {
+        workspace: String::new(),
+        id: key.as_u128(),
+    };
+    claim::stream(key.partition())
+}
+
 /// Waits until so many starts of a key have landed.
 async fn landed(deployment: &Deployment, key: Uuid, count: usize) {
-    let id = key.as_u128();
-    let stream = claim::stream(
-        claim::Key {
-            workspace: String::new(),
-            id,
-        }
-        .partition(),
-    );
     until("the start in the log", || async {
-        let page = support::page(deployment.log.address, &format!("{stream}?from=0")).await;
-        let records = page.records.iter();
-        let records = records.map(|stored| codec::decode::<claim::Record>(&stored.body).unwrap());
-        let starts = records
-            .filter(|record| record.key.id == id && matches!(record.body, claim::Body::Start(_)));
+        let records = records(deployment, &stream(key)).await;
+        let starts = records.iter().filter(|record| {
+            record.key.id == key.as_u128() && matches!(record.body, claim::Body::Start(_))
+        });
         (starts.count() >= count).then_some(())
     })
     .await;
 }
 
+/// Waits until every start in a stream has its end, so that no entry has anything to append.
+async fn quiet(deployment: &Deployment, stream: &str) {
+    until("the end of every start", || async {
+        let records = records(deployment, stream).await;
+        let is_start = |record: &claim::Record| matches!(record.body, claim::Body::Start(_));
+        let ends: HashSet<_> = records
+            .iter()
+            .filter(|record| !is_start(record))
+            .map(|record| record.nonce)
+            .collect();
+        let mut starts = records.iter().filter(|record| is_start(record));
+        starts
+            .all(|start| ends.contains(&start.nonce))
+            .then_some(())
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seal_whose_holder_was_killed_before_sending_runs_at_most_once() {
     let mut deployment = Deployment::start(Plan::default()).await;
@@ -132,7 +173,11 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seals_of_a_frozen_holder_run_at_most_once() {
-    let deployment = Deployment::start(Plan::default()).await;
+    let deployment = Deployment::start(Plan {
+        seal_ms: 3000,
+        ..Plan::default()
+    })
+    .await;
     let slow = json!({"net": {"only": ["entry-0"], "delay_ms": 20}});
     deployment.log.faults(slow).await;
     deployment
@@ -161,6 +206,30 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_holder_frozen_between_claiming_and_sending_runs_its_seal_at_most_once() {
+    let deployment = Deployment::start(Plan {
+        seal_ms: 4000,
+        ..Plan::default()
+    })
+    .await;
+    let callers = deployment.callers();
+    for (late_ms, freeze) in [(300, Duration::from_secs(1)), (300, FREEZE), (4000, FREEZE)] {
+        let (mut told, sent) = claim_late(&deployment, late_ms).await;
+        deployment.entries[0].child.signal("STOP");
+        sleep(freeze / 2).await;
+        let meanwhile = callers[1].seal(told.key, 1);
+        let (answer, ()) = tokio::join!(meanwhile, sleep(freeze / 2));
+        told.take(answer);
+        landed(&deployment, told.key, 1).await;
+        deployment.entries[0].child.signal("CONT");
+        told.take(sent.await.unwrap());
+        let answer = settle(callers[2], &mut told, 1).await;
+        answer.run();
+        told.check(&deployment).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_key_sent_through_every_entry_at_once_runs_once() {
     let deployment = Deployment::start(Plan::default()).await;
--- a/camphorweir-standin/tests/process/stops.rs
+++ b/camphorweir-standin/tests/process/stops.rs
@@ -56,7 +56,9 @@
     let plan = Plan {
         entries: 2,
         decode_layer_us: 2000.0,
+        batch: 2,
         grace: 1000,
+        ..Plan::default()
     };
     let mut deployment = Deployment::start(plan).await;
     deployment
@@ -66,9 +68,14 @@
         panic!("two entries");
     };
     let mut streams = Vec::new();
-    for number in 0..8 {
+    for number in 0..4 {
         streams.push(stopping.stream(&format!("stream {number}"), 60).await);
     }
+    // More than the engines take at once, so that some wait in the queue.
+    let queued = (0..24).map(|number| async move {
+        stopping.right_chat(&format!("chat {number}"), 10).await;
+    });
+    let queued = tokio::spawn(futures::future::join_all(queued));
     let seals = seals(&deployment, stopping, 4).await;
     let claiming = Told::new();
     let key = claiming.key;
@@ -89,6 +96,7 @@
     for stream in streams {
         stream.finish().await;
     }
+    queued.await.unwrap();
     let claimed = Seal {
         told: claiming,
         sent: open,
@@ -155,6 +163,9 @@
         stream.reach(2).await;
     }
     let leaving = deployment.path(streams[0].request).await[1].clone();
+    // The engine's own word counts; the list is out.
+    let down = json!({"net": {"down": "refuse"}});
+    deployment.list.faults(down).await;
     deployment.targets[&leaving].child.signal("TERM");
     sleep(LEAVE).await;
     let before = deployment.steps(&leaving).await;
@@ -173,6 +184,40 @@
     assert_eq!(child.exit().await, Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_the_list_shows_leaving_gets_no_new_work() {
+    let plan = Plan {
+        entries: 2,
+        decode_layer_us: 2000.0,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(plan).await;
+    let callers = deployment.callers();
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let caller = callers[number % 2];
+        streams.push(caller.stream(&format!("stream {number}"), 200).await);
+    }
+    for stream in &mut streams {
+        stream.reach(2).await;
+    }
+    let leaving = deployment.path(streams[0].request).await[0].clone();
+    deployment.list_leaving(&leaving).await;
+    sleep(LEAVE).await;
+    for number in 0..8 {
+        let stream = callers[number % 2]
+            .stream(&format!("later {number}"), 3)
+            .await;
+        let request = stream.request;
+        stream.finish().await;
+        assert!(!deployment.path(request).await.contains(&leaving));
+    }
+    for stream in streams {
+        stream.finish().await;
+    }
+    deployment.check_steps().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_service_that_leaves_gets_no_new_work_and_cuts_nothing() {
     let mut deployment = Deployment::start(Plan::default()).await;
