--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -7,8 +7,10 @@
         call::{Answered, Ask, Call, End},
         claim,
         clock::Now,
+        command::Command,
+        duty::Duty,
         event::Event,
-        member,
+        map, member,
         outbox::{Outbox, Parcel},
         queue::Queue,
         request::{Body, Head, Request},
@@ -20,8 +22,9 @@
     camphorweir_wire::{
         claim as records,
         code::Code,
-        engine::{Order, Reply},
+        engine::{Load, Order, Reply},
         ids::{EntryId, Incarnation, Nonce, RequestId},
+        lease,
         outcome::Refusal,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -68,17 +71,22 @@
     pub(crate) rng: SmallRng,
     pub(crate) fold: Fold,
     pub(crate) view: Option<Arc<View>>,
-    pub(crate) map: route::Map,
+    pub(crate) map: map::Map,
     pub(crate) targets: Table,
     pub(crate) members: member::Table,
     pub(crate) requests: HashMap<RequestId, Request>,
     /// Never-repeat requests by the id of their key.
     pub(crate) keys: HashMap<u128, BTreeSet<RequestId>>,
     pub(crate) queue: Queue,
+    pub(crate) service: admit::Service,
     pub(crate) budget: retry::Budget,
     pub(crate) timers: Heap,
     pub(crate) outbox: Outbox,
     pub(crate) partitions: Vec<Partition>,
+    /// The lease, and orders to engines under it.
+    pub(crate) command: Command,
+    /// What this entry does for all.
+    pub(crate) duty: Duty,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
@@ -96,27 +104,36 @@
             now: Now::default(),
             fold: Fold::new(),
             view: None,
-            map: route::Map::default(),
+            map: map::Map::default(),
             targets: Table::default(),
             members: member::Table::default(),
             requests: HashMap::new(),
             keys: HashMap::new(),
             queue: Queue::default(),
+            service: admit::Service::default(),
             budget: retry::Budget::default(),
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            duty: Duty::default(),
+            command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
             out: Vec::new(),
         }
     }
 
+    /// Compares paths by another rule than the product's own; for measurements.
+    pub fn compare(&mut self, rule: route::Rule) {
+        self.map.rule = rule;
+    }
+
     /// The first actions of a process; called once, before any event.
     pub fn start(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
         self.out.push(Action::Ready(false));
         self.out.push(Action::Tail(record::STREAM.to_owned(), 0));
+        self.out.push(Action::Tail(lease::STREAM.to_owned(), 0));
         for partition in 0..records::PARTITIONS {
             self.out.push(Action::Tail(records::stream(partition), 0));
         }
@@ -191,9 +208,12 @@
             Reply::Done(done) => self.done(index, &done),
             Reply::Refused(refused) => self.refused(index, &refused),
             Reply::Leaving => self.targets.leaving(index),
-            Reply::Load(load) => self.targets.reported(index, load, self.now.mono),
-            Reply::Holds(holds) => self.targets.holds(index, &holds),
-            Reply::Cached(_) => {}
+            Reply::Load(load) => self.loaded(index, load),
+            Reply::Holds(holds) => {
+                self.targets.holds(index, &holds);
+                self.regroup();
+            }
+            Reply::Cached(cached) => self.targets.get_mut(index).cache.apply(&cached),
         }
     }
 
@@ -224,15 +244,22 @@
             self.stopping = Some(self.now.mono);
             self.out.push(Action::Ready(false));
             self.heartbeat = self.now.mono;
+            self.release_lease();
         }
     }
 
     fn tick(&mut self) {
         self.beat();
+        self.queue.wake_all();
+        self.command();
+        self.do_duties();
         let Some(since) = self.stopping else {
             return;
         };
         let grace_over = self.now.mono >= since + self.setup.grace;
+        if grace_over && self.requests.is_empty() {
+            self.hand_over();
+        }
         if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
             self.out.push(Action::Exit);
         }
@@ -279,6 +306,9 @@
             return;
         };
         let ended = request.head.ended(code, self.now.mono);
+        if code.is_none() {
+            self.service.add(request.lane(), ended.whole - ended.queued);
+        }
         self.out.push(Action::Note(Note::Ended(ended)));
         self.out.push(Action::Reply(id, end));
         self.release(request);
@@ -290,12 +320,14 @@
         match request.body {
             Body::Stream(stream) => match stream.attempt {
                 Some(attempt) => self.abandon(id, &attempt),
-                None => self.queue.remove(request.head.priority, id),
+                None => self.queue.remove(&stream.model, request.head.priority, id),
             },
             Body::Plain(plain) => {
                 if let Some((attempt, target)) = plain.attempt {
                     self.close(target);
                     self.out.push(Action::Abandon(id, attempt));
+                } else {
+                    self.queue.remove(&plain.service, request.head.priority, id);
                 }
             }
             Body::Once(once) => self.forget_key(once.key.id, id),
@@ -313,9 +345,28 @@
         }
     }
 
+    /// An engine reported its load.
+    fn loaded(&mut self, index: Index, load: Load) {
+        self.targets.reported(index, load, self.now.mono);
+        self.queue.wake(self.targets.get(index).lane());
+    }
+
+    /// Sorts the targets into groups again.
+    pub(crate) fn regroup(&mut self) {
+        self.map.regroup(&self.targets);
+    }
+
+    /// Counts the entries that share the targets.
+    pub(crate) fn count_entries(&mut self) {
+        let live = self.members.live(self.now.mono);
+        self.map
+            .count(live.map(|(_, peer)| peer.digest.zone.clone()));
+    }
+
     /// One piece of work less on a target.
     pub(crate) fn close(&mut self, target: Index) {
         let target = self.targets.get_mut(target);
         target.open = target.open.saturating_sub(1);
+        self.queue.wake(target.lane());
     }
 }
--- a/camphorweir-policy/src/member.rs
+++ b/camphorweir-policy/src/member.rs
@@ -1,7 +1,7 @@
 //! The other entries, by their heartbeats and the platform's list.
 
 use {
-    crate::leave,
+    crate::{hash, leave},
     camphorweir_wire::{
         claim::Owner,
         ids::{EntryId, Incarnation},
@@ -97,6 +97,25 @@
         peer.digest = digest;
     }
 
+    /// A message other than a heartbeat came.
+    pub fn met(&mut self, from: &str, incarnation: Incarnation, now: Duration) {
+        let peer = self.peers.entry(from.to_owned()).or_default();
+        peer.leaving.greet(incarnation);
+        peer.incarnation = Some(incarnation);
+        peer.heard = Some(now);
+    }
+
+    /// The place of an entry among itself and the live peers for a duty that one of them has, by
+    /// rendezvous hashing; the first is 0. With a zone only its peers count. Linear in the peers.
+    pub fn rank(&self, own: &str, zone: Option<&str>, duty: &str, now: Duration) -> usize {
+        let weight = |entry: &str| hash::word(&[entry.as_bytes(), duty.as_bytes()]);
+        let mine = weight(own);
+        self.live(now)
+            .filter(|(_, peer)| zone.is_none_or(|zone| peer.digest.zone == zone))
+            .filter(|(id, _)| weight(id) > mine)
+            .count()
+    }
+
     /// What became of the owner of a start.
     pub fn fate(&self, owner: &Owner, now: Duration) -> Fate {
         let Some(peer) = self.peers.get(&owner.entry) else {
--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -18,11 +18,12 @@
         timer::Timer,
     },
     camphorweir_wire::{
-        claim::{self, Key, Owner, Record, SKEW, Start, WINDOW},
+        claim::{self, Key, Record, SKEW, Start, WINDOW},
         code::Code,
         codec,
         ids::{AttemptId, Nonce, RequestId},
         outcome::{Answer, Ran, Refusal},
+        peer,
     },
     std::time::Duration,
 };
@@ -52,6 +53,7 @@
             service: service.to_owned(),
             key,
             stage: Stage::Waiting,
+            send_until: Duration::ZERO,
             avoid: Vec::new(),
         };
         self.admit(head, Body::Once(once));
@@ -175,20 +177,14 @@
             owner: self.owner(),
             fingerprint: print,
         };
+        let send_until = self.now.mono + CLAIM_WITHIN;
         if let Some(once) = self.once_mut(id) {
             once.stage = Stage::Claiming(nonce);
+            once.send_until = send_until;
         }
         self.record(&key, nonce, claim::Body::Start(start), false);
         let timer = Timer::Claim(id);
-        self.timers.set(self.now.mono + CLAIM_WITHIN, timer);
-    }
-
-    /// The name under which this life of the entry claims.
-    fn owner(&self) -> Owner {
-        Owner {
-            entry: self.setup.entry.clone(),
-            incarnation: self.setup.incarnation,
-        }
+        self.timers.set(send_until, timer);
     }
 
     fn record(&mut self, key: &Key, nonce: Nonce, body: claim::Body, keep: bool) {
@@ -203,10 +199,12 @@
 
     /// The key has a first live start: this request's own, or another's.
     fn started(&mut self, id: RequestId, key: &Key, live: &Live) {
+        let now = self.now.mono;
         let Some(once) = self.once_mut(id) else {
             return;
         };
         match once.stage {
+            Stage::Claiming(_) if now >= once.send_until => return self.claim_late(id),
             Stage::Claiming(nonce) if nonce == live.nonce => return self.send_once(id, nonce, 0),
             Stage::Claiming(nonce) => {
                 once.stage = Stage::Waiting;
@@ -231,6 +229,7 @@
         };
         match fate {
             Fate::Alive => {
+                self.ask(key, live);
                 let timer = Timer::Recheck(id);
                 self.timers.set(self.now.mono + RECHECK, timer);
             }
@@ -242,6 +241,14 @@
         }
     }
 
+    /// Asks the owner of a start, whose answer shows whether it is still the same life.
+    fn ask(&mut self, key: &Key, live: &Live) {
+        if live.owner != self.owner() {
+            let body = peer::Body::Ask(key.clone(), live.nonce);
+            self.write(&live.owner.entry, body);
+        }
+    }
+
     fn in_progress(&mut self, id: RequestId) {
         let detail = "the request is claimed by an entry that does not answer now";
         let mut refusal = Refusal::not_run(Code::InProgress, detail).after(COME_BACK);
@@ -386,6 +393,7 @@
         let Body::Once(once) = &mut request.body else {
             return;
         };
+        let in_time = in_time && now < once.send_until;
         once.avoid.push(target);
         let key = once.key.clone();
         let still_first = match self.partition(&key).table.standing(key.id) {
--- a/camphorweir-policy/src/outbox.rs
+++ b/camphorweir-policy/src/outbox.rs
@@ -118,6 +118,21 @@
         })
     }
 
+    /// Whether an append to some stream has failed and has not succeeded since.
+    pub fn is_failing(&self) -> bool {
+        self.lanes.values().any(|lane| lane.failures > 0)
+    }
+
+    /// Drops records that somebody else has taken over.
+    pub fn hand_over(&mut self, taken: impl Fn(&[u8]) -> bool) {
+        for lane in self.lanes.values_mut() {
+            lane.waiting.retain(|parcel| !taken(&parcel.bytes));
+            if let Some((_, flying)) = &mut lane.flying {
+                flying.retain(|parcel| !taken(&parcel.bytes));
+            }
+        }
+    }
+
     fn lane(&mut self, id: AppendId) -> Option<&mut Lane> {
         self.lanes.values_mut().find(|lane| {
             lane.flying
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -1,7 +1,7 @@
 //! The requests that this entry has taken in and not yet ended.
 
 use {
-    crate::{action::Ended, attempt, call, target::Index},
+    crate::{action::Ended, attempt, call, target::Index, timing::Timing},
     camphorweir_config::model::{ModelId, Priority, ServiceId, WorkspaceId},
     camphorweir_wire::{
         claim::Key,
@@ -32,6 +32,8 @@
     pub started: Option<Duration>,
     /// When its first token was delivered.
     pub first_token: Option<Duration>,
+    /// When all of its tokens were delivered.
+    pub timing: Timing,
 }
 
 impl Head {
@@ -47,6 +49,7 @@
             attempts: 0,
             started: None,
             first_token: None,
+            timing: Timing::default(),
         }
     }
 
@@ -62,6 +65,7 @@
             whole: since(now),
             queued: since(self.started.unwrap_or(now)),
             first_token: self.first_token.map(since),
+            timing: self.timing.clone(),
         }
     }
 
@@ -83,6 +87,25 @@
     pub body: Body,
 }
 
+impl Request {
+    /// The model or service whose targets it needs.
+    pub fn lane(&self) -> &str {
+        match &self.body {
+            Body::Stream(stream) => &stream.model,
+            Body::Plain(plain) => &plain.service,
+            Body::Once(once) => &once.service,
+        }
+    }
+
+    /// The work that it asks for: tokens, or 1 for a call of a plain service.
+    pub fn work(&self) -> u64 {
+        match &self.body {
+            Body::Stream(stream) => u64::from(stream.prompt) + u64::from(stream.max_tokens) * 8,
+            Body::Plain(_) | Body::Once(_) => 1,
+        }
+    }
+}
+
 /// The kinds of request.
 #[derive(Clone, Debug)]
 pub enum Body {
@@ -117,6 +140,12 @@
     pub attempt: Option<attempt::Any>,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<Index>,
+    /// When the step under way was sent.
+    pub sent: Duration,
+    /// How long its target may be silent.
+    pub limit: Duration,
+    /// Hashes of the prompt's blocks.
+    pub prefix: Vec<u64>,
     /// When the last attempt failed.
     pub interrupted: Option<Duration>,
 }
@@ -157,6 +186,9 @@
     pub key: Key,
     /// How far it has come.
     pub stage: Stage,
+    /// Its start counts for sending until then; a process that was frozen past it sends nothing,
+    /// since operators may have settled the key meanwhile.
+    pub send_until: Duration,
     /// Targets that provably did not run it.
     pub avoid: Vec<Index>,
 }
