Know carried starts in the operators' view of a key

After: a carried start counts as one with an unknown outcome, as in the decision core's fold. Ruled out: ignoring the record, which would hide a key whose first start is past retention.

--- a/camphorweir/src/resolve.rs
+++ b/camphorweir/src/resolve.rs
@@ -51,6 +51,17 @@
                     self.starts.push((record.nonce, false));
                 }
             }
+            // A start that is carried on never runs again.
+            Body::Carry(_) => {
+                let mut starts = self.starts.iter_mut();
+                match starts.find(|(nonce, _)| *nonce == record.nonce) {
+                    Some((_, unknown)) => *unknown = true,
+                    None if self.end.is_none() && !self.voids.contains(&record.nonce) => {
+                        self.starts.push((record.nonce, true));
+                    }
+                    None => {}
+                }
+            }
             Body::Void => {
                 self.starts.retain(|(nonce, _)| *nonce != record.nonce);
                 self.voids.push(record.nonce);
