Aim the frozen holder's seal at a stream that its entry has read

Cause: after a thaw each claim stream is read again on its own, and the test had seen a seal of another stream answered; its own was refused with 4001, and the test then waited for a start that never came. After: a seal of the same stream is answered first. Ruled out: starts that travel through a peer; none did.

--- a/camphorweir-standin/tests/process/seals.rs
+++ b/camphorweir-standin/tests/process/seals.rs
@@ -39,7 +39,16 @@
 async fn claim_late(deployment: &Deployment, late_ms: u64) -> (Told, Sent) {
     let told = Told::new();
     let (caller, key) = (deployment.entries[0].caller, told.key);
-    serving(caller).await;
+    // An entry that was thawed refuses seals until it has read the stream again.
+    until("a seal in the same stream", || async {
+        let mut warm = Uuid::now_v7();
+        while stream(warm) != stream(key) {
+            warm = Uuid::now_v7();
+        }
+        let answer = caller.seal(warm, 0).await.unwrap();
+        (answer.status == 200).then_some(())
+    })
+    .await;
     quiet(deployment, &stream(key)).await;
     let faults = json!({
         "net": {"only": ["entry-0"]},
