Prove that a start which lands late does not hold its key

Before: late starts landed after their key had run elsewhere. After: the key is sent again only once the late start has landed; and an answer that is cut with its entry is shown not to look whole. Ruled out: a longer delay in the test of lost appends, where the key has run by then.

--- a/camphorweir-standin/tests/process/caller.rs
+++ b/camphorweir-standin/tests/process/caller.rs
@@ -238,6 +238,18 @@
         }
     }
 
+    /// Reads on until nothing more comes, and says whether the answer looks whole.
+    pub(crate) async fn is_whole(mut self) -> bool {
+        let read = async {
+            while let Some(Ok(frame)) = self.body.frame().await {
+                let data = frame.into_data().unwrap();
+                self.text.push_str(str::from_utf8(&data).unwrap());
+            }
+        };
+        timeout(GUARD, read).await.expect("the stream stands still");
+        self.done || self.text.contains("[DONE]")
+    }
+
     /// Reads to the end and checks that the answer is whole and right.
     pub(crate) async fn finish(mut self) {
         while self.more().await {}
--- a/camphorweir-standin/tests/process/seals.rs
+++ b/camphorweir-standin/tests/process/seals.rs
@@ -16,6 +16,8 @@
 
 /// Longer than every limit in which a claimed request may still be sent.
 const FREEZE: Duration = Duration::from_secs(5);
+/// `ClaimTimeout`.
+const NOT_CLAIMED: u16 = 4006;
 /// `InProgress`.
 const IN_PROGRESS: u16 = 4002;
 /// `OutcomeUnknown`.
@@ -153,17 +155,40 @@
     late.check(&deployment).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_that_lands_after_its_owner_gave_up_does_not_hold_its_key() {
+    let deployment = Deployment::start(Plan::default()).await;
+    // Longer than an entry waits for its start to be read back.
+    let (mut told, sent) = claim_late(&deployment, 4500).await;
+    let answer = sent.await.unwrap().unwrap();
+    answer.refused(NOT_CLAIMED);
+    assert!(answer.retry_after.is_some(), "{answer:?}");
+    told.take(Some(answer));
+    landed(&deployment, told.key, 1).await;
+    told.check(&deployment).await;
+    let answer = settle(deployment.entries[1].caller, &mut told, 1).await;
+    answer.run();
+    told.check(&deployment).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seal_whose_holder_was_killed_after_sending_runs_once() {
-    let mut deployment = Deployment::start(Plan::default()).await;
+    let mut deployment = Deployment::start(Plan {
+        decode_layer_us: 2000.0,
+        ..Plan::default()
+    })
+    .await;
     deployment
         .service_faults("ledger", json!({"run_ms": 1000}))
         .await;
     let mut told = Told::new();
     let (caller, key) = (deployment.entries[0].caller, told.key);
     let sent = tokio::spawn(async move { caller.seal(key, 1).await });
+    let mut stream = caller.stream("cut with its entry", 400).await;
+    stream.reach(1).await;
     deployment.running(key).await;
     deployment.entries[0].child.kill();
+    assert!(!stream.is_whole().await, "a cut stream looks whole");
     told.take(sent.await.unwrap());
     told.take(deployment.entries[1].caller.seal(key, 1).await);
     assert_eq!(told.answers[0].ran, "unknown");
