Tell a stop in a log outage with peers from one without

Cause: an entry may leave its records to its peers and exit while the log is down, so that it still runs then is no promise. Before: the test held the entry to be running until the log was back; it could fail for an entry that did right. After: with a peer it exits in the outage, and every seal's first answer comes back through the peer; alone it waits for the log, and its next life gives the first answers. Ruled out: dropping the check, which would pass an entry that loses its records.

--- a/camphorweir-standin/tests/process/stops.rs
+++ b/camphorweir-standin/tests/process/stops.rs
@@ -4,7 +4,7 @@
     crate::{
         caller::Caller,
         child::{LOOK, until},
-        deployment::{Deployment, Plan, Told},
+        deployment::{Deployment, Plan, Told, serving},
     },
     serde_json::{Value, json},
     std::time::Duration,
@@ -108,22 +108,13 @@
     other.right_chat("the other one goes on", 5).await;
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_that_stops_in_a_log_outage_loses_no_outcome() {
-    let plan = Plan {
-        entries: 2,
-        decode_layer_us: 1000.0,
-        ..Plan::default()
-    };
-    let mut deployment = Deployment::start(plan).await;
-    deployment
-        .service_faults("ledger", json!({"run_ms": 800}))
-        .await;
-    let [stopping, other] = deployment.callers()[..] else {
-        panic!("two entries");
-    };
+/// Stops the first entry in a log outage, with seals and a stream under way that must not be cut.
+async fn stop_in_outage(deployment: &mut Deployment) -> Vec<Seal> {
+    let ledger = json!({"run_ms": 800});
+    deployment.service_faults("ledger", ledger).await;
+    let stopping = deployment.entries[0].caller;
     let stream = stopping.stream("through the outage", 60).await;
-    let seals = seals(&deployment, stopping, 3).await;
+    let seals = seals(deployment, stopping, 3).await;
     deployment
         .log
         .faults(json!({"net": {"down": "drop"}}))
@@ -135,14 +126,47 @@
             sleep(LOOK).await;
         }
     }
-    deployment.entries[0].child.signal("TERM");
+    if deployment.entries[0].child.is_running() {
+        deployment.entries[0].child.signal("TERM");
+    }
+    seals
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_stops_in_a_log_outage_leaves_its_outcomes_to_its_peers() {
+    let plan = Plan {
+        entries: 2,
+        decode_layer_us: 1000.0,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await;
+    let seals = stop_in_outage(&mut deployment).await;
+    assert_eq!(deployment.entries[0].child.exit().await, Some(0));
+    deployment.log.faults(json!({})).await;
+    answered(&deployment, seals, deployment.entries[1].caller).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_without_peers_that_stops_in_a_log_outage_waits_for_the_log() {
+    let plan = Plan {
+        entries: 1,
+        decode_layer_us: 1000.0,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await;
+    let seals = stop_in_outage(&mut deployment).await;
+    sleep(LEAVE).await;
     assert!(
         deployment.entries[0].child.is_running(),
         "outcomes are lost"
     );
     deployment.log.faults(json!({})).await;
     assert_eq!(deployment.entries[0].child.exit().await, Some(0));
-    answered(&deployment, seals, other).await;
+    deployment.entries.clear();
+    deployment.add_entry(0).await;
+    deployment.list_all().await;
+    serving(deployment.entries[0].caller).await;
+    answered(&deployment, seals, deployment.entries[0].caller).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
