Refuse early, share targets by what answers take, and pace plain services

Cause: long queues and too many attempts a target made started answers late, so their work was wasted; lower classes starved on the engines, which keep them waiting; probes of frozen targets by requests lost them; the first-come pace of bulk calls filled the lookup servers.

--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -7,19 +7,21 @@
         request::{Body, Head, Request},
         timer::Timer,
     },
-    camphorweir_config::model::{Route, WorkspaceId},
+    camphorweir_config::model::{Priority, Route, WorkspaceId},
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
     std::{collections::HashMap, time::Duration},
 };
 
 /// When to come back where nothing better is known.
 pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
+/// Projected wait above which a request below the top class is refused.
+const WAIT_MAX: Duration = Duration::from_millis(250);
 /// The longest that anyone is told to stay away.
 const COME_BACK_MAX: Duration = Duration::from_secs(60);
 /// The weight of one request in the mean time of service.
 const WEIGHT: f64 = 0.05;
 
-/// Mean time from start to end of whole answers, by model or service.
+/// Mean time from start to end of whole answers for a unit of work, by model or service.
 #[derive(Debug, Default)]
 pub(crate) struct Service {
     seconds: HashMap<String, f64>,
@@ -27,19 +29,20 @@
 
 impl Service {
     /// A request took this long.
-    pub(crate) fn add(&mut self, lane: &str, time: Duration) {
-        let time = time.as_secs_f64();
-        match self.seconds.get_mut(lane) {
+    pub(crate) fn add(&mut self, request: &Request, time: Duration) {
+        let time = time.as_secs_f64() / request.work() as f64;
+        match self.seconds.get_mut(request.lane()) {
             Some(mean) => *mean += (time - *mean) * WEIGHT,
             None => {
-                self.seconds.insert(lane.to_owned(), time);
+                self.seconds.insert(request.lane().to_owned(), time);
             }
         }
     }
 
-    /// The mean, 0 while nothing is known.
-    pub(crate) fn time(&self, lane: &str) -> Duration {
-        Duration::from_secs_f64(self.seconds.get(lane).copied().unwrap_or(0.0))
+    /// The time that a request will probably take; 0 while nothing is known.
+    pub(crate) fn time(&self, request: &Request) -> Duration {
+        let unit = self.seconds.get(request.lane()).copied().unwrap_or(0.0);
+        Duration::from_secs_f64(unit * request.work() as f64)
     }
 }
 
@@ -67,13 +70,17 @@
 
     /// Takes a request in; it waits in its class's queue until it can start.
     ///
-    /// One that would wait for longer than half of the time that its deadline leaves is refused at
-    /// once: the estimate may be wrong, and a refusal is worth more the earlier it comes.
+    /// One that would wait too long is refused at once: a short queue keeps the targets as busy as a
+    /// long one, and what waits in a long one is late when it starts.
     pub(crate) fn enqueue(&mut self, head: Head, body: Body) {
         let (id, now) = (head.id, self.now.mono);
         let request = Request { head, body };
-        let service = self.service.time(request.lane());
-        let spare = (request.head.deadline - now).saturating_sub(service) / 2;
+        let service = self.service.time(&request);
+        let spare = (request.head.deadline - now).saturating_sub(service);
+        let spare = match request.head.priority {
+            Priority::Urgent => spare,
+            Priority::Normal | Priority::Bulk => spare.min(WAIT_MAX),
+        };
         let lane = self.queue.lane(request.lane());
         let wait = lane.wait(request.head.priority, now);
         if wait > spare {
@@ -87,6 +94,7 @@
             id,
             &request.head.workspace,
             request.work(),
+            now,
         );
         if pushed.is_err() {
             let refusal = Refusal::not_run(Code::QueueFull, "the queue of this class is full");
@@ -141,7 +149,7 @@
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let needs = self.service.time(request.lane()) / 2;
+        let needs = self.service.time(request);
         request.head.started.is_none() && self.now.mono + needs > request.head.deadline
     }
 
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -299,7 +299,12 @@
         };
         let ended = request.head.ended(code, self.now.mono);
         if code.is_none() {
-            self.service.add(request.lane(), ended.whole - ended.queued);
+            let time = ended.whole - ended.queued;
+            self.service.add(&request, time);
+            if let Body::Stream(_) = request.body {
+                let whole = request.head.deadline - request.head.arrived;
+                self.map.finished(time.div_duration_f64(whole));
+            }
         }
         self.out.push(Action::Note(Note::Ended(ended)));
         self.out.push(Action::Reply(id, end));
--- a/camphorweir-policy/src/health.rs
+++ b/camphorweir-policy/src/health.rs
@@ -46,6 +46,11 @@
         self.strikes = 0;
     }
 
+    /// Whether it has not answered anything since its last ejection.
+    pub fn on_trial(&self) -> bool {
+        self.strikes > 0
+    }
+
     /// Whether it may get new work.
     pub fn fit(&self, now: Duration) -> bool {
         now >= self.until
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod once;
 pub mod order;
 pub mod outbox;
+pub mod pace;
 pub mod path;
 mod pipeline;
 mod query;
--- a/camphorweir-policy/src/map.rs
+++ b/camphorweir-policy/src/map.rs
@@ -13,8 +13,22 @@
     },
 };
 
-/// Attempts open on a target, as a multiple of what keeps its batches full by Little's law.
-const SLACK: f64 = 2.0;
+/// Attempts open on a target at first, as a multiple of what keeps its batches full by Little's law.
+const SLACK: f64 = 1.5;
+/// The least of this multiple, below which batches are not full.
+const SLACK_MIN: f64 = 1.3;
+/// The most of it, above which attempts only wait for each other.
+const SLACK_MAX: f64 = 2.2;
+/// By how much one answer moves it.
+const SLACK_STEP: f64 = 0.002;
+/// The part of the time until its deadline that an answer may take, once started, for the multiple
+/// to grow.
+const SLACK_PART: f64 = 0.4;
+/// How far above the limit interrupted answers may go.
+const RESUMED: f64 = 1.5;
+/// What a second of missing prefill counts against a second of waiting: the wait is one request's,
+/// the prefill takes the engine's time from all.
+const PREFIX_WEIGHT: f64 = 16.0;
 /// One-way delay of a link that the configuration does not describe.
 const DELAY: Duration = Duration::from_millis(1);
 /// Bytes a second of a link that the configuration does not describe.
@@ -47,7 +61,7 @@
     /// Bytes a second.
     rate: f64,
     tier: u8,
-    /// Attempts of all entries together that keep it busy.
+    /// Attempts of all entries together that just keep its batches full.
     full: f64,
 }
 
@@ -62,9 +76,22 @@
     facts: Vec<Option<Fact>>,
     /// Entries that are live, this one among them, by zone.
     entries: HashMap<ZoneId, u32>,
+    /// Attempts open on a target, as a multiple of what keeps its batches full; grows while answers
+    /// take a small part of their time.
+    slack: Slack,
     pub(crate) rule: Rule,
 }
 
+/// See [`Map`].
+#[derive(Debug)]
+struct Slack(f64);
+
+impl Default for Slack {
+    fn default() -> Self {
+        Self(SLACK)
+    }
+}
+
 impl Map {
     /// Takes the part of a configuration over that concerns an entry in `zone`.
     pub fn configure(&mut self, zone: &str, document: &Document) {
@@ -89,6 +116,16 @@
             .collect();
     }
 
+    /// A whole answer took this part of the time until its deadline.
+    pub fn finished(&mut self, part: f64) {
+        let step = if part < SLACK_PART {
+            SLACK_STEP
+        } else {
+            -2.0 * SLACK_STEP
+        };
+        self.slack.0 = (self.slack.0 + step).clamp(SLACK_MIN, SLACK_MAX);
+    }
+
     /// Counts the live entries besides this one by zone.
     pub fn count(&mut self, peers: impl Iterator<Item = ZoneId>) {
         self.entries.clear();
@@ -110,7 +147,7 @@
             .collect();
         self.facts.resize(table.len(), None);
         for (model, layers) in models {
-            let mut groups: BTreeMap<(Layers, u8), Vec<Index>> = BTreeMap::new();
+            let mut groups: BTreeMap<(u8, Layers), Vec<Index>> = BTreeMap::new();
             let engines = table.engines(&model);
             let mean = self.mean_time(table, engines);
             for index in engines {
@@ -119,10 +156,10 @@
                     continue;
                 };
                 let fact = self.fact(target, kind, held, layers, mean);
-                groups.entry((held, fact.tier)).or_default().push(*index);
+                groups.entry((fact.tier, held)).or_default().push(*index);
                 self.facts[index.place()] = Some(fact);
             }
-            let groups = groups.into_iter().map(|((layers, tier), members)| Group {
+            let groups = groups.into_iter().map(|((tier, layers), members)| Group {
                 layers,
                 tier,
                 members,
@@ -151,7 +188,7 @@
         let time = kind.decode_layer_us.max(1e-3);
         let cycle = f64::from(layers) / depth * (mean / time);
         Fact {
-            full: SLACK * f64::from(kind.batch.max(1)) * cycle.max(1.0),
+            full: f64::from(kind.batch.max(1)) * cycle.max(1.0),
             kind,
             delay,
             rate,
@@ -159,7 +196,7 @@
         }
     }
 
-    /// The groups of a model's targets.
+    /// The groups of a model's targets, nearest first.
     pub fn groups(&self, model: &str) -> &[Group] {
         self.groups.get(model).map_or(&[], Vec::as_slice)
     }
@@ -174,9 +211,16 @@
     }
 
     /// Whether this entry may start one more attempt on a target.
-    pub fn has_room(&self, target: &Target, index: Index, now: Duration) -> bool {
-        let share = target.health.share(now);
-        f64::from(target.open) < (self.limit(target, index, now) * share).max(self.least(index))
+    ///
+    /// An interrupted answer may go a little further than a new one.
+    pub fn has_room(&self, target: &Target, index: Index, want: &Want<'_>, now: Duration) -> bool {
+        if target.health.on_trial() {
+            return target.open == 0 && !want.resumed;
+        }
+        let more = if want.resumed { RESUMED } else { 1.0 };
+        let share = target.health.share(now) * more;
+        f64::from(target.open)
+            < (self.limit(target, index, want.resumed, now) * share).max(self.least(index))
     }
 
     fn least(&self, index: Index) -> f64 {
@@ -186,7 +230,7 @@
 
     /// Attempts that a target takes at most from this entry: its part of the target where that is
     /// in its own zone, and a part of what the last report leaves free.
-    fn limit(&self, target: &Target, index: Index, now: Duration) -> f64 {
+    fn limit(&self, target: &Target, index: Index, resumed: bool, now: Duration) -> f64 {
         let Some(Some(fact)) = self.facts.get(index.place()) else {
             return 0.0;
         };
@@ -197,15 +241,14 @@
             .report
             .as_ref()
             .filter(|report| now < report.at + REPORT_OLD);
+        let full = fact.full * self.slack.0;
         let own = match (fact.tier, there) {
-            (0, there) => fact.full / f64::from(there.max(1)),
-            (_, 0) => fact.full / all,
-            _ if fresh.is_none() => fact.full / all,
+            (0, there) => full / f64::from(there.max(1)),
+            (_, 0) => full / all,
+            _ if resumed || fresh.is_none() => full / all,
             _ => 0.0,
         };
-        let free = fresh.map_or(0.0, |report| {
-            (fact.full - f64::from(report.load.open)).max(0.0)
-        });
+        let free = fresh.map_or(0.0, |report| (full - f64::from(report.load.open)).max(0.0));
         own + free / all
     }
 
@@ -235,9 +278,13 @@
             Rule::Projected | Rule::RoundRobin | Rule::LeastOutstanding => 0,
         };
         let positions = f64::from(want.positions.saturating_sub(held));
+        let weight = match self.rule {
+            Rule::Product => PREFIX_WEIGHT,
+            _ => 1.0,
+        };
         let tokens = f64::from(want.tokens);
         let (open, queued) = outstanding(target, now);
-        let prefill = (positions + queued) * depth / kind.prefill_rate.max(1.0);
+        let prefill = (positions * weight + queued) * depth / kind.prefill_rate.max(1.0);
         let crowd = 1.0 + open / f64::from(kind.batch.max(1));
         let decode = tokens * depth * kind.decode_layer_us * crowd / 1e6;
         let compute = (prefill + decode) / target.health.share(now);
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -14,7 +14,7 @@
         timer::Timer,
     },
     camphorweir_config::{
-        model::{Model, Pipeline, Repeat, Route, To, WorkspaceId},
+        model::{Model, Pipeline, Priority, Repeat, Route, To, WorkspaceId},
         view::View,
     },
     camphorweir_wire::{
@@ -118,6 +118,7 @@
             positions: stream.tokens.len() as u32,
             tokens: stream.max_tokens - stream.delivered(),
             prefix: &stream.prefix,
+            resumed: stream.interrupted.is_some(),
             avoid: &stream.avoid,
         };
         match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
@@ -160,6 +161,13 @@
         };
         let attempt = attempt(request.head.next_attempt(self.now.mono));
         let prefix = &stream.prefix;
+        // Classes are told apart at admission. What has started goes on at one speed, since an
+        // engine that keeps some waiting wastes what it has done for them; only an interrupted
+        // answer, whose caller waits in the middle, catches up.
+        let priority = match stream.interrupted {
+            Some(_) => Priority::Urgent,
+            None => Priority::Normal,
+        };
         for hop in attempt.path.hops() {
             let target = self.targets.get_mut(hop.target);
             target.open += 1;
@@ -168,7 +176,7 @@
                 request: id,
                 attempt: attempt.id,
                 layers: hop.layers,
-                priority: request.head.priority,
+                priority,
                 prefix: prefix.clone(),
             };
             let order = Order::Open(open);
@@ -281,6 +289,7 @@
             positions: attempt.count(),
             tokens: 1,
             prefix: &[],
+            resumed: false,
             avoid: &[],
         };
         let cost = self
--- a/camphorweir-policy/src/queue.rs
+++ b/camphorweir-policy/src/queue.rs
@@ -18,8 +18,9 @@
 const AVERAGE: Duration = Duration::from_secs(2);
 /// Workspaces whose fair shares are remembered before those without a backlog are dropped.
 const REMEMBERED: usize = 4096;
-/// Requests that are taken in while the rate of starts is not known.
-const UNKNOWN: usize = 8;
+/// Requests ahead below which the rate of starts says little, since it may be all that was asked for;
+/// then the time since the last start counts.
+const UNKNOWN: usize = 4;
 
 /// A rate that follows what is counted lately.
 #[derive(Debug, Default)]
@@ -61,6 +62,8 @@
     /// The tag of the request that was taken last.
     reached: u64,
     starts: Rate,
+    /// When it was last empty, or one of it last started.
+    moved: Duration,
 }
 
 impl Class {
@@ -136,7 +139,9 @@
     /// A request of a class has started.
     pub fn started(&mut self, class: Priority, now: Duration) {
         self.starts = self.starts.wrapping_add(1);
-        self.classes[class as usize].starts.add(now);
+        let class = &mut self.classes[class as usize];
+        class.starts.add(now);
+        class.moved = now;
     }
 
     /// A request of a class found no room, and is the next of its class again.
@@ -145,13 +150,20 @@
         self.classes[class as usize].first.push_front(id);
     }
 
-    /// Projected wait of a request that joins a class now, by the rate at which that class starts.
+    /// Projected wait of a request that joins a class now: what waits there and above, by the rate
+    /// at which that class and those below it start, which all give way to it.
     pub fn wait(&mut self, class: Priority, now: Duration) -> Duration {
-        let class = &mut self.classes[class as usize];
-        let ahead = class.len();
-        let rate = class.starts.get(now);
-        if ahead < UNKNOWN && rate < 1.0 {
-            return Duration::ZERO;
+        let (above, below) = self.classes.split_at_mut(class as usize);
+        let own = below.first().map_or(0, Class::len);
+        let ahead = own + above.iter().map(Class::len).sum::<usize>();
+        let rate: f64 = below.iter_mut().map(|class| class.starts.get(now)).sum();
+        if ahead < UNKNOWN {
+            let moved = below.first().map_or(now, |class| class.moved);
+            return if own == 0 {
+                Duration::ZERO
+            } else {
+                now.saturating_sub(moved)
+            };
         }
         Duration::from_secs_f64((ahead as f64 / rate.max(1e-3)).min(3600.0))
     }
@@ -184,12 +196,16 @@
         id: RequestId,
         workspace: &WorkspaceId,
         work: u64,
+        now: Duration,
     ) -> Result<(), usize> {
         let lane = self.lane(name);
         let class = &mut lane.classes[priority as usize];
         if class.len() >= LIMIT {
             return Err(class.len());
         }
+        if class.len() == 0 {
+            class.moved = now;
+        }
         class.push(id, workspace, work);
         lane.awake = true;
         Ok(())
--- a/camphorweir-policy/src/request.rs
+++ b/camphorweir-policy/src/request.rs
@@ -169,6 +169,8 @@
     pub service: ServiceId,
     /// The attempt under way and its target.
     pub attempt: Option<(AttemptId, Index)>,
+    /// When the attempt was sent.
+    pub sent: Duration,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<Index>,
 }
--- a/camphorweir-policy/src/route.rs
+++ b/camphorweir-policy/src/route.rs
@@ -33,6 +33,8 @@
     pub tokens: u32,
     /// Hashes of the prompt's blocks.
     pub prefix: &'a [u64],
+    /// Whether an interrupted answer goes on.
+    pub resumed: bool,
     /// Targets to keep off where there are others.
     pub avoid: &'a [Index],
 }
@@ -73,6 +75,9 @@
 /// Linear in the groups of the model and the sampled candidates times the boundaries between layer
 /// ranges, whatever the number of targets; only where no path is found are the groups searched.
 ///
+/// Far zones are only used for layers that no near target holds: their links carry so little that
+/// waiting for room is faster.
+///
 /// # Errors
 ///
 /// [`Miss`] tells whether waiting helps.
@@ -83,7 +88,13 @@
     now: Duration,
     rng: &mut SmallRng,
 ) -> Result<Path, Miss> {
-    let groups = map.groups(want.model);
+    // Groups stand in the order of their distance.
+    let all = map.groups(want.model);
+    let near = all.partition_point(|group| group.tier < 2);
+    let groups = match near {
+        near if covers(table, map, want, &all[..near], now, &[]) => &all[..near],
+        _ => all,
+    };
     let avoid = match want.avoid {
         [] => want.avoid,
         avoid if covers(table, map, want, groups, now, avoid) => avoid,
@@ -147,7 +158,7 @@
             fresh
                 && !avoid.contains(&target)
                 && known.usable(now)
-                && map.has_room(known, target, now)
+                && map.has_room(known, target, want, now)
         };
         let add = |target: Index, out: &mut Vec<Candidate>| {
             if good(target, out) {
--- a/camphorweir-policy/src/service.rs
+++ b/camphorweir-policy/src/service.rs
@@ -14,7 +14,7 @@
         timer::Timer,
     },
     camphorweir_config::{
-        model::{Repeat, To, WorkspaceId},
+        model::{Priority, Repeat, To, WorkspaceId},
         view::View,
     },
     camphorweir_wire::{
@@ -56,6 +56,7 @@
                 let body = request::Plain {
                     service: service.clone(),
                     attempt: None,
+                    sent: Duration::ZERO,
                     avoid: Vec::new(),
                 };
                 self.enqueue(head, Body::Plain(body));
@@ -73,11 +74,18 @@
             return Start::Over;
         };
         let (service, avoid) = (plain.service.clone(), plain.avoid.clone());
-        let Some(target) = self.choose_server(&service, &avoid) else {
+        let top = request.head.priority == Priority::Urgent;
+        let now = self.now.mono;
+        let Some(mut target) = self.choose_server(&service, &avoid) else {
             self.give_up(id, Code::NoTarget, "no live target serves this");
             return Start::Over;
         };
-        let now = self.now.mono;
+        if !top && !self.has_pace(target) {
+            let Some(other) = self.server_with_pace(&service, &avoid) else {
+                return Start::Blocked;
+            };
+            target = other;
+        }
         let Some(request) = self.requests.get_mut(&id) else {
             return Start::Over;
         };
@@ -85,6 +93,7 @@
         let until = request.head.deadline.min(now + ANSWER_WITHIN);
         if let Body::Plain(plain) = &mut request.body {
             plain.attempt = Some((attempt, target));
+            plain.sent = now;
         }
         self.forward(id, attempt, target, until);
         self.timers.set(until, Timer::Exchange(id, attempt));
@@ -117,6 +126,24 @@
         Some(if open(two) < open(one) { two } else { one })
     }
 
+    fn has_pace(&self, index: Index) -> bool {
+        let target = self.targets.get(index);
+        target.pace.has_room(target.open)
+    }
+
+    /// A usable target that takes a call below the top class, of the entry's own zone where that has
+    /// any; linear in the service's targets.
+    fn server_with_pace(&self, service: &str, avoid: &[Index]) -> Option<Index> {
+        let now = self.now.mono;
+        let usable = |index: &Index| self.targets.get(*index).usable(now) && !avoid.contains(index);
+        let near = |index: &Index| self.map.is_near(self.targets.get(*index));
+        let servers = || self.targets.servers(service).iter().copied().filter(usable);
+        let any_near = servers().any(|index| near(&index));
+        servers()
+            .filter(|index| !any_near || near(index))
+            .find(|index| self.has_pace(*index))
+    }
+
     /// Sends a call to a target.
     pub(crate) fn forward(
         &mut self,
@@ -161,6 +188,7 @@
     fn exchanged_plain(&mut self, id: RequestId, attempt: AttemptId, target: Index, end: Exchange) {
         match end {
             Exchange::Answered(answered) => {
+                self.paced(id, target);
                 self.heard(target, &answered);
                 if answered.not_run {
                     return self.again(id, attempt, target, "the target refused the call");
@@ -182,6 +210,15 @@
         }
     }
 
+    /// A call was answered: its time tells whether calls wait for each other there.
+    fn paced(&mut self, id: RequestId, target: Index) {
+        if let Some(Body::Plain(plain)) = self.requests.get(&id).map(|request| &request.body) {
+            let time = self.now.mono.saturating_sub(plain.sent);
+            let target = self.targets.get_mut(target);
+            target.pace.answered(time, target.open);
+        }
+    }
+
     /// A target answered.
     pub(crate) fn heard(&mut self, target: Index, answered: &Answered) {
         let target = self.targets.get_mut(target);
--- a/camphorweir-policy/src/target.rs
+++ b/camphorweir-policy/src/target.rs
@@ -1,7 +1,7 @@
 //! The targets of the configuration and what this entry knows of each.
 
 use {
-    crate::{cache, health, leave},
+    crate::{cache, health, leave, pace},
     camphorweir_config::model::{Document, Engine, ModelId, Serves, TargetId, ZoneId},
     camphorweir_wire::{
         engine::{Hello, Holds, Layers, Load},
@@ -10,6 +10,9 @@
     std::{collections::HashMap, time::Duration},
 };
 
+/// Silence of an ejected engine after which it is not tried.
+const MUTE: Duration = Duration::from_secs(1);
+
 /// The place of a target in the [`Table`]; it stays the same while the process lives.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Index(u32);
@@ -48,6 +51,8 @@
     pub queued: u64,
     /// What its prefix cache probably holds.
     pub cache: cache::Known,
+    /// How many calls it takes side by side, of plain services only.
+    pub pace: pace::State,
     /// When it last answered a step or reported.
     pub heard: Duration,
     /// Its last report, and when it came.
@@ -87,7 +92,11 @@
             (Serves::Layers(_), Link::Up { loading, .. }) => !loading,
             (Serves::Layers(_), Link::Down) => false,
         };
-        self.configured && linked && !self.leaving.is_leaving() && self.health.fit(now)
+        // An engine that reports its load is out of use until it does so again: its reports are
+        // probes that cost no request.
+        let mute = self.health.on_trial() && self.report.is_some() && now >= self.heard + MUTE;
+        let fit = self.health.fit(now) && !mute;
+        self.configured && linked && !self.leaving.is_leaving() && fit
     }
 
     /// The engine part of its configuration.
@@ -255,6 +264,7 @@
             queued: 0,
             cache: cache::Known::default(),
             heard: Duration::ZERO,
+            pace: pace::State::default(),
             report: None,
         });
         self.names.insert(id.clone(), index);
