--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -6,6 +6,7 @@
         pipeline::Start,
         request::{Body, Head, Request},
         timer::Timer,
+        timing::Timing,
     },
     camphorweir_config::model::{Priority, Route, WorkspaceId},
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
@@ -65,6 +66,7 @@
             attempts: 0,
             started: None,
             first_token: None,
+            timing: Timing::default(),
         }
     }
 
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -8,6 +8,7 @@
         claim,
         clock::Now,
         command::Command,
+        duty::Duty,
         event::Event,
         map, member,
         outbox::{Outbox, Parcel},
@@ -84,6 +85,8 @@
     pub(crate) partitions: Vec<Partition>,
     /// The lease, and orders to engines under it.
     pub(crate) command: Command,
+    /// What this entry does for all.
+    pub(crate) duty: Duty,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
     /// When SIGTERM came.
@@ -112,6 +115,7 @@
             timers: Heap::default(),
             outbox: Outbox::default(),
             partitions: partitions.collect(),
+            duty: Duty::default(),
             command: Command::default(),
             heartbeat: Duration::ZERO,
             stopping: None,
@@ -248,10 +252,14 @@
         self.beat();
         self.queue.wake_all();
         self.command();
+        self.do_duties();
         let Some(since) = self.stopping else {
             return;
         };
         let grace_over = self.now.mono >= since + self.setup.grace;
+        if grace_over && self.requests.is_empty() {
+            self.hand_over();
+        }
         if grace_over && self.requests.is_empty() && self.outbox.is_clear() {
             self.out.push(Action::Exit);
         }
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -42,14 +42,16 @@
         }
         for stored in &page.records {
             self.fold.apply(stored.offset, &stored.body);
+            self.duty.read(&self.fold, stored);
         }
+        self.duty.heard = Some(self.now.mono);
         if self.fold.version() > before {
             self.configure();
         }
     }
 
     /// Takes the version in force over.
-    fn configure(&mut self) {
+    pub(crate) fn configure(&mut self) {
         let document = Arc::clone(self.fold.document());
         let version = self.fold.version();
         self.map.configure(&self.setup.zone, &document);
@@ -92,6 +94,9 @@
 
     /// A tailed stream could not be read.
     pub(crate) fn tail_failed(&mut self, stream: &str) {
+        if stream == record::STREAM {
+            self.duty.heard = None;
+        }
         let partition = (0..claim::PARTITIONS).find(|number| claim::stream(*number) == stream);
         if let Some(number) = partition {
             self.partitions[number as usize].heard = None;
@@ -132,13 +137,12 @@
                     self.told_leaving(target, *incarnation);
                 }
                 let now = self.now.mono;
+                let version = digest.version;
                 self.members
                     .heard(&message.from, message.incarnation, digest, now);
+                self.want(&message.from, version);
             }
-            peer::Body::Ask(..)
-            | peer::Body::Told(..)
-            | peer::Body::Append(_)
-            | peer::Body::Kept(_) => {}
+            other => self.letter(&message.from, message.incarnation, other),
         }
     }
 
--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -3,5 +3,6 @@
 mod fuzz;
 mod moves;
 mod orders;
+mod scenario;
 mod thin;
 mod world;
