Print the operators' commands in the quickstart, and try them as a newcomer

After: status, drain, publish, a seal whose answer is lost and its settlement are printed as lines to run; all were run once from the printed lines. Before the record of a lost outcome lands, some milliseconds, unresolved does not list it yet.

--- a/camphorweir-standin/examples/quickstart.rs
+++ b/camphorweir-standin/examples/quickstart.rs
@@ -1,7 +1,8 @@
 //! Stand-ins and an entry in one process: a few real requests, each answer printed with its outcome.
 //!
 //! `cargo run --release --example quickstart` ends after the requests; with `-- --serve` everything
-//! stays up until Ctrl-C, and a `curl` line is printed for each kind of call.
+//! stays up until Ctrl-C, and a line to try is printed for each kind of call and for the operators'
+//! commands.
 
 use {
     camphorweir::args::{Command, Publish},
@@ -30,8 +31,8 @@
 const REQUESTS: &str = include_str!("requests.json");
 /// The entry's name.
 const ENTRY: &str = "entry-a1";
-/// Where callers are served with `--serve`.
-const PORT: u16 = 8080;
+/// Where callers and operators are served with `--serve`.
+const PORTS: [u16; 2] = [8080, 8082];
 /// Time for the entry to reach its targets.
 const WARM_UP: Duration = Duration::from_secs(10);
 
@@ -90,7 +91,9 @@
         print_answer(addresses.callers, &ask, &mut keys).await?;
     }
     if serve {
-        print_calls(addresses.callers, log.address());
+        print_calls(addresses.callers);
+        let ledger = targets.addresses.get("ledger-a").copied();
+        print_commands(&addresses, list.address(), log.address(), ledger, folder)?;
         tokio::signal::ctrl_c().await?;
     }
     // The entry has ended already when nobody listens.
@@ -176,20 +179,22 @@
 ) -> Result<settings::Settings, Failure> {
     let key: PathBuf = folder.join("peers.key");
     fs::write(&key, "07".repeat(32))?;
-    let port = if serve { PORT } else { 0 };
+    fs::write(folder.join("read.key"), "08".repeat(32))?;
+    let [callers, admin] = if serve { PORTS } else { [0, 0] };
     let zone = fleet::ZONES[0];
     let text = format!(
         "entry: {ENTRY}
 zone: {zone}
 listen:
-  callers: 127.0.0.1:{port}
+  callers: 127.0.0.1:{callers}
   peers: 127.0.0.1:0
-  admin: 127.0.0.1:0
+  admin: 127.0.0.1:{admin}
 platform:
   log: http://{log}
   instances: http://{list}/instances
 keys:
   peers: peers.key
+  admin_read: read.key
 balancer_grace: 50ms
 "
     );
@@ -257,11 +262,11 @@
     Ok(())
 }
 
-fn print_calls(callers: SocketAddr, log: SocketAddr) {
+fn print_calls(callers: SocketAddr) {
     let key = fleet::KEY;
     let curl = format!("curl -i http://{callers}");
     let bearer = format!("-H 'Authorization: Bearer {key}'");
-    println!("\nTry:");
+    println!("\nCalls to try, in another terminal:");
     println!(
         "  {curl}/v1/chat/completions {bearer} -d '{{\"model\": \"burn-notes\", \"messages\": [{{\"role\": \"user\", \"content\": \"Kiln 4\"}}], \"max_tokens\": 20, \"stream\": true}}'"
     );
@@ -270,5 +275,45 @@
         "  {curl}/services/seal/batches/17/seal {bearer} -H 'Idempotency-Key: {}' -d '{{}}'",
         Uuid::now_v7()
     );
-    println!("The log service is at http://{log}; Ctrl-C ends everything.");
+}
+
+/// Prints the operators' commands, with a settings file for those that ask the entries.
+fn print_commands(
+    entry: &process::Addresses,
+    list: SocketAddr,
+    log: SocketAddr,
+    ledger: Option<SocketAddr>,
+    folder: &Path,
+) -> Result<(), Failure> {
+    let port = entry.admin.port();
+    let text = format!("instances: http://{list}/instances\nadmin_port: {port}\nkey: read.key\n");
+    let operator = folder.join("operator.yaml");
+    fs::write(&operator, text)?;
+    let (operator, file) = (operator.display(), folder.join("configuration.yaml"));
+    let run = "cargo run -q --release -p camphorweir --";
+    let log = format!("--log http://{log} --author ada");
+    let key = Uuid::now_v7();
+    println!("\nOperators' commands to try:");
+    println!("  {run} status --operator {operator}");
+    println!("  {run} drain ledger-b {log}");
+    println!("  {run} undrain ledger-b {log}");
+    println!(
+        "  sed -i 's/max_tokens: 512/max_tokens: 256/' {}",
+        file.display()
+    );
+    println!("  {run} publish {} {log}", file.display());
+    println!("\nA seal whose answer is lost, and how to settle it:");
+    if let Some(ledger) = ledger {
+        println!("  curl -X PUT http://{ledger}/standin/faults -d '{{\"drop_after\": 1}}'");
+    }
+    let bearer = format!("-H 'Authorization: Bearer {}'", fleet::KEY);
+    let seal = format!(
+        "curl -i http://{}/services/seal/batches/18/seal",
+        entry.callers
+    );
+    println!("  {seal} {bearer} -H 'Idempotency-Key: {key}' -d '{{}}'");
+    println!("  {run} unresolved --operator {operator}");
+    println!("  {run} resolve {key} --ran yes {log}");
+    println!("\nCtrl-C ends everything.");
+    Ok(())
 }
