--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -14,7 +14,7 @@
         timer::Timer,
     },
     camphorweir_config::{
-        model::{Model, Pipeline, Repeat, Route, To, WorkspaceId},
+        model::{Model, Pipeline, Priority, Repeat, Route, To, WorkspaceId},
         view::View,
     },
     camphorweir_wire::{
@@ -75,6 +75,9 @@
         }
         debug_assert_eq!(route.repeat, Repeat::Idempotent);
         let head = self.head_of_stream(id, workspace, route, tokens);
+        if let Err(refusal) = self.check_suspect(head.fingerprint) {
+            return self.turn_away(id, refusal);
+        }
         let body = Body::Stream(stream(pipeline, model, tokens));
         self.enqueue(head, body);
     }
@@ -118,10 +121,15 @@
             positions: stream.tokens.len() as u32,
             tokens: stream.max_tokens - stream.delivered(),
             prefix: &stream.prefix,
+            resumed: stream.interrupted.is_some(),
             avoid: &stream.avoid,
         };
         match route::choose(&self.targets, &self.map, &want, now, &mut self.rng) {
             Ok(path) => {
+                let hops: Vec<Index> = path.hops().iter().map(|hop| hop.target).collect();
+                if self.keep_apart(id, &hops) {
+                    return Start::Over;
+                }
                 self.open(id, |attempt| Attempt::new(attempt, path));
                 Start::Over
             }
@@ -160,6 +168,13 @@
         };
         let attempt = attempt(request.head.next_attempt(self.now.mono));
         let prefix = &stream.prefix;
+        // Classes are told apart at admission. What has started goes on at one speed, since an
+        // engine that keeps some waiting wastes what it has done for them; only an interrupted
+        // answer, whose caller waits in the middle, catches up.
+        let priority = match stream.interrupted {
+            Some(_) => Priority::Urgent,
+            None => Priority::Normal,
+        };
         for hop in attempt.path.hops() {
             let target = self.targets.get_mut(hop.target);
             target.open += 1;
@@ -168,7 +183,7 @@
                 request: id,
                 attempt: attempt.id,
                 layers: hop.layers,
-                priority: request.head.priority,
+                priority,
                 prefix: prefix.clone(),
             };
             let order = Order::Open(open);
@@ -281,6 +296,7 @@
             positions: attempt.count(),
             tokens: 1,
             prefix: &[],
+            resumed: false,
             avoid: &[],
         };
         let cost = self
@@ -345,6 +361,7 @@
                 self.targets.get_mut(hop.target).health.succeed();
             }
             stream.attempt = Some(Any::Running(attempt));
+            self.suspects.clear(request.head.fingerprint);
             self.budget.earn();
             return self.end(id, None, end);
         }
@@ -451,6 +468,10 @@
         self.out
             .push(Action::Note(Note::Failed(id, attempt.id(), name, why)));
         self.abandon(id, &attempt);
+        let print = self.requests.get(&id).map(|one| one.head.fingerprint);
+        if let Some(Err(refusal)) = print.map(|print| self.check_suspect(print)) {
+            return self.give_up(id, refusal.code, &refusal.detail);
+        }
         if attempt.id() + 1 >= ATTEMPTS || !self.budget.spend() {
             return self.give_up(id, Code::RetriesSpent, "no retry is left");
         }
