List the requests in quarantine

Cause: the core quarantines a request, and operators could not see which. After: the status, /v1/quarantine, a gauge and 'camphorweir quarantine list' show fingerprint and crashes. Not there: a release, since the quarantine is in the entries' memory and not in the log.

--- a/camphorweir-entry/src/admin.rs
+++ b/camphorweir-entry/src/admin.rs
@@ -11,7 +11,7 @@
     camphorweir_wire::{
         code::Code,
         outcome::Refusal,
-        status::{CONFIGURATION, MEMBERS, STATUS, Status, TARGETS, UNRESOLVED},
+        status::{CONFIGURATION, MEMBERS, QUARANTINE, STATUS, Status, TARGETS, UNRESOLVED},
     },
     http_body_util::Full,
     hyper::{
@@ -31,7 +31,14 @@
 /// The paths that are answered without a key.
 pub const OPEN: [&str; 3] = ["/healthz", "/readyz", "/metrics"];
 /// The paths that are answered with the key for reading.
-pub const READ: [&str; 5] = [STATUS, TARGETS, MEMBERS, UNRESOLVED, CONFIGURATION];
+pub const READ: [&str; 6] = [
+    STATUS,
+    TARGETS,
+    MEMBERS,
+    UNRESOLVED,
+    QUARANTINE,
+    CONFIGURATION,
+];
 
 /// What operators are answered from.
 #[derive(Clone, Debug)]
@@ -128,6 +135,7 @@
     match path {
         TARGETS => json(&status.targets),
         MEMBERS => json(&status.members),
+        QUARANTINE => json(&status.quarantined),
         CONFIGURATION => json(&status.configuration),
         _ => json(status),
     }
--- a/camphorweir-entry/src/gauges.rs
+++ b/camphorweir-entry/src/gauges.rs
@@ -17,6 +17,7 @@
     in_flight: Gauge<u64>,
     open_claims: Gauge<u64>,
     unresolved: Gauge<u64>,
+    quarantined: Gauge<u64>,
     log_reachable: Gauge<u64>,
     version: Gauge<u64>,
 }
@@ -39,6 +40,7 @@
                 "camphorweir.unresolved",
                 "Keys of all entries whose outcome nobody knows",
             ),
+            quarantined: gauge("camphorweir.quarantined", "Requests in quarantine"),
             log_reachable: gauge("camphorweir.log_reachable", "1 when the log is reachable"),
             version: gauge("camphorweir.configuration", "The version in force"),
         }
@@ -59,6 +61,8 @@
         self.in_flight.record(status.in_flight, &[]);
         self.open_claims.record(status.open_claims, &[]);
         self.unresolved.record(status.unresolved, &[]);
+        self.quarantined
+            .record(status.quarantined.len() as u64, &[]);
         self.log_reachable
             .record(u64::from(status.log.reachable), &[]);
         if let Some(version) = status.configuration.version {
--- a/camphorweir-policy/src/status.rs
+++ b/camphorweir-policy/src/status.rs
@@ -11,7 +11,10 @@
     camphorweir_config::model::{Priority, Serves},
     camphorweir_wire::{
         ids::EntryId,
-        status::{self, Claim, Configuration, Member, MemberState, Queue, Status, TargetState},
+        status::{
+            self, Claim, Configuration, Member, MemberState, Quarantined, Queue, Status,
+            TargetState,
+        },
     },
     std::time::Duration,
     uuid::Uuid,
@@ -48,7 +51,7 @@
             in_flight: self.requests.len() as u64,
             unresolved: unresolved.count() as u64,
             open_claims: open.len() as u64,
-            quarantined: 0,
+            quarantined: self.quarantined(),
         }
     }
 
@@ -84,6 +87,17 @@
         }
     }
 
+    fn quarantined(&self) -> Vec<Quarantined> {
+        let quarantined = self.suspects.quarantined();
+        let shown = quarantined
+            .into_iter()
+            .map(|(fingerprint, crashes)| Quarantined {
+                fingerprint: format!("{fingerprint:016x}"),
+                crashes,
+            });
+        shown.collect()
+    }
+
     fn configuration(&self) -> Configuration {
         Configuration {
             version: self.version(),
--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -69,6 +69,14 @@
         told.fold(own, |sum, told| sum.saturating_add(told.crashes))
     }
 
+    /// The requests in quarantine and the crashes counted for each, by fingerprint.
+    pub(crate) fn quarantined(&self) -> BTreeMap<u64, u32> {
+        let told = self.peers.values().flatten().map(|told| told.fingerprint);
+        let all = self.own.keys().copied().chain(told);
+        let counted = all.map(|fingerprint| (fingerprint, self.crashes(fingerprint)));
+        counted.filter(|(_, crashes)| *crashes >= LIMIT).collect()
+    }
+
     /// Whether a peer runs a suspect now.
     fn runs_elsewhere(&self, fingerprint: u64) -> bool {
         let mut told = self.peers.values().flatten();
--- a/camphorweir-standin/tests/operators.rs
+++ b/camphorweir-standin/tests/operators.rs
@@ -172,7 +172,10 @@
     async fn ask(&self, command: &str, more: &[&str]) -> Report {
         let key = self.folder.join("read.key").display().to_string();
         let admin = self.entry.admin.to_string();
-        let all = [command, "--entry", &admin, "--key", &key];
+        let mut all = vec![command];
+        // The quarantine has commands of its own.
+        all.extend((command == "quarantine").then_some("list"));
+        all.extend(["--entry", &admin, "--key", &key]);
         let words = all.iter().chain(more).map(|word| (*word).to_owned());
         self.run(words.collect()).await
     }
@@ -269,6 +272,12 @@
         assert_eq!(count(name, label), expected, "{name} {label}: {text}");
     }
 
+    let report = world.ask("quarantine", &[]).await;
+    assert_eq!(
+        (report.exit, &*report.text),
+        (Exit::Done, "nothing is in quarantine")
+    );
+
     // A drained target gets no new work, until it is given back.
     let report = world.on_log(&["drain", "ledger-a"]).await;
     assert_eq!(report.text, "accepted version 2");
--- a/camphorweir-wire/src/status.rs
+++ b/camphorweir-wire/src/status.rs
@@ -14,6 +14,8 @@
 pub const MEMBERS: &str = "/v1/members";
 /// Where it answers with the list of [`Claim`] whose outcome nobody knows.
 pub const UNRESOLVED: &str = "/v1/unresolved";
+/// Where it answers with the list of [`Quarantined`].
+pub const QUARANTINE: &str = "/v1/quarantine";
 /// Where it answers with the [`Configuration`] in force.
 pub const CONFIGURATION: &str = "/v1/configuration";
 
@@ -47,7 +49,7 @@
     /// Those of them whose outcome nobody knows; operators settle them.
     pub unresolved: u64,
     /// Requests in quarantine.
-    pub quarantined: u64,
+    pub quarantined: Vec<Quarantined>,
 }
 
 /// The configuration in force at an entry.
@@ -189,3 +191,12 @@
     /// Why its outcome is not known, for a person.
     pub why: String,
 }
+
+/// A request that is refused since requests like it have crashed targets.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Quarantined {
+    /// Hash over workspace and request, 16 hexadecimal digits.
+    pub fingerprint: String,
+    /// Crashes that are known here.
+    pub crashes: u32,
+}
--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -94,6 +94,14 @@
     /// Example: camphorweir publish pine-hollow.yaml --log http://10.0.0.5:7000 --author ada
     #[bpaf(command)]
     Publish(#[bpaf(external(publish))] Publish),
+    /// Shows the requests that are refused since requests like them have crashed targets
+    ///
+    ///
+    ///
+    ///
+    /// Example: camphorweir quarantine list --operator operator.yaml
+    #[bpaf(command)]
+    Quarantine(#[bpaf(external(quarantine))] Quarantine),
     /// Settles a never-repeat key whose outcome nobody knows
     ///
     ///
@@ -127,6 +135,15 @@
     Unresolved(#[bpaf(external(ask))] Ask),
 }
 
+/// What to do about the quarantine.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub enum Quarantine {
+    /// Lists the requests in quarantine
+    #[bpaf(command)]
+    List(#[bpaf(external(ask))] Ask),
+}
+
 /// Which entries to ask, and how.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(ignore_rustdoc)]
--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -19,6 +19,7 @@
 mod file;
 pub mod log;
 mod publish;
+mod quarantine;
 mod reader;
 pub mod report;
 mod resolve;
@@ -26,7 +27,10 @@
 mod status;
 mod unresolved;
 
-use {args::Command, report::Report};
+use {
+    args::{Command, Quarantine},
+    report::Report,
+};
 
 /// Carries out a command.
 pub fn run(command: Command) -> Report {
@@ -38,6 +42,7 @@
         Command::Explain { json, code, .. } => explain::explain(code, json),
         Command::Print { file } => file::print(&file),
         Command::Publish(options) => publish::publish(&options),
+        Command::Quarantine(Quarantine::List(options)) => quarantine::list(&options),
         Command::Resolve(options) => resolve::resolve(&options),
         Command::Status(options) => status::status(&options),
         Command::Undrain(options) => drain::set(&options, false),
--- a/camphorweir/src/status.rs
+++ b/camphorweir/src/status.rs
@@ -76,7 +76,10 @@
     }
     lines.push(format!(
         "  claims: {} open, {} unresolved; {} quarantined; {} records wait for the log",
-        status.open_claims, status.unresolved, status.quarantined, status.log.waiting,
+        status.open_claims,
+        status.unresolved,
+        status.quarantined.len(),
+        status.log.waiting,
     ));
     let queues = status.queues.iter();
     let queues = queues.map(|queue| format!("{:?} {}", queue.class, queue.waiting));
