Measure the entry as a process of its own

Cause: what a request, a token hop and control cost was not known. Ruled out: wall-clock figures, since other work runs on the same machine.

--- /dev/null
+++ b/camphorweir-entry/benches/entry/memory.rs
@@ -0,0 +1,100 @@
+//! Resident memory of an entry with the configuration of two years from now.
+
+use {
+    crate::{
+        Failure,
+        fleet::{self, STAGES},
+        print,
+        process::{Entry, Folder},
+        serve,
+    },
+    camphorweir_standin::{engine, list, log},
+    std::{net::TcpListener, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Workspaces of the configuration.
+const WORKSPACES: usize = 13_000;
+/// Targets of the configuration.
+const TARGETS: usize = 2200;
+/// Models of the configuration.
+const MODELS: usize = 4;
+/// Targets that cover every stage of every model once.
+const FEW: usize = MODELS * STAGES as usize;
+/// Time for an entry to take the configuration in and to try its links.
+const SETTLE: Duration = Duration::from_secs(10);
+/// Bytes of a megabyte.
+const MB: f64 = 1e6;
+
+/// Measures and prints.
+pub(crate) async fn run() -> Result<(), Failure> {
+    let closed = closed()?;
+    let empty = resident(0, FEW, [closed; STAGES as usize]).await?;
+    print("entry.control.memory.empty", empty / MB, "MB", "-");
+    let some = resident(WORKSPACES, FEW, [closed; STAGES as usize]).await?;
+    print("entry.control.memory.workspaces", some / MB, "MB", "-");
+    let unlinked = resident(WORKSPACES, TARGETS, [closed; STAGES as usize]).await?;
+    print("entry.control.memory.unlinked", unlinked / MB, "MB", "<64");
+    let mut engines: Vec<engine::Handle> = Vec::new();
+    for number in 0..STAGES {
+        engines.push(fleet::engine("model-0", fleet::stage(number, STAGES), false).await?);
+    }
+    let ports = [0, 1, 2].map(|number: usize| engines[number].address().port());
+    let linked = resident(WORKSPACES, TARGETS, ports).await?;
+    print("entry.control.memory", linked / MB, "MB", "<64");
+    Ok(())
+}
+
+/// A port at which nobody listens.
+fn closed() -> Result<u16, Failure> {
+    Ok(TcpListener::bind(fleet::any_port())?.local_addr()?.port())
+}
+
+/// Resident bytes with this configuration; the engines of a stage share its port.
+async fn resident(
+    workspaces: usize,
+    targets: usize,
+    ports: [u16; STAGES as usize],
+) -> Result<f64, Failure> {
+    let log = log::spawn(log::Settings::new(fleet::any_port())).await?;
+    let list = list::spawn(list::Settings {
+        address: fleet::any_port(),
+        lag_ms: 0,
+        instances: Vec::new(),
+    })
+    .await?;
+    let mut document = fleet::document();
+    for number in 0..MODELS {
+        fleet::add_pipeline(&mut document, &format!("model-{number}"));
+    }
+    for number in 0..targets {
+        let stage = number % ports.len();
+        let layers = fleet::stage(stage as u32, STAGES);
+        let model = format!("model-{}", number % MODELS);
+        let name = format!("target-{number:04}");
+        fleet::add_engine(
+            &mut document,
+            name,
+            &model,
+            layers,
+            fleet::alias(number, ports[stage]),
+        );
+    }
+    for number in 0..workspaces {
+        let name = format!("workspace-{number:05}");
+        fleet::add_workspace(&mut document, name.clone(), &name);
+    }
+    fleet::publish(&log, &document)?;
+    let folder = Folder::new("memory")?;
+    let entry = Entry::start(
+        &folder,
+        "entry-1",
+        fleet::ZONE,
+        log.address(),
+        list.address(),
+    )
+    .await?;
+    serve::ready(entry.callers).await?;
+    sleep(SETTLE).await;
+    entry.memory()
+}
