Hand orders, replies and parts over in batches

Cause: the writer of a connection woke at the first order and wrote a frame for a few; each reply and each order took a place in its channel by itself; each part of a stream was built as a tree before it was written. Change: the driver keeps the orders of a batch of inputs and hands each connection's over together; a connection passes all replies of a frame on at once; a frame is written in one buffer; a part is written without a tree.

--- a/camphorweir-entry/src/driver.rs
+++ b/camphorweir-entry/src/driver.rs
@@ -62,6 +62,32 @@
     _task: Task,
     /// Takes orders while the connection is up.
     orders: Option<mpsc::Sender<Order>>,
+    /// Orders of this batch of inputs for this connection; handed over together, so that they travel
+    /// in few frames.
+    waiting: Vec<Order>,
+}
+
+impl Link {
+    /// The connection is lost, and what waits for it with it.
+    fn down(&mut self) {
+        self.orders = None;
+        self.waiting.clear();
+    }
+
+    /// Hands over what waits; a connection that can't keep up is started again.
+    fn flush(&mut self) {
+        let Some(orders) = self.orders.take() else {
+            return;
+        };
+        // Dropping the channel makes the connection's task report it lost and try again.
+        let Ok(slots) = orders.try_reserve_many(self.waiting.len()) else {
+            return self.waiting.clear();
+        };
+        slots
+            .zip(self.waiting.drain(..))
+            .for_each(|(slot, order)| slot.send(order));
+        self.orders = Some(orders);
+    }
 }
 
 /// What the driver reaches the world through.
@@ -117,6 +143,8 @@
     exchanges: HashMap<(RequestId, AttemptId), Task>,
     /// Events that carrying out an action gave.
     next: VecDeque<Event>,
+    /// Engines for which orders wait.
+    ordered: Vec<TargetId>,
 }
 
 impl<D: Decide> Driver<D> {
@@ -133,6 +161,7 @@
             tails: HashMap::new(),
             exchanges: HashMap::new(),
             next: VecDeque::new(),
+            ordered: Vec::new(),
         }
     }
 
@@ -140,6 +169,7 @@
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
         let actions = self.core.start(self.outside.clock.now());
         self.carry_out(actions);
+        self.flush();
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(BATCH);
@@ -153,6 +183,16 @@
                     batch.drain(..).for_each(|input| self.take(input));
                 }
             }
+            self.flush();
+        }
+    }
+
+    /// Hands the orders of this batch over, each connection's together.
+    fn flush(&mut self) {
+        for target in self.ordered.drain(..) {
+            if let Some(link) = self.links.get_mut(&target) {
+                link.flush();
+            }
         }
     }
 
@@ -184,14 +224,17 @@
         if let Event::Unlinked(target) = &event
             && let Some(link) = self.links.get_mut(target)
         {
-            link.orders = None;
+            link.down();
         }
         self.handle(event);
     }
 
     fn take_up(&mut self, up: Up) {
         match self.links.get_mut(&up.target) {
-            Some(link) if link.life == up.generation => link.orders = Some(up.orders),
+            Some(link) if link.life == up.generation => {
+                link.down();
+                link.orders = Some(up.orders);
+            }
             _ => return,
         }
         self.handle(Event::Linked(up.target, up.hello));
@@ -236,7 +279,7 @@
         match action {
             Action::Link(target, address) => self.link(target, address),
             Action::Unlink(target) => drop(self.links.remove(&target)),
-            Action::Order(target, order) => self.order(&target, order),
+            Action::Order(target, order) => self.order(target, order),
             Action::Forward(forward) => self.forward(forward),
             Action::Abandon(request, attempt) => {
                 drop(self.exchanges.remove(&(request, attempt)));
@@ -263,20 +306,22 @@
                 life,
                 _task: task,
                 orders: None,
+                waiting: Vec::new(),
             },
         );
     }
 
-    /// An order for a connection that is down is dropped; one that can't keep up is started again.
-    fn order(&mut self, target: &TargetId, order: Order) {
-        let Some(link) = self.links.get_mut(target) else {
+    /// An order for a connection that is down is dropped.
+    fn order(&mut self, target: TargetId, order: Order) {
+        let Some(link) = self.links.get_mut(&target) else {
             return;
         };
-        if let Some(orders) = &link.orders
-            && orders.try_send(order).is_err()
-        {
-            // Dropping the channel makes the connection's task report it lost and try again.
-            link.orders = None;
+        if link.orders.is_none() {
+            return;
+        }
+        link.waiting.push(order);
+        if link.waiting.len() == 1 {
+            self.ordered.push(target);
         }
     }
 
--- a/camphorweir-entry/src/link.rs
+++ b/camphorweir-entry/src/link.rs
@@ -23,7 +23,10 @@
     },
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     snafu::Snafu,
-    std::{collections::VecDeque, time::Duration},
+    std::{
+        collections::{VecDeque, vec_deque},
+        time::Duration,
+    },
     tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::timeout},
 };
 
@@ -35,6 +38,8 @@
 const ORDERS: usize = 16_384;
 /// Orders in one frame.
 const BATCH: usize = 512;
+/// Orders for which a connection keeps room between two frames.
+const KEPT: usize = 16;
 /// Frames that wait to be written.
 const FRAMES: usize = 4;
 /// Time between two pings, and how long an answer to one may take.
@@ -167,7 +172,7 @@
 
 /// Writes orders, all that wait in one frame.
 async fn write(frames: &mut Sender<Bytes>, mut queue: mpsc::Receiver<Order>) -> Result<(), Error> {
-    let mut items = Vec::with_capacity(BATCH);
+    let mut items = Vec::new();
     loop {
         if queue.recv_many(&mut items, BATCH).await == 0 {
             return Err(Error::Gone);
@@ -176,13 +181,14 @@
             format: FORMAT,
             items: std::mem::take(&mut items),
         };
-        let body = codec::encode(&frame);
-        let length = u32::try_from(body.len()).map_err(failed)?;
-        let mut bytes = BytesMut::with_capacity(HEAD + body.len());
-        bytes.extend_from_slice(&length.to_be_bytes());
-        bytes.extend_from_slice(&body);
+        let bytes = codec::framed(&frame).ok_or(Error::Protocol {
+            what: "the orders do not fit a frame",
+        })?;
+        items = frame.items;
+        items.clear();
+        items.shrink_to(KEPT);
         frames
-            .send_data(bytes.freeze())
+            .send_data(bytes.into())
             .await
             .map_err(|_| Error::Ended)?;
     }
@@ -195,10 +201,9 @@
     target: &TargetId,
 ) -> Result<(), Error> {
     loop {
-        let event = Event::Engine(target.clone(), replies.next().await?);
-        port.send(Input::Live(life, event))
-            .await
-            .map_err(|_| Error::Gone)?;
+        let replies = replies.next_all().await?;
+        let events = replies.map(|reply| Input::Live(life, Event::Engine(target.clone(), reply)));
+        port.send_all(events).await.map_err(|_| Error::Gone)?;
     }
 }
 
@@ -219,10 +224,19 @@
     }
 
     async fn next(&mut self) -> Result<Reply, Error> {
-        loop {
-            if let Some(reply) = self.ready.pop_front() {
-                return Ok(reply);
-            }
+        self.fill().await?;
+        self.ready.pop_front().ok_or(Error::Ended)
+    }
+
+    /// All replies that are there, at least one.
+    async fn next_all(&mut self) -> Result<vec_deque::Drain<'_, Reply>, Error> {
+        self.fill().await?;
+        Ok(self.ready.drain(..))
+    }
+
+    /// Waits until a reply is there.
+    async fn fill(&mut self) -> Result<(), Error> {
+        while self.ready.is_empty() {
             if let Some(frame) = take_frame(&mut self.buffer)? {
                 self.ready.extend(frame.items);
                 continue;
@@ -237,6 +251,7 @@
                 self.buffer.extend_from_slice(&data);
             }
         }
+        Ok(())
     }
 }
 
--- a/camphorweir-entry/src/openai.rs
+++ b/camphorweir-entry/src/openai.rs
@@ -11,8 +11,9 @@
         ids::{RequestId, Token},
         outcome::Ran,
     },
-    serde::Deserialize,
+    serde::{Deserialize, Serialize},
     serde_json::{Value, json},
+    std::fmt,
 };
 
 /// Longest answer where the request names none, in tokens.
@@ -176,6 +177,33 @@
     text::tokens(&prompt)
 }
 
+/// A part of a streamed answer; written for every token, so without a tree in between.
+#[derive(Serialize)]
+struct PartObject<'a> {
+    id: fmt::Arguments<'a>,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [PartChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct PartChoice<'a> {
+    index: u32,
+    token_ids: &'a [Token],
+    finish_reason: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
 /// What every part of one answer has in common.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -206,35 +234,53 @@
         answer
     }
 
-    /// A part of a streamed answer.
-    pub fn part(&self, text: &str, tokens: &[Token]) -> Value {
-        let choice = self.part_choice(text, tokens, Value::Null);
-        self.object(choice, true)
+    /// A part of a streamed answer, as JSON.
+    pub fn part(&self, text: &str, tokens: &[Token]) -> String {
+        let choice = PartChoice {
+            index: 0,
+            token_ids: tokens,
+            finish_reason: None,
+            text: (self.style == Style::Text).then_some(text),
+            delta: (self.style == Style::Chat).then_some(Delta {
+                role: Role::Assistant.as_str(),
+                content: text,
+            }),
+        };
+        let (prefix, object) = self.kind(true);
+        let part = PartObject {
+            id: format_args!("{prefix}-{:016x}", self.request),
+            object,
+            created: self.created,
+            model: &self.model,
+            choices: [choice],
+        };
+        // Strings and numbers can always be written.
+        serde_json::to_string(&part).unwrap_or_default()
     }
 
     /// The last part of a streamed answer that is whole.
     pub fn last(&self, text: &str, end: Finished) -> Value {
-        let choice = self.part_choice(text, &[], json!(reason(end)));
-        let mut answer = self.object(choice, true);
-        finish(&mut answer, end);
-        answer
-    }
-
-    fn part_choice(&self, text: &str, tokens: &[Token], reason: Value) -> Value {
-        let mut choice = json!({ "index": 0, "token_ids": tokens, "finish_reason": reason });
+        let mut choice = json!({ "index": 0, "token_ids": [], "finish_reason": reason(end) });
         match self.style {
             Style::Text => choice["text"] = json!(text),
             Style::Chat => choice["delta"] = json!({ "role": "assistant", "content": text }),
         }
-        choice
+        let mut answer = self.object(choice, true);
+        finish(&mut answer, end);
+        answer
     }
 
-    fn object(&self, choice: Value, part: bool) -> Value {
-        let (prefix, kind) = match (self.style, part) {
+    /// The start of an answer's id and the kind of object.
+    fn kind(&self, part: bool) -> (&'static str, &'static str) {
+        match (self.style, part) {
             (Style::Text, _) => ("cmpl", "text_completion"),
             (Style::Chat, false) => ("chatcmpl", "chat.completion"),
             (Style::Chat, true) => ("chatcmpl", "chat.completion.chunk"),
-        };
+        }
+    }
+
+    fn object(&self, choice: Value, part: bool) -> Value {
+        let (prefix, kind) = self.kind(part);
         json!({
             "id": format!("{prefix}-{}", refuse::show(self.request)),
             "object": kind,
--- a/camphorweir-entry/src/port.rs
+++ b/camphorweir-entry/src/port.rs
@@ -113,6 +113,25 @@
         self.0.send(input).await.map_err(|_| Closed)
     }
 
+    /// Tells the core several things, waiting for room for all of them at once.
+    ///
+    /// # Errors
+    ///
+    /// [`Closed`] when the core's task is gone.
+    pub async fn send_all(
+        &self,
+        mut inputs: impl ExactSizeIterator<Item = Input>,
+    ) -> Result<(), Closed> {
+        while inputs.len() > 0 {
+            let count = inputs.len().min(INPUTS);
+            let slots = self.0.reserve_many(count).await.map_err(|_| Closed)?;
+            slots
+                .zip(&mut inputs)
+                .for_each(|(slot, input)| slot.send(input));
+        }
+        Ok(())
+    }
+
     /// Tells the core an event.
     ///
     /// # Errors
