--- a/camphorweir-policy/src/health.rs
+++ b/camphorweir-policy/src/health.rs
@@ -46,11 +46,21 @@
         self.strikes = 0;
     }
 
+    /// Whether it has not answered anything since its last ejection.
+    pub fn on_trial(&self) -> bool {
+        self.strikes > 0
+    }
+
     /// Whether it may get new work.
     pub fn fit(&self, now: Duration) -> bool {
         now >= self.until
     }
 
+    /// Time until it may get new work again.
+    pub fn back_in(&self, now: Duration) -> Duration {
+        self.until.saturating_sub(now)
+    }
+
     /// The share of its full work that it may get now, above 0 and at most 1.
     pub fn share(&self, now: Duration) -> f64 {
         let Some(since) = self.since else {
--- a/camphorweir-policy/tests/always/main.rs
+++ b/camphorweir-policy/tests/always/main.rs
@@ -2,5 +2,8 @@
 
 mod fuzz;
 mod moves;
+mod orders;
+mod regressions;
+mod scenario;
 mod thin;
 mod world;
--- a/camphorweir-policy/tests/always/moves.rs
+++ b/camphorweir-policy/tests/always/moves.rs
@@ -1,7 +1,7 @@
 //! What may happen at any moment: requests, faults, operators, and time passing.
 
 use {
-    crate::world::{World, ZONES, service::Mood},
+    crate::world::{World, ZONES, engine::POISON, service::Mood},
     camphorweir_config::{model::Service, record::Edit},
     camphorweir_policy::event::Event,
     camphorweir_wire::engine::Reply,
@@ -24,6 +24,8 @@
         length: u32,
         count: u32,
     },
+    /// A caller sends a prompt that crashes every engine that computes it.
+    Poison { entry: usize, which: u32 },
     /// A caller makes an idempotent call.
     Lookup { entry: usize },
     /// A caller makes a never-repeat call under a new key.
@@ -82,6 +84,10 @@
     Publish { racing: bool },
     /// A checkpoint of some earlier version lands late.
     StaleCheckpoint,
+    /// Two operators settle a key that is listed as unresolved, by what the services saw.
+    Resolve { key: usize },
+    /// Answers to steps come with forged ones, or no longer do.
+    Noise { on: bool },
 }
 
 /// Every move, requests and time more often than faults.
@@ -99,6 +105,7 @@
     let requests = prop_oneof![
         3 => (entry.clone(), 0..4_u32, 1..60_u32, 1..30_u32)
             .prop_map(|(entry, stem, length, count)| Move::Prompt { entry, stem, length, count }),
+        1 => (entry.clone(), 0..2_u32).prop_map(|(entry, which)| Move::Poison { entry, which }),
         1 => entry.clone().prop_map(|entry| Move::Lookup { entry }),
         2 => entry.clone().prop_map(|entry| Move::Seal { entry }),
         3 => (entry.clone(), 0..8_usize, prop::bool::weighted(0.1))
@@ -138,6 +145,8 @@
         1 => any::<bool>().prop_map(|down| Move::List { down }),
         1 => any::<bool>().prop_map(|racing| Move::Publish { racing }),
         1 => Just(Move::StaleCheckpoint),
+        1 => (0..8_usize).prop_map(|key| Move::Resolve { key }),
+        1 => any::<bool>().prop_map(|on| Move::Noise { on }),
     ];
     prop_oneof![
         5 => requests,
@@ -155,12 +164,26 @@
     /// A checkpoint of an earlier version.
     stale: Option<Vec<u8>>,
     published: u64,
+    /// Faults that keep entries from telling each other of a crash.
+    pub(crate) silenced: u32,
 }
 
 /// Makes a move; one that has no object does nothing.
 pub(crate) fn make(world: &mut World, past: &mut Past, one: &Move) {
+    let silences = matches!(
+        one,
+        Move::Restart { .. }
+            | Move::Freeze { .. }
+            | Move::Stop { .. }
+            | Move::Cut { cut: true, .. }
+    );
+    past.silenced += u32::from(silences);
     match one {
-        Move::Prompt { .. } | Move::Lookup { .. } | Move::Seal { .. } | Move::SealAgain { .. } => {
+        Move::Prompt { .. }
+        | Move::Poison { .. }
+        | Move::Lookup { .. }
+        | Move::Seal { .. }
+        | Move::SealAgain { .. } => {
             ask(world, past, one);
         }
         Move::Hangup { call } => hang_up(world, *call),
@@ -171,7 +194,7 @@
         | Move::Stop { .. }
         | Move::Jump { .. } => disturb_entry(world, one),
         Move::KillEngine { engine } => world.kill_engine(ENGINES[*engine]),
-        Move::RestartEngine { engine } => restart_engine(world, ENGINES[*engine]),
+        Move::RestartEngine { engine } => world.restart_engine(ENGINES[*engine]),
         Move::FreezeEngine { engine, frozen } => {
             engine_of(world, ENGINES[*engine]).frozen = *frozen;
         }
@@ -201,12 +224,15 @@
         Move::List { down } => world.list_down = *down,
         Move::Publish { racing } => publish(world, past, *racing),
         Move::StaleCheckpoint => stale_checkpoint(world, past),
+        Move::Resolve { key } => resolve(world, past, *key),
+        Move::Noise { on } => world.noise = *on,
     }
 }
 
 fn ask(world: &mut World, past: &mut Past, one: &Move) {
     let entry = match one {
         Move::Prompt { entry, .. }
+        | Move::Poison { entry, .. }
         | Move::Lookup { entry }
         | Move::Seal { entry }
         | Move::SealAgain { entry, .. } => *entry,
@@ -225,6 +251,9 @@
             let prompt = (0..*length).map(|place| stem * 7 + place % 11).collect();
             world.prompt(entry, prompt, *count);
         }
+        Move::Poison { which, .. } => {
+            world.prompt(entry, vec![POISON, *which], 4);
+        }
         Move::Seal { .. } => {
             let key = world.new_key();
             let print = past.keys.len() as u64;
@@ -277,15 +306,6 @@
         .expect("a known server")
 }
 
-fn restart_engine(world: &mut World, id: &str) {
-    world.kill_engine(id);
-    world.run(Duration::from_millis(2));
-    engine_of(world, id).restart();
-    world.leaving_since.remove(id);
-    world.listed_leaving.remove(id);
-    world.relink(id);
-}
-
 fn leave(world: &mut World, target: usize, listed: bool) {
     let id = match ENGINES.get(target) {
         Some(id) => *id,
@@ -336,12 +356,31 @@
     }
 }
 
+/// Settles a key as an operator does, who asks the service what it ran.
+fn resolve(world: &mut World, past: &Past, key: usize) {
+    if past.keys.is_empty() {
+        return;
+    }
+    let (id, _) = past.keys[past.keys.len() - 1 - key % past.keys.len()];
+    let listed = world.entries.iter().any(|entry| {
+        let unresolved = entry.core.unresolved();
+        entry.alive
+            && unresolved
+                .iter()
+                .any(|one| one.key.id == id && one.live.unknown)
+    });
+    if listed {
+        world.resolve(id);
+    }
+}
+
 /// Ends every fault.
 pub(crate) fn heal(world: &mut World) {
     world.log.down = false;
     world.log.lose_answers = 0;
     world.log.make_late = None;
     world.list_down = false;
+    world.noise = false;
     world.listed_leaving.clear();
     for zone in ZONES {
         world.mend_zone(zone);
@@ -353,7 +392,7 @@
         service.mood = Mood::Well;
     }
     for id in ENGINES {
-        restart_engine(world, id);
+        world.restart_engine(id);
     }
     for entry in 0..world.entries.len() {
         world.entries[entry].skew = Duration::ZERO;
--- a/camphorweir-policy/tests/always/world/engine.rs
+++ b/camphorweir-policy/tests/always/world/engine.rs
@@ -3,7 +3,7 @@
 use {
     camphorweir_wire::{
         engine::{
-            BLOCK, Done, Hello, Holds, Layers, Open, Opened, Order, Refused, Reply, Step, Why,
+            BLOCK, Done, Hello, Hold, Holds, Layers, Open, Opened, Order, Refused, Reply, Step, Why,
         },
         ids::{AttemptId, RequestId, Token},
     },
@@ -49,6 +49,34 @@
     x
 }
 
+/// Answers that fit a step in shape and are wrong: another attempt's, request's, position's or
+/// range's.
+pub(crate) fn forge(step: &Step, model_layers: u32) -> Vec<Reply> {
+    let last = step.layers.end == model_layers;
+    let garbage = Done {
+        request: step.request,
+        attempt: step.attempt,
+        position: step.position,
+        layers: step.layers,
+        output: if last {
+            Vec::new()
+        } else {
+            vec![7; step.input.len()]
+        },
+        token: last.then_some(7),
+    };
+    let mut forged = vec![garbage; 5];
+    forged[0].attempt += 1;
+    forged[1].attempt = step.attempt.wrapping_sub(1);
+    forged[2].request += 1_000_000;
+    forged[3].position += 1;
+    forged[4].layers.end += 1;
+    forged.into_iter().map(Reply::Done).collect()
+}
+
+/// The first token of prompts that crash every engine that computes them.
+pub(crate) const POISON: Token = 99_999;
+
 struct Attempt {
     layers: Layers,
     prefix: Vec<u64>,
@@ -62,6 +90,9 @@
     pub(crate) layers: Layers,
     pub(crate) model_layers: u32,
     pub(crate) incarnation: u64,
+    pub(crate) fence: u64,
+    /// Orders that came with an older fencing number than one seen.
+    pub(crate) stale_orders: u32,
     pub(crate) up: bool,
     pub(crate) frozen: bool,
     pub(crate) leaving: bool,
@@ -81,12 +112,14 @@
             layers,
             model_layers,
             incarnation: 1,
+            fence: 0,
+            stale_orders: 0,
             up: true,
             frozen: false,
             leaving: false,
             drop_answers: 0,
             double_answers: 0,
-            poison: None,
+            poison: Some(POISON),
             attempts: HashMap::new(),
             cache: HashMap::new(),
         }
@@ -105,19 +138,14 @@
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             incarnation: self.incarnation,
-            holds: Holds {
-                model: "m".to_owned(),
-                layers: self.layers,
-                fence: 0,
-                loading: false,
-            },
+            holds: self.holds(),
             kind: "k".to_owned(),
         }
     }
 
     /// Attempts that are open, for telling that none is left behind.
     pub(crate) fn open(&self) -> usize {
-        self.attempts.len()
+        if self.up { self.attempts.len() } else { 0 }
     }
 
     /// Forgets the attempts of an entry whose connection is lost.
@@ -133,7 +161,27 @@
                 self.attempts.remove(&(entry, request, attempt));
                 Vec::new()
             }
-            Order::Hold(_) => Vec::new(),
+            Order::Hold(hold) => self.hold(&hold),
+        }
+    }
+
+    /// Loads at once; an order with an older fencing number than one seen is refused.
+    fn hold(&mut self, hold: &Hold) -> Vec<Reply> {
+        if hold.fence < self.fence {
+            self.stale_orders += 1;
+        } else {
+            self.fence = hold.fence;
+            self.layers = hold.layers;
+        }
+        vec![Reply::Holds(self.holds())]
+    }
+
+    fn holds(&self) -> Holds {
+        Holds {
+            model: "m".to_owned(),
+            layers: self.layers,
+            fence: self.fence,
+            loading: false,
         }
     }
 
