--- a/camphorweir-policy/src/duty.rs
+++ b/camphorweir-policy/src/duty.rs
@@ -33,6 +33,8 @@
     pub(crate) heard: Option<Duration>,
     /// The offset that a new reader must find, and when its record landed by the log's clock.
     anchor: Option<(Offset, Duration)>,
+    /// When the readers of the configuration stream are chosen again; linear in the peers.
+    choose: Duration,
     /// When the next look is due.
     look: Duration,
     /// When the configuration was last asked of a peer.
@@ -58,7 +60,10 @@
 impl Core {
     /// Does what is due.
     pub(crate) fn do_duties(&mut self) {
-        self.choose_readers();
+        if self.now.mono >= self.duty.choose {
+            self.duty.choose = self.now.mono + HEARTBEAT;
+            self.choose_readers();
+        }
         if self.now.mono < self.duty.look {
             return;
         }
@@ -70,18 +75,18 @@
         }
     }
 
-    /// When this entry renews a record that landed then; the first in rank is the first.
-    fn renewal(&self, landed: Duration, stream: &str) -> Duration {
+    /// The age at which this entry renews a record of a stream; the first in rank is the first.
+    fn renewal(&self, stream: &str) -> Duration {
         let own = &self.setup.entry;
         let rank = self.members.rank(own, None, stream, self.now.mono);
-        landed + RENEW + RANK_WAIT * rank as u32
+        RENEW + RANK_WAIT * rank as u32
     }
 
     fn renew_configuration(&mut self) {
         let Some((_, landed)) = self.duty.anchor else {
             return;
         };
-        if self.now.wall < self.renewal(landed, record::STREAM) {
+        if self.now.wall < landed + self.renewal(record::STREAM) {
             return;
         }
         if let Some(bytes) = self.checkpoint() {
@@ -92,9 +97,10 @@
     /// Appends starts without an outcome again, so that no reader loses them.
     fn renew_claims(&mut self, number: u32) {
         let stream = claim::stream(number);
+        let age = self.renewal(&stream);
         let unresolved = self.partitions[number as usize].table.unresolved();
         for Unresolved { key, live } in unresolved {
-            if self.now.wall < self.renewal(live.landed, &stream) {
+            if self.now.wall < live.landed + age {
                 continue;
             }
             let record = Record {
