--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -140,6 +140,8 @@
         self.out.push(Action::Ready(false));
         self.out.push(Action::Tail(record::STREAM.to_owned(), 0));
         self.out.push(Action::Tail(lease::STREAM.to_owned(), 0));
+        let suspects = camphorweir_wire::suspect::STREAM.to_owned();
+        self.out.push(Action::Tail(suspects, 0));
         for partition in 0..records::PARTITIONS {
             self.out.push(Action::Tail(records::stream(partition), 0));
         }
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -16,6 +16,7 @@
         list::{Instance, Role, State},
         log::Page,
         peer::{self, Digest},
+        suspect,
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -26,6 +27,9 @@
         if stream == record::STREAM {
             return self.page_of_config(page);
         }
+        if stream == suspect::STREAM {
+            return self.page_of_suspects(&page);
+        }
         if stream == lease::STREAM {
             return self.page_of_lease(&page);
         }
--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -16,9 +16,12 @@
     camphorweir_config::model::ZoneId,
     camphorweir_wire::{
         code::Code,
+        codec,
         ids::{EntryId, Incarnation, RequestId},
+        log::Page,
         outcome::Refusal,
         peer::Suspect,
+        suspect as records,
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -32,6 +35,8 @@
 const REMEMBER: Duration = Duration::from_secs(3600);
 /// Targets of one zone that are lost within this time are cut off, not crashed by a request.
 const TOGETHER: Duration = Duration::from_millis(100);
+/// Time after a release in which peers may not have read it.
+const OLD_NEWS: Duration = Duration::from_secs(10);
 /// Time between two tries to start a suspect apart from the others.
 const APART: Duration = Duration::from_millis(20);
 
@@ -57,6 +62,8 @@
     peers: HashMap<EntryId, Vec<Suspect>>,
     /// The last loss of each target, taken back when the same life of it returns.
     losses: HashMap<Index, Loss>,
+    /// When operators released a request; what peers say just after is old.
+    released: HashMap<u64, Duration>,
     /// The zone and time of the last loss.
     last: Option<(ZoneId, Duration)>,
 }
@@ -82,7 +89,10 @@
 
     /// A peer's heartbeat; a quarantine is kept here, too, so that it outlives the peer.
     pub(crate) fn told(&mut self, from: &str, suspects: &[Suspect], now: Duration) {
-        self.peers.insert(from.to_owned(), suspects.to_vec());
+        self.released.retain(|_, at| now < *at + OLD_NEWS);
+        let mut suspects = suspects.to_vec();
+        suspects.retain(|told| !self.released.contains_key(&told.fingerprint));
+        self.peers.insert(from.to_owned(), suspects.clone());
         for told in suspects {
             if self.crashes(told.fingerprint) >= LIMIT {
                 let own = self.own.entry(told.fingerprint).or_default();
@@ -167,6 +177,15 @@
             let own = self.suspects.own.entry(*fingerprint).or_default();
             own.crashes += 1;
             own.last = now;
+            if self.suspects.crashes(*fingerprint) >= LIMIT {
+                let record = records::Record {
+                    format: records::FORMAT,
+                    fingerprint: *fingerprint,
+                    body: records::Body::Quarantine,
+                };
+                let bytes = codec::encode(&record);
+                self.append(records::STREAM.to_owned(), bytes, false);
+            }
         }
         if !suspects.is_empty() {
             // Peers are told at once.
@@ -194,6 +213,37 @@
         }
     }
 
+    /// A part of the stream of quarantined requests was read.
+    pub(crate) fn page_of_suspects(&mut self, page: &Page) {
+        for stored in &page.records {
+            let landed = Duration::from_millis(stored.time_ms);
+            match codec::decode::<records::Record>(&stored.body) {
+                Ok(record) if record.format <= records::FORMAT => self.judged(&record, landed),
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    fn judged(&mut self, record: &records::Record, landed: Duration) {
+        let now = self.now.mono;
+        let (table, fingerprint) = (&mut self.suspects, record.fingerprint);
+        match record.body {
+            records::Body::Quarantine if self.now.wall < landed + REMEMBER => {
+                let own = table.own.entry(fingerprint).or_default();
+                own.crashes = own.crashes.max(LIMIT);
+                own.last = now;
+            }
+            records::Body::Quarantine => {}
+            records::Body::Release { .. } => {
+                table.own.remove(&fingerprint);
+                for told in table.peers.values_mut() {
+                    told.retain(|told| told.fingerprint != fingerprint);
+                }
+                table.released.insert(fingerprint, now);
+            }
+        }
+    }
+
     /// What peers are told.
     pub(crate) fn suspects(&mut self) -> Vec<Suspect> {
         let now = self.now.mono;
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -7,7 +7,7 @@
         record::{Edit, STREAM},
     },
     camphorweir_policy::{call::End, event::Event},
-    camphorweir_wire::{code::Code, engine::Reply, outcome::Ran},
+    camphorweir_wire::{code::Code, codec, engine::Reply, outcome::Ran, suspect},
     std::time::Duration,
 };
 
@@ -513,3 +513,46 @@
         assert!(finished(&world, id));
     }
 }
+
+/// The record of the quarantine that the log holds.
+fn quarantine(world: &World) -> suspect::Record {
+    let page = world.log.read(suspect::STREAM, 0).expect("a page");
+    codec::decode(&page.records[0].body).expect("a record")
+}
+
+#[test]
+fn a_quarantine_outlives_the_entries_that_saw_it() {
+    let mut world = world();
+    world.prompt(0, vec![POISON, 1, 2], 12);
+    world.run(2 * SECOND);
+    for entry in 0..3 {
+        world.restart(entry);
+    }
+    world.run(2 * SECOND);
+    let again = world.prompt(1, vec![POISON, 1, 2], 12);
+    world.run(SECOND);
+    assert_eq!(refusal(&world, again), (Code::Quarantined, Ran::No));
+    assert_eq!(world.crashes, 2);
+}
+
+#[test]
+fn operators_release_a_quarantined_request() {
+    let mut world = world();
+    world.prompt(0, vec![POISON, 1, 2], 12);
+    world.run(2 * SECOND);
+    let mut record = quarantine(&world);
+    for engine in world.engines.values_mut() {
+        engine.poison = None;
+    }
+    record.body = suspect::Body::Release {
+        operator: "test".to_owned(),
+    };
+    let wall = world.wall();
+    world
+        .log
+        .append(wall, suspect::STREAM, &[codec::encode(&record)]);
+    world.run(2 * SECOND);
+    let again = [0, 1, 2].map(|entry| world.prompt(entry, vec![POISON, 1, 2], 12));
+    world.run(3 * SECOND);
+    assert!(again.into_iter().all(|id| finished(&world, id)));
+}
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod peer;
 pub mod prefix;
 pub mod status;
+pub mod suspect;
