Hold a stop that reaches neither log nor peers, and find its mutant

The mutant that leaves the wait for records out survived, since peers took them over in the scenario; now the entry is cut off from both. The fake entry demands that no exit comes at the first tick after a freeze; before, the mutant without that rule survived.

--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -8,7 +8,7 @@
 /// What the fault was, the world's seed and the moves.
 fn cases() -> Vec<(&'static str, u64, Vec<Move>)> {
     vec![(
-        "a stop whose grace passed in a freeze cut a request that had arrived",
+        "a stop whose grace passed in a freeze ended before requests that had arrived",
         0,
         vec![
             Seal { entry: 0 },
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -312,18 +312,22 @@
 }
 
 #[test]
-fn a_planned_stop_loses_no_outcome_while_the_log_is_down() {
+fn a_planned_stop_loses_no_outcome_while_it_is_cut_off() {
     let mut world = world();
     let key = world.new_key();
     let id = world.seal(0, key, 7);
     while runs(&world) == 0 {
         world.run(MS);
     }
-    world.log.down = true;
+    world.cut_zone("a");
     world.tell(0, Event::Stop);
-    world.run(5 * SECOND);
+    world.run(10 * SECOND);
     assert!(answered(&world, id));
-    world.log.down = false;
+    assert!(
+        !world.entries[0].exited,
+        "neither log nor peers have the outcome"
+    );
+    world.mend_zone("a");
     world.run(10 * SECOND);
     assert!(world.entries[0].exited);
     assert_eq!(world.entries[1].core.outcome(key), Some(true));
--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) exited: bool,
     pub(crate) ready: bool,
     born: Duration,
+    /// When it last had a tick.
+    ticked: Duration,
     /// What its wall clock is ahead.
     pub(crate) skew: Duration,
     /// What its wall clock is behind.
@@ -320,6 +322,7 @@
             exited: false,
             ready: false,
             born: self.now,
+            ticked: self.now,
             skew: Duration::ZERO,
             behind: Duration::ZERO,
             listed: BTreeMap::new(),
@@ -605,8 +608,12 @@
 
     fn event(&mut self, number: usize, event: Event) {
         let clock = self.clock(number);
+        let is_tick = event == Event::Tick;
         let actions = self.entries[number].core.handle(clock, event);
         self.carry_out(number, actions);
+        if is_tick {
+            self.entries[number].ticked = self.now;
+        }
         let entry = &mut self.entries[number];
         let version = entry.core.version().unwrap_or(0);
         assert!(version >= entry.version, "a version went back");
@@ -651,6 +658,8 @@
         // The process serves what waits in its own queue before it ends.
         let arrives = |parcel: &Parcel| matches!(parcel, Parcel::Event(_, _, Event::Arrive(_)));
         if self.entries[number].backlog.iter().any(arrives) {
+            let late = self.now > self.entries[number].ticked + 2 * TICK;
+            assert!(!late, "it stopped at the first tick after a freeze");
             return;
         }
         let waits =
