Count a crash also when other targets are lost at the same time

Ruled out: peers not being told. After: each loss counts; a cut costs a request one at most, and it is taken back when the same life returns.

--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -13,7 +13,6 @@
         target::{Index, Link},
         timer::Timer,
     },
-    camphorweir_config::model::ZoneId,
     camphorweir_wire::{
         code::Code,
         codec,
@@ -33,8 +32,6 @@
 const LIMIT: u32 = 2;
 /// Time after its last crash in which a request stays under suspicion or in quarantine.
 const REMEMBER: Duration = Duration::from_secs(3600);
-/// Targets of one zone that are lost within this time are cut off, not crashed by a request.
-const TOGETHER: Duration = Duration::from_millis(100);
 /// Time after a release in which peers may not have read it.
 const OLD_NEWS: Duration = Duration::from_secs(10);
 /// Time between two tries to start a suspect apart from the others.
@@ -64,8 +61,6 @@
     losses: HashMap<Index, Loss>,
     /// When operators released a request; what peers say just after is old.
     released: HashMap<u64, Duration>,
-    /// The zone and time of the last loss.
-    last: Option<(ZoneId, Duration)>,
 }
 
 impl Table {
@@ -154,6 +149,9 @@
     }
 
     /// The connection to an engine was lost without its having said that it leaves.
+    ///
+    /// A cut costs a request one crash at most, since it computes on one target at a time; that one is
+    /// taken back when the same life of the target returns.
     pub(crate) fn crashed(&mut self, index: Index) {
         let target = self.targets.get(index);
         let Link::Up { incarnation, .. } = target.link else {
@@ -162,15 +160,7 @@
         if target.leaving.is_leaving() {
             return;
         }
-        let (now, zone) = (self.now.mono, target.zone.clone());
-        let together = self
-            .suspects
-            .last
-            .replace((zone.clone(), now))
-            .is_some_and(|(other, at)| other == zone && now < at + TOGETHER);
-        if together {
-            return;
-        }
+        let now = self.now.mono;
         let hit = self.requests.values().filter(|one| first_pass(one, index));
         let suspects: BTreeSet<u64> = hit.map(|one| one.head.fingerprint).collect();
         for fingerprint in &suspects {
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -560,3 +560,30 @@
     world.run(3 * SECOND);
     assert!(again.into_iter().all(|id| finished(&world, id)));
 }
+
+#[test]
+fn a_crash_counts_beside_the_loss_of_another_target() {
+    let mut world = world();
+    for (entry, lost) in ["a2", "b2", "c2"].into_iter().enumerate() {
+        world.kill_engine(lost);
+        world.prompt(entry, vec![POISON, 1, 2], 12);
+        world.run(2 * SECOND);
+        world.restart_engine(lost);
+        world.run(2 * SECOND);
+    }
+    assert!(world.crashes <= 2, "{} targets crashed", world.crashes);
+}
+
+#[test]
+fn a_quarantine_reaches_peers_while_the_log_is_down() {
+    let mut world = world();
+    world.log.down = true;
+    for entry in 0..3 {
+        world.prompt(entry, vec![POISON, 1, 2], 12);
+        world.run(2 * SECOND);
+        world.restart_engine("a0");
+        world.restart_engine("b0");
+        world.restart_engine("c0");
+    }
+    assert_eq!(world.crashes, 2);
+}
