--- a/camphorweir-policy/src/duty.rs
+++ b/camphorweir-policy/src/duty.rs
@@ -3,7 +3,11 @@
 
 use {
     crate::{action::Action, claim::Unresolved, core::Core, member::HEARTBEAT},
-    camphorweir_config::{fold::Fold, model::Version, record},
+    camphorweir_config::{
+        fold::Fold,
+        model::{TargetId, Version},
+        record,
+    },
     camphorweir_wire::{
         claim::{self, Record, Start, WINDOW},
         codec,
@@ -35,6 +39,8 @@
     anchor: Option<(Offset, Duration)>,
     /// When the readers of the configuration stream are chosen again; linear in the peers.
     choose: Duration,
+    /// Targets that the platform's list shows as leaving, also ones not configured yet.
+    pub(crate) leaving: BTreeSet<TargetId>,
     /// When the next look is due.
     look: Duration,
     /// When the configuration was last asked of a peer.
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -66,6 +66,12 @@
             });
         }
         self.regroup();
+        // The list may have been read before the target was configured.
+        for id in &self.duty.leaving {
+            if let Some(target) = self.targets.find_mut(id) {
+                target.leaving.list_leaving();
+            }
+        }
         let first = self.view.is_none();
         self.view = Some(Arc::new(View::new(document, version)));
         self.out.push(Action::Note(Note::Configured(version)));
@@ -124,6 +130,11 @@
     }
 
     fn listed_target(&mut self, name: &str, leaving: bool) {
+        if leaving {
+            self.duty.leaving.insert(name.to_owned());
+        } else {
+            self.duty.leaving.remove(name);
+        }
         if let Some(target) = self.targets.find_mut(name) {
             if leaving {
                 target.leaving.list_leaving();
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -587,3 +587,18 @@
     }
     assert_eq!(world.crashes, 2);
 }
+
+#[test]
+fn a_list_read_before_the_configuration_counts() {
+    let mut world = world();
+    world.listed_leaving.insert("lookup-c".to_owned());
+    world.restart(2);
+    world.run(100 * MS);
+    world.list_down = true;
+    world.run(4 * SECOND);
+    for _ in 0..10 {
+        let id = world.lookup(2);
+        world.run(100 * MS);
+        assert!(answered(&world, id), "{:?}", world.oracle.calls[&id].end);
+    }
+}
