--- a/camphorweir-policy/tests/always/world/mod.rs
+++ b/camphorweir-policy/tests/always/world/mod.rs
@@ -51,6 +51,8 @@
 /// Longest wait of a tail without records.
 const IDLE: Duration = Duration::from_millis(500);
 const LIST: Duration = Duration::from_secs(1);
+/// Messages between entries that no test comes near.
+const LETTERS: u32 = 500_000;
 const MS: Duration = Duration::from_millis(1);
 
 /// Something under way.
@@ -881,6 +883,7 @@
 
     fn peer(&mut self, number: usize, to: &str, body: peer::Body) {
         self.letters += 1;
+        assert!(self.letters < LETTERS, "messages without end");
         let other: usize = to[1..].parse().expect("an entry's name");
         if !self.reach(self.entries[number].zone, self.entries[other].zone) {
             return;
