--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -16,6 +16,7 @@
         list::{Instance, Role, State},
         log::Page,
         peer::{self, Digest},
+        suspect,
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -26,6 +27,9 @@
         if stream == record::STREAM {
             return self.page_of_config(page);
         }
+        if stream == suspect::STREAM {
+            return self.page_of_suspects(&page);
+        }
         if stream == lease::STREAM {
             return self.page_of_lease(&page);
         }
@@ -62,6 +66,12 @@
             });
         }
         self.regroup();
+        // The list may have been read before the target was configured.
+        for id in &self.duty.leaving {
+            if let Some(target) = self.targets.find_mut(id) {
+                target.leaving.list_leaving();
+            }
+        }
         let first = self.view.is_none();
         self.view = Some(Arc::new(View::new(document, version)));
         self.out.push(Action::Note(Note::Configured(version)));
@@ -120,6 +130,11 @@
     }
 
     fn listed_target(&mut self, name: &str, leaving: bool) {
+        if leaving {
+            self.duty.leaving.insert(name.to_owned());
+        } else {
+            self.duty.leaving.remove(name);
+        }
         if let Some(target) = self.targets.find_mut(name) {
             if leaving {
                 target.leaving.list_leaving();
--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -13,12 +13,14 @@
         target::{Index, Link},
         timer::Timer,
     },
-    camphorweir_config::model::ZoneId,
     camphorweir_wire::{
         code::Code,
+        codec,
         ids::{EntryId, Incarnation, RequestId},
+        log::Page,
         outcome::Refusal,
         peer::Suspect,
+        suspect as records,
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -30,8 +32,8 @@
 const LIMIT: u32 = 2;
 /// Time after its last crash in which a request stays under suspicion or in quarantine.
 const REMEMBER: Duration = Duration::from_secs(3600);
-/// Targets of one zone that are lost within this time are cut off, not crashed by a request.
-const TOGETHER: Duration = Duration::from_millis(100);
+/// Time after a release in which peers may not have read it.
+const OLD_NEWS: Duration = Duration::from_secs(10);
 /// Time between two tries to start a suspect apart from the others.
 const APART: Duration = Duration::from_millis(20);
 
@@ -57,8 +59,8 @@
     peers: HashMap<EntryId, Vec<Suspect>>,
     /// The last loss of each target, taken back when the same life of it returns.
     losses: HashMap<Index, Loss>,
-    /// The zone and time of the last loss.
-    last: Option<(ZoneId, Duration)>,
+    /// When operators released a request; what peers say just after is old.
+    released: HashMap<u64, Duration>,
 }
 
 impl Table {
@@ -90,7 +92,10 @@
 
     /// A peer's heartbeat; a quarantine is kept here, too, so that it outlives the peer.
     pub(crate) fn told(&mut self, from: &str, suspects: &[Suspect], now: Duration) {
-        self.peers.insert(from.to_owned(), suspects.to_vec());
+        self.released.retain(|_, at| now < *at + OLD_NEWS);
+        let mut suspects = suspects.to_vec();
+        suspects.retain(|told| !self.released.contains_key(&told.fingerprint));
+        self.peers.insert(from.to_owned(), suspects.clone());
         for told in suspects {
             if self.crashes(told.fingerprint) >= LIMIT {
                 let own = self.own.entry(told.fingerprint).or_default();
@@ -152,6 +157,9 @@
     }
 
     /// The connection to an engine was lost without its having said that it leaves.
+    ///
+    /// A cut costs a request one crash at most, since it computes on one target at a time; that one is
+    /// taken back when the same life of the target returns.
     pub(crate) fn crashed(&mut self, index: Index) {
         let target = self.targets.get(index);
         let Link::Up { incarnation, .. } = target.link else {
@@ -160,21 +168,22 @@
         if target.leaving.is_leaving() {
             return;
         }
-        let (now, zone) = (self.now.mono, target.zone.clone());
-        let together = self
-            .suspects
-            .last
-            .replace((zone.clone(), now))
-            .is_some_and(|(other, at)| other == zone && now < at + TOGETHER);
-        if together {
-            return;
-        }
+        let now = self.now.mono;
         let hit = self.requests.values().filter(|one| first_pass(one, index));
         let suspects: BTreeSet<u64> = hit.map(|one| one.head.fingerprint).collect();
         for fingerprint in &suspects {
             let own = self.suspects.own.entry(*fingerprint).or_default();
             own.crashes += 1;
             own.last = now;
+            if self.suspects.crashes(*fingerprint) >= LIMIT {
+                let record = records::Record {
+                    format: records::FORMAT,
+                    fingerprint: *fingerprint,
+                    body: records::Body::Quarantine,
+                };
+                let bytes = codec::encode(&record);
+                self.append(records::STREAM.to_owned(), bytes, false);
+            }
         }
         if !suspects.is_empty() {
             // Peers are told at once.
@@ -202,6 +211,37 @@
         }
     }
 
+    /// A part of the stream of quarantined requests was read.
+    pub(crate) fn page_of_suspects(&mut self, page: &Page) {
+        for stored in &page.records {
+            let landed = Duration::from_millis(stored.time_ms);
+            match codec::decode::<records::Record>(&stored.body) {
+                Ok(record) if record.format <= records::FORMAT => self.judged(&record, landed),
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    fn judged(&mut self, record: &records::Record, landed: Duration) {
+        let now = self.now.mono;
+        let (table, fingerprint) = (&mut self.suspects, record.fingerprint);
+        match record.body {
+            records::Body::Quarantine if self.now.wall < landed + REMEMBER => {
+                let own = table.own.entry(fingerprint).or_default();
+                own.crashes = own.crashes.max(LIMIT);
+                own.last = now;
+            }
+            records::Body::Quarantine => {}
+            records::Body::Release { .. } => {
+                table.own.remove(&fingerprint);
+                for told in table.peers.values_mut() {
+                    told.retain(|told| told.fingerprint != fingerprint);
+                }
+                table.released.insert(fingerprint, now);
+            }
+        }
+    }
+
     /// What peers are told.
     pub(crate) fn suspects(&mut self) -> Vec<Suspect> {
         let now = self.now.mono;
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -7,7 +7,7 @@
         record::{Edit, STREAM},
     },
     camphorweir_policy::{call::End, event::Event},
-    camphorweir_wire::{code::Code, engine::Reply, outcome::Ran},
+    camphorweir_wire::{code::Code, codec, engine::Reply, outcome::Ran, suspect},
     std::time::Duration,
 };
 
@@ -312,18 +312,22 @@
 }
 
 #[test]
-fn a_planned_stop_loses_no_outcome_while_the_log_is_down() {
+fn a_planned_stop_loses_no_outcome_while_it_is_cut_off() {
     let mut world = world();
     let key = world.new_key();
     let id = world.seal(0, key, 7);
     while runs(&world) == 0 {
         world.run(MS);
     }
-    world.log.down = true;
+    world.cut_zone("a");
     world.tell(0, Event::Stop);
-    world.run(5 * SECOND);
+    world.run(10 * SECOND);
     assert!(answered(&world, id));
-    world.log.down = false;
+    assert!(
+        !world.entries[0].exited,
+        "neither log nor peers have the outcome"
+    );
+    world.mend_zone("a");
     world.run(10 * SECOND);
     assert!(world.entries[0].exited);
     assert_eq!(world.entries[1].core.outcome(key), Some(true));
@@ -513,3 +517,88 @@
         assert!(finished(&world, id));
     }
 }
+
+/// The record of the quarantine that the log holds.
+fn quarantine(world: &World) -> suspect::Record {
+    let page = world.log.read(suspect::STREAM, 0).expect("a page");
+    codec::decode(&page.records[0].body).expect("a record")
+}
+
+#[test]
+fn a_quarantine_outlives_the_entries_that_saw_it() {
+    let mut world = world();
+    world.prompt(0, vec![POISON, 1, 2], 12);
+    world.run(2 * SECOND);
+    for entry in 0..3 {
+        world.restart(entry);
+    }
+    world.run(2 * SECOND);
+    let again = world.prompt(1, vec![POISON, 1, 2], 12);
+    world.run(SECOND);
+    assert_eq!(refusal(&world, again), (Code::Quarantined, Ran::No));
+    assert_eq!(world.crashes, 2);
+}
+
+#[test]
+fn operators_release_a_quarantined_request() {
+    let mut world = world();
+    world.prompt(0, vec![POISON, 1, 2], 12);
+    world.run(2 * SECOND);
+    let mut record = quarantine(&world);
+    for engine in world.engines.values_mut() {
+        engine.poison = None;
+    }
+    record.body = suspect::Body::Release {
+        operator: "test".to_owned(),
+    };
+    let wall = world.wall();
+    world
+        .log
+        .append(wall, suspect::STREAM, &[codec::encode(&record)]);
+    world.run(2 * SECOND);
+    let again = [0, 1, 2].map(|entry| world.prompt(entry, vec![POISON, 1, 2], 12));
+    world.run(3 * SECOND);
+    assert!(again.into_iter().all(|id| finished(&world, id)));
+}
+
+#[test]
+fn a_crash_counts_beside_the_loss_of_another_target() {
+    let mut world = world();
+    for (entry, lost) in ["a2", "b2", "c2"].into_iter().enumerate() {
+        world.kill_engine(lost);
+        world.prompt(entry, vec![POISON, 1, 2], 12);
+        world.run(2 * SECOND);
+        world.restart_engine(lost);
+        world.run(2 * SECOND);
+    }
+    assert!(world.crashes <= 2, "{} targets crashed", world.crashes);
+}
+
+#[test]
+fn a_quarantine_reaches_peers_while_the_log_is_down() {
+    let mut world = world();
+    world.log.down = true;
+    for entry in 0..3 {
+        world.prompt(entry, vec![POISON, 1, 2], 12);
+        world.run(2 * SECOND);
+        world.restart_engine("a0");
+        world.restart_engine("b0");
+        world.restart_engine("c0");
+    }
+    assert_eq!(world.crashes, 2);
+}
+
+#[test]
+fn a_list_read_before_the_configuration_counts() {
+    let mut world = world();
+    world.listed_leaving.insert("lookup-c".to_owned());
+    world.restart(2);
+    world.run(100 * MS);
+    world.list_down = true;
+    world.run(4 * SECOND);
+    for _ in 0..10 {
+        let id = world.lookup(2);
+        world.run(100 * MS);
+        assert!(answered(&world, id), "{:?}", world.oracle.calls[&id].end);
+    }
+}
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod prefix;
 pub mod status;
 mod visit;
+pub mod suspect;
