Settle an unknown seal once, by two racing operators

Cause: that a seal of a killed holder is not lost was shown only up to its unknown outcome. Before: the test ended with the key refused as unknown. After: the key is listed as unresolved, of two racing operators one settles it, every entry then gives the operator's word, and the list no longer shows it.

--- a/camphorweir-standin/tests/process/deployment.rs
+++ b/camphorweir-standin/tests/process/deployment.rs
@@ -80,6 +80,7 @@
     pub(crate) child: Child,
     pub(crate) caller: Caller,
     pub(crate) peers: SocketAddr,
+    pub(crate) admin: SocketAddr,
 }
 
 /// What a test starts.
@@ -150,6 +151,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(number.to_string());
         fs::create_dir_all(&folder).unwrap();
         fs::write(folder.join("peers.key"), "07".repeat(32)).unwrap();
+        fs::write(folder.join("read.key"), "09".repeat(32)).unwrap();
         let any = json!("127.0.0.1:0");
         let platform = |role: &str| json!({"role": role, "address": any});
         let log = Standin::start(&folder, "log", &platform("log")).await;
@@ -221,6 +223,7 @@
             zone: zone.to_owned(),
             caller: Caller(address("callers")),
             peers: address("peers"),
+            admin: address("admin"),
             child,
         };
         self.entries.push(entry);
@@ -233,7 +236,7 @@
             "entry: {name}\nzone: {zone}\n\
              listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  admin: 127.0.0.1:0\n\
              platform:\n  log: http://{log}\n  instances: http://{list}/instances\n\
-             keys:\n  peers: peers.key\n\
+             keys:\n  peers: peers.key\n  admin_read: read.key\n\
              limits:\n  body: 64KiB\n  head_time: 500ms\n  body_time: 500ms\n\
              balancer_grace: {grace}ms\n"
         )
--- a/camphorweir-standin/tests/process/seals.rs
+++ b/camphorweir-standin/tests/process/seals.rs
@@ -22,6 +22,10 @@
 const IN_PROGRESS: u16 = 4002;
 /// `OutcomeUnknown`.
 const UNKNOWN: u16 = 4003;
+/// `ResolvedNotRun`.
+const RESOLVED_NOT_RUN: u16 = 4004;
+/// `ResolvedRan`.
+const RESOLVED_RAN: u16 = 4005;
 
 /// Asks again until the key has its outcome; the answers on the way are taken in.
 async fn settle(caller: Caller, told: &mut Told, batch: u32) -> Answer {
@@ -197,6 +201,44 @@
     }
     assert_eq!(deployment.runs(key).await, 1);
     told.check(&deployment).await;
+    resolve(&deployment, key).await;
+}
+
+/// The key is listed until two racing operators have settled it, once.
+async fn resolve(deployment: &Deployment, key: Uuid) {
+    let text = key.to_string();
+    let listed = async || {
+        let admin = deployment.entries[1].admin.to_string();
+        let file = deployment.folder.join("read.key");
+        let file = file.to_str().unwrap();
+        let words = ["unresolved", "--json", "--entry", &admin, "--key", file];
+        let list = deployment.operate(&words).await;
+        assert!(list.status.success(), "{list:?}");
+        String::from_utf8(list.stdout).unwrap().contains(&text)
+    };
+    assert!(listed().await);
+    let log = format!("http://{}", deployment.log.address);
+    let settle = async |author: &str, ran: &str| {
+        let words = [
+            "resolve", "--log", &log, "--author", author, "--ran", ran, &text,
+        ];
+        deployment.operate(&words).await.status.code()
+    };
+    let (ada, ben) = tokio::join!(settle("ada", "yes"), settle("ben", "no"));
+    let code = match (ada, ben) {
+        (Some(0), Some(3)) => RESOLVED_RAN,
+        (Some(3), Some(0)) => RESOLVED_NOT_RUN,
+        other => panic!("{other:?}"),
+    };
+    for caller in deployment.callers() {
+        until("the operator's word", || async {
+            let answer = caller.seal(key, 1).await.unwrap();
+            (answer.code == Some(code)).then_some(())
+        })
+        .await;
+    }
+    assert!(!listed().await);
+    assert_eq!(deployment.runs(key).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
