Name the end of a stream as the linter asks

Cause: a method that takes its stream by value was named as a question. Before: clippy failed on this test program. After: it is clean. Conclusion: no change in what is checked.

--- a/camphorweir-standin/tests/process/caller.rs
+++ b/camphorweir-standin/tests/process/caller.rs
@@ -243,7 +243,7 @@
     }
 
     /// Reads on until nothing more comes, and says whether the answer looks whole.
-    pub(crate) async fn is_whole(mut self) -> bool {
+    pub(crate) async fn ends_whole(mut self) -> bool {
         let read = async {
             while let Some(Ok(frame)) = self.body.frame().await {
                 let data = frame.into_data().unwrap();
--- a/camphorweir-standin/tests/process/seals.rs
+++ b/camphorweir-standin/tests/process/seals.rs
@@ -186,7 +186,7 @@
     stream.reach(1).await;
     deployment.running(key).await;
     deployment.entries[0].child.kill();
-    assert!(!stream.is_whole().await, "a cut stream looks whole");
+    assert!(!stream.ends_whole().await, "a cut stream looks whole");
     told.take(sent.await.unwrap());
     told.take(deployment.entries[1].caller.seal(key, 1).await);
     assert_eq!(told.answers[0].ran, "unknown");
