Share workspace limits by demand without a coordinator, with tests of the modules

Each entry grants an even fifth and a part of the rest by the demand that peers tell; shares stay as they are while a peer is silent.

--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -2,13 +2,17 @@
 
 use {
     crate::{
+        call::Ask,
         core::Core,
         pipeline::Start,
         request::{Body, Head, Request},
         timer::Timer,
         timing::Timing,
     },
-    camphorweir_config::model::{Priority, Route, WorkspaceId},
+    camphorweir_config::{
+        model::{Priority, Route, WorkspaceId},
+        view::View,
+    },
     camphorweir_wire::{code::Code, ids::RequestId, outcome::Refusal},
     std::{collections::HashMap, time::Duration},
 };
@@ -155,8 +159,28 @@
         request.head.started.is_none() && self.now.mono + needs > request.head.deadline
     }
 
+    /// Counts a request that arrives against its workspace's limits.
+    pub(crate) fn within_limits(
+        &mut self,
+        view: &View,
+        workspace: &WorkspaceId,
+        ask: &Ask,
+    ) -> Result<(), Duration> {
+        let Some(given) = view.document().workspaces.get(workspace) else {
+            return Ok(());
+        };
+        let tokens = match ask {
+            Ask::Tokens(tokens) => (tokens.prompt.len() as u32).saturating_add(tokens.max_tokens),
+            Ask::Plain(_) => 0,
+        };
+        let now = self.now.mono;
+        let taken = self.quota.take(workspace, &given.limits, tokens, now);
+        taken.map_err(|wait| wait.clamp(COME_BACK, COME_BACK_MAX))
+    }
+
     /// Takes a request in.
     pub(crate) fn admit(&mut self, head: Head, body: Body) {
+        self.quota.opened(&head.workspace);
         self.timers.set(head.deadline, Timer::Deadline(head.id));
         self.requests.insert(head.id, Request { head, body });
     }
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -13,6 +13,7 @@
         map, member,
         outbox::{Outbox, Parcel},
         queue::Queue,
+        quota,
         request::{Body, Head, Request},
         retry, route,
         target::{Index, Table},
@@ -79,6 +80,7 @@
     pub(crate) keys: HashMap<u128, BTreeSet<RequestId>>,
     pub(crate) queue: Queue,
     pub(crate) service: admit::Service,
+    pub(crate) quota: quota::Table,
     pub(crate) budget: retry::Budget,
     pub(crate) timers: Heap,
     pub(crate) outbox: Outbox,
@@ -111,6 +113,7 @@
             keys: HashMap::new(),
             queue: Queue::default(),
             service: admit::Service::default(),
+            quota: quota::Table::default(),
             budget: retry::Budget::default(),
             timers: Heap::default(),
             outbox: Outbox::default(),
@@ -180,6 +183,10 @@
             let refusal = Refusal::not_run(Code::Unauthorized, "the key belongs to no workspace");
             return self.turn_away(call.id, refusal);
         };
+        if let Err(wait) = self.within_limits(&view, workspace, &call.ask) {
+            let refusal = Refusal::not_run(Code::LimitReached, "the workspace's limit is reached");
+            return self.turn_away(call.id, refusal.after(wait));
+        }
         match &call.ask {
             Ask::Tokens(tokens) => self.arrive_stream(&view, workspace, call.id, tokens),
             Ask::Plain(plain) => self.arrive_plain(&view, workspace, call.id, plain),
@@ -322,6 +329,7 @@
     /// Releases what a request that is over holds.
     pub(crate) fn release(&mut self, request: Request) {
         let id = request.head.id;
+        self.quota.closed(&request.head.workspace);
         match request.body {
             Body::Stream(stream) => match stream.attempt {
                 Some(attempt) => self.abandon(id, &attempt),
@@ -366,6 +374,13 @@
         let live = self.members.live(self.now.mono);
         self.map
             .count(live.map(|(_, peer)| peer.digest.zone.clone()));
+        let now = self.now.mono;
+        let peers = self.members.iter().map(|(_, peer)| peer);
+        let known = peers.filter(|peer| peer.heard.is_some() && !peer.leaving.is_leaving());
+        self.quota.heard(known.map(|peer| {
+            let fresh = peer.heard.is_some_and(|at| now < at + member::SILENCE);
+            fresh.then_some(peer.digest.demand.as_slice())
+        }));
     }
 
     /// One piece of work less on a target.
--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -178,7 +178,8 @@
         }
     }
 
-    fn digest(&self) -> Digest {
+    fn digest(&mut self) -> Digest {
+        let demand = self.quota.busiest(self.now.mono);
         let targets_leaving = self
             .targets
             .iter()
@@ -190,7 +191,7 @@
             leaving: self.stopping.is_some(),
             targets_leaving,
             suspects: Vec::new(),
-            demand: Vec::new(),
+            demand,
         }
     }
 
--- a/camphorweir-policy/src/lib.rs
+++ b/camphorweir-policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod pipeline;
 mod query;
 pub mod queue;
+pub mod quota;
 pub mod request;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/camphorweir-policy/tests/decide/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of the small modules, as tables of cases.
+
+mod cache;
+mod pace;
+mod queue;
+mod quota;
--- /dev/null
+++ b/camphorweir-policy/tests/decide/quota.rs
@@ -0,0 +1,75 @@
+//! Limits as shares of the entries.
+
+use {camphorweir_config::model::Limits, camphorweir_policy::quota::Table, std::time::Duration};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn limits() -> Limits {
+    Limits {
+        requests: 100.0,
+        tokens: 10_000.0,
+        concurrent: 10,
+    }
+}
+
+/// Requests that entries grant together in 10 s when callers ask each this often, telling each other
+/// their demand every 500 ms until `cut`.
+fn granted(asked: &[u32], cut: u32) -> u32 {
+    let mut tables: Vec<Table> = asked.iter().map(|_| Table::default()).collect();
+    let mut granted = 0;
+    for ms in 0..10_000 {
+        let now = MS * ms;
+        if ms % 500 == 0 && ms < cut {
+            let told: Vec<_> = tables.iter_mut().map(|table| table.busiest(now)).collect();
+            for (number, table) in tables.iter_mut().enumerate() {
+                let others = told
+                    .iter()
+                    .enumerate()
+                    .filter(|(other, _)| *other != number);
+                table.heard(others.map(|(_, told)| Some(told.as_slice())));
+            }
+        }
+        for (table, rate) in tables.iter_mut().zip(asked) {
+            if *rate > 0 && ms % (1000 / rate) == 0 {
+                let taken = table.take(&"w".to_owned(), &limits(), 1, now);
+                granted += u32::from(taken.is_ok());
+            }
+        }
+    }
+    granted
+}
+
+#[test]
+fn entries_together_stay_near_the_limit() {
+    // Asked through each entry in 1/s, when they are cut off in ms, least and most granted of the
+    // 1000 that the limit allows in 10 s.
+    let cases: [(&[u32], u32, u32, u32); 6] = [
+        (&[200], 10_000, 900, 1200),
+        (&[50], 10_000, 500, 500),
+        (&[200, 200, 200], 10_000, 800, 1400),
+        (&[200, 20, 20], 10_000, 700, 1400),
+        (&[200, 200, 200], 2000, 800, 1400),
+        (&[20, 20, 20], 10_000, 550, 600),
+    ];
+    for (asked, cut, least, most) in cases {
+        let granted = granted(asked, cut);
+        let fits = (least..=most).contains(&granted);
+        assert!(fits, "{asked:?} cut at {cut}: {granted}");
+    }
+}
+
+#[test]
+fn requests_in_hand_are_bounded() {
+    let mut table = Table::default();
+    let workspace = "w".to_owned();
+    let mut open = 0;
+    for ms in 0..1000 {
+        if table.take(&workspace, &limits(), 1, MS * ms * 20).is_ok() {
+            table.opened(&workspace);
+            open += 1;
+        }
+    }
+    assert_eq!(open, limits().concurrent);
+    table.closed(&workspace);
+    assert!(table.take(&workspace, &limits(), 1, MS * 30_000).is_ok());
+}
