--- a/camphorweir-policy/benches/policy/main.rs
+++ b/camphorweir-policy/benches/policy/main.rs
@@ -44,7 +44,7 @@
     format!("{name} {value:.3} {unit} {target}")
 }
 
-fn target<'a>(rule: Rule, text: &'a str) -> &'a str {
+fn target(rule: Rule, text: &str) -> &str {
     if rule == Rule::Product { text } else { "-" }
 }
 
--- a/camphorweir-policy/src/queue.rs
+++ b/camphorweir-policy/src/queue.rs
@@ -118,7 +118,7 @@
         let mut waiting = Priority::ALL.into_iter().filter(waits);
         let first = waiting.next()?;
         if self.starts % FLOOR == FLOOR - 1 {
-            return waiting.last().or(Some(first));
+            return waiting.next_back().or(Some(first));
         }
         Some(first)
     }
