--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -196,6 +196,7 @@
     }
 
     fn digest(&mut self) -> Digest {
+        let demand = self.quota.busiest(self.now.mono);
         let suspects = self.suspects();
         let targets_leaving = self
             .targets
@@ -208,7 +209,7 @@
             leaving: self.stopping.is_some(),
             targets_leaving,
             suspects,
-            demand: Vec::new(),
+            demand,
         }
     }
 
