--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod peer;
 pub mod prefix;
 pub mod status;
-mod visit;
 pub mod suspect;
+mod visit;
