--- a/camphorweir-entry/benches/entry/memory.rs
+++ b/camphorweir-entry/benches/entry/memory.rs
@@ -8,7 +8,9 @@
         process::{Entry, Folder},
         serve,
     },
+    camphorweir_config::model::Document,
     camphorweir_standin::{engine, list, log},
+    camphorweir_wire::codec,
     std::{net::TcpListener, time::Duration},
     tokio::time::sleep,
 };
@@ -29,6 +31,9 @@
 /// Measures and prints.
 pub(crate) async fn run() -> Result<(), Failure> {
     let closed = closed()?;
+    let whole = document(WORKSPACES, TARGETS, [closed; STAGES as usize]);
+    let size = codec::encode(&whole).len() as f64;
+    print("entry.control.document", size / MB, "MB", "-");
     let empty = resident(0, FEW, [closed; STAGES as usize]).await?;
     print("entry.control.memory.empty", empty / MB, "MB", "-");
     let some = resident(WORKSPACES, FEW, [closed; STAGES as usize]).await?;
@@ -45,24 +50,8 @@
     Ok(())
 }
 
-/// A port at which nobody listens.
-fn closed() -> Result<u16, Failure> {
-    Ok(TcpListener::bind(fleet::any_port())?.local_addr()?.port())
-}
-
-/// Resident bytes with this configuration; the engines of a stage share its port.
-async fn resident(
-    workspaces: usize,
-    targets: usize,
-    ports: [u16; STAGES as usize],
-) -> Result<f64, Failure> {
-    let log = log::spawn(log::Settings::new(fleet::any_port())).await?;
-    let list = list::spawn(list::Settings {
-        address: fleet::any_port(),
-        lag_ms: 0,
-        instances: Vec::new(),
-    })
-    .await?;
+/// A configuration of this size; the engines of a stage share its port.
+fn document(workspaces: usize, targets: usize, ports: [u16; STAGES as usize]) -> Document {
     let mut document = fleet::document();
     for number in 0..MODELS {
         fleet::add_pipeline(&mut document, &format!("model-{number}"));
@@ -84,6 +73,28 @@
         let name = format!("workspace-{number:05}");
         fleet::add_workspace(&mut document, name.clone(), &name);
     }
+    document
+}
+
+/// A port at which nobody listens.
+fn closed() -> Result<u16, Failure> {
+    Ok(TcpListener::bind(fleet::any_port())?.local_addr()?.port())
+}
+
+/// Resident bytes with this configuration.
+async fn resident(
+    workspaces: usize,
+    targets: usize,
+    ports: [u16; STAGES as usize],
+) -> Result<f64, Failure> {
+    let log = log::spawn(log::Settings::new(fleet::any_port())).await?;
+    let list = list::spawn(list::Settings {
+        address: fleet::any_port(),
+        lag_ms: 0,
+        instances: Vec::new(),
+    })
+    .await?;
+    let document = document(workspaces, targets, ports);
     fleet::publish(&log, &document)?;
     let folder = Folder::new("memory")?;
     let entry = Entry::start(
