--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -22,6 +22,8 @@
 /// A request below the top class is refused when its projected wait is above its spare time divided
 /// by this: the projection may be wrong by as much.
 const CAUTION: u32 = 4;
+/// A request may take this many times the mean time of service.
+const SLOWER: u32 = 2;
 /// The longest that anyone is told to stay away.
 const COME_BACK_MAX: Duration = Duration::from_secs(60);
 /// The weight of one request in the mean time of service.
@@ -82,10 +84,10 @@
         let (id, now) = (head.id, self.now.mono);
         let request = Request { head, body };
         let service = self.service.time(&request);
-        let spare = (request.head.deadline - now).saturating_sub(service);
+        let left = request.head.deadline - now;
         let spare = match request.head.priority {
-            Priority::Urgent => spare,
-            Priority::Normal | Priority::Bulk => spare / CAUTION,
+            Priority::Urgent => left.saturating_sub(service),
+            Priority::Normal | Priority::Bulk => left.saturating_sub(service * SLOWER) / CAUTION,
         };
         let lane = self.queue.lane(request.lane());
         let wait = lane.wait(request.head.priority, service, now);
