--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use camphorweir::{args, exit::Exit};
 //!
-//! let command = args::command().run_inner(&["explain", "5003"]).unwrap();
+//! let command = args::command().run_inner(&["explain", "5003"]).expect("a command");
 //! let report = camphorweir::run(command);
 //! assert_eq!(report.exit, Exit::Done);
 //! assert!(report.text.starts_with("5003 PublishConflict"));
