Count a crash of a step whose attempt was given up

Ruled out: a loss taken back at the return of the target (the lives differ). After: both pass as regressions; a given-up first pass is remembered for 1 s.

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -348,7 +348,10 @@
         }
         match request.body {
             Body::Stream(stream) => match stream.attempt {
-                Some(attempt) => self.abandon(id, &attempt),
+                Some(attempt) => {
+                    self.remember_pass(request.head.fingerprint, &attempt);
+                    self.abandon(id, &attempt);
+                }
                 None => self.queue.remove(&stream.model, request.head.priority, id),
             },
             Body::Plain(plain) => {
--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -467,6 +467,9 @@
         let name = self.targets.get(target).id.clone();
         self.out
             .push(Action::Note(Note::Failed(id, attempt.id(), name, why)));
+        if let Some(request) = self.requests.get(&id) {
+            self.remember_pass(request.head.fingerprint, &attempt);
+        }
         self.abandon(id, &attempt);
         let print = self.requests.get(&id).map(|one| one.head.fingerprint);
         if let Some(Err(refusal)) = print.map(|print| self.check_suspect(print)) {
--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -34,6 +34,8 @@
 const REMEMBER: Duration = Duration::from_secs(3600);
 /// Time after a release in which peers may not have read it.
 const OLD_NEWS: Duration = Duration::from_secs(10);
+/// Time in which a step may crash its target after its attempt was given up for another cause.
+const AFTERMATH: Duration = Duration::from_secs(1);
 /// Time between two tries to start a suspect apart from the others.
 const APART: Duration = Duration::from_millis(20);
 
@@ -60,6 +62,8 @@
     peers: HashMap<EntryId, Vec<Suspect>>,
     /// The last loss of each target, taken back when the same life of it returns.
     losses: HashMap<Index, Loss>,
+    /// First passes that were given up while a target computed them, until they are forgotten.
+    given_up: Vec<(u64, Index, Duration)>,
     /// When operators released a request; what peers say just after is old.
     released: HashMap<u64, Duration>,
 }
@@ -171,7 +175,11 @@
         }
         let now = self.now.mono;
         let hit = self.requests.values().filter(|one| first_pass(one, index));
-        let suspects: BTreeSet<u64> = hit.map(|one| one.head.fingerprint).collect();
+        let hit = hit.map(|one| one.head.fingerprint);
+        let given_up = self.suspects.given_up.iter();
+        let given_up = given_up.filter(|(_, target, until)| *target == index && now < *until);
+        let given_up = given_up.map(|(fingerprint, ..)| *fingerprint);
+        let suspects: BTreeSet<u64> = hit.chain(given_up).collect();
         for fingerprint in &suspects {
             let own = self.suspects.own.entry(*fingerprint).or_default();
             own.crashes += 1;
@@ -197,6 +205,22 @@
         self.suspects.losses.insert(index, loss);
     }
 
+    /// An attempt is given up; a target that computes its first pass now may yet crash of it.
+    pub(crate) fn remember_pass(&mut self, fingerprint: u64, attempt: &Any) {
+        let Any::Running(running) = attempt else {
+            return;
+        };
+        let target = running.hop().target;
+        let linked = matches!(self.targets.get(target).link, Link::Up { .. });
+        if !linked || !is_first_pass(attempt) {
+            return;
+        }
+        let now = self.now.mono;
+        let given_up = &mut self.suspects.given_up;
+        given_up.retain(|(.., until)| now < *until);
+        given_up.push((fingerprint, target, now + AFTERMATH));
+    }
+
     /// An engine is back; if it is the same life, only its connection had been lost.
     pub(crate) fn returned(&mut self, index: Index, incarnation: Incarnation) {
         let Some(loss) = self.suspects.losses.remove(&index) else {
@@ -275,10 +299,12 @@
 /// Whether the target computes a request's first pass of an attempt now.
 fn first_pass(request: &Request, target: Index) -> bool {
     match attempt_of(request) {
-        Some(Any::Running(attempt)) => {
-            let hops = attempt.path.hops().len();
-            attempt.hop().target == target && attempt.sequence as usize <= hops
-        }
+        Some(any @ Any::Running(attempt)) => attempt.hop().target == target && is_first_pass(any),
         Some(Any::Opening(_)) | None => false,
     }
 }
+
+/// Whether an attempt has not run through all its hops once.
+fn is_first_pass(attempt: &Any) -> bool {
+    attempt.sequence() as usize <= attempt.path().hops().len()
+}
--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -7,22 +7,48 @@
 
 /// What the fault was, the world's seed and the moves.
 fn cases() -> Vec<(&'static str, u64, Vec<Move>)> {
-    vec![(
-        "a stop whose grace passed in a freeze ended before requests that had arrived",
-        0,
-        vec![
-            Seal { entry: 0 },
-            Stop { entry: 2 },
-            Freeze { entry: 2 },
-            Prompt {
-                entry: 2,
-                stem: 0,
-                length: 1,
-                count: 1,
-            },
-            Pass { ms: 182 },
-        ],
-    )]
+    vec![
+        (
+            "a stop whose grace passed in a freeze ended before requests that had arrived",
+            0,
+            vec![
+                Seal { entry: 0 },
+                Stop { entry: 2 },
+                Freeze { entry: 2 },
+                Prompt {
+                    entry: 2,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                Pass { ms: 182 },
+            ],
+        ),
+        (
+            "a step that outlived its attempt crashed its target and was not counted",
+            0,
+            vec![
+                Poison { entry: 0, which: 0 },
+                Poison { entry: 0, which: 1 },
+                Pass { ms: 40 },
+            ],
+        ),
+        (
+            "the same beside a frozen engine and a dead one",
+            1657750905649020253,
+            vec![
+                Poison { entry: 1, which: 0 },
+                FreezeEngine {
+                    engine: 1,
+                    frozen: true,
+                },
+                KillEngine { engine: 3 },
+                Pass { ms: 3 },
+                Poison { entry: 1, which: 1 },
+                Pass { ms: 1 },
+            ],
+        ),
+    ]
 }
 
 #[test]
