Start nothing after a freeze before what came meanwhile is read

Ruled out: leaving it to the engine's own refusal; plain services may not refuse. Before: the regression fails ('gave a1 new work while it was leaving'). After: it passes; after a gap of 500 ms nothing starts for 50 ms.

--- a/camphorweir-policy/src/admit.rs
+++ b/camphorweir-policy/src/admit.rs
@@ -125,6 +125,9 @@
     /// Only lanes for which something changed are tried, and a lane is left at the first of its
     /// highest class that finds no room.
     pub(crate) fn start_queued(&mut self) {
+        if self.now.mono < self.start_after {
+            return;
+        }
         for name in self.queue.take_awake() {
             self.start_lane(&name);
         }
--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -39,6 +39,11 @@
 /// How long a stream that is tailed may be silent before its log is taken for unreachable.
 pub(crate) const LOG_SILENCE: Duration = Duration::from_secs(5);
 
+/// Time without any event, a tick at the least, after which the process is taken to have been frozen.
+const FREEZE: Duration = Duration::from_millis(500);
+/// Time in which a process that was frozen reads what came meanwhile.
+const READ_FIRST: Duration = Duration::from_millis(50);
+
 /// What a core is told about its own entry.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -93,6 +98,8 @@
     pub(crate) duty: Duty,
     /// When the next heartbeat is due.
     pub(crate) heartbeat: Duration,
+    /// No waiting request starts before this time.
+    pub(crate) start_after: Duration,
     /// When SIGTERM came.
     pub(crate) stopping: Option<Duration>,
     /// The last tick, when nothing kept the process from exiting then.
@@ -126,6 +133,7 @@
             duty: Duty::default(),
             command: Command::default(),
             heartbeat: Duration::ZERO,
+            start_after: Duration::ZERO,
             stopping: None,
             clear: None,
             out: Vec::new(),
@@ -153,6 +161,7 @@
 
     /// Takes an event in and says what to do.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.notice_freeze(now);
         self.now = now;
         self.dispatch(event);
         self.fire_timers();
@@ -161,6 +170,14 @@
         std::mem::take(&mut self.out)
     }
 
+    /// After a freeze nothing is started until what came meanwhile has been read, such as the word of
+    /// a target that it is leaving.
+    fn notice_freeze(&mut self, now: Now) {
+        if now.mono >= self.now.mono + FREEZE {
+            self.start_after = now.mono + READ_FIRST;
+        }
+    }
+
     fn dispatch(&mut self, event: Event) {
         match event {
             Event::Arrive(call) => self.arrive(call),
--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -48,6 +48,37 @@
                 Pass { ms: 1 },
             ],
         ),
+        (
+            "a thawed entry gave a leaving target work before it had read that it leaves",
+            2281382281757105224,
+            vec![
+                Seal { entry: 1 },
+                SealAgain {
+                    entry: 1,
+                    key: 0,
+                    other: false,
+                },
+                Freeze { entry: 1 },
+                Prompt {
+                    entry: 1,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                Prompt {
+                    entry: 1,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                Leave {
+                    target: 1,
+                    listed: false,
+                },
+                Pass { ms: 3001 },
+                Thaw { entry: 1 },
+            ],
+        ),
     ]
 }
 
