Drop a parameter and a variant that nothing uses

Cause: send_once took a count that every caller gave as 0, and Change::Unlink was never made. Before: dead code on the path of never-repeat calls.

--- a/camphorweir-policy/src/follow.rs
+++ b/camphorweir-policy/src/follow.rs
@@ -5,7 +5,7 @@
         action::{Action, Note},
         core::Core,
         member::HEARTBEAT,
-        target::{Change, Link},
+        target::Link,
     },
     camphorweir_config::{record, view::View},
     camphorweir_wire::{
@@ -60,10 +60,7 @@
         let version = self.fold.version();
         self.map.configure(&self.setup.zone, &document);
         for change in self.targets.configure(&document, self.now.mono) {
-            self.out.push(match change {
-                Change::Link(id, address) => Action::Link(id, address),
-                Change::Unlink(id) => Action::Unlink(id),
-            });
+            self.out.push(Action::Link(change.target, change.address));
         }
         self.regroup();
         // The list may have been read before the target was configured.
--- a/camphorweir-policy/src/once.rs
+++ b/camphorweir-policy/src/once.rs
@@ -205,7 +205,7 @@
         };
         match once.stage {
             Stage::Claiming(_) if now >= once.send_until => return self.claim_late(id),
-            Stage::Claiming(nonce) if nonce == live.nonce => return self.send_once(id, nonce, 0),
+            Stage::Claiming(nonce) if nonce == live.nonce => return self.send_once(id, nonce),
             Stage::Claiming(nonce) => {
                 once.stage = Stage::Waiting;
                 self.record(key, nonce, claim::Body::Void, true);
@@ -292,7 +292,7 @@
     }
 
     /// Sends a request whose start is the first live one.
-    fn send_once(&mut self, id: RequestId, nonce: Nonce, answered_before: u8) {
+    fn send_once(&mut self, id: RequestId, nonce: Nonce) {
         let Some(once) = self.once_mut(id) else {
             return;
         };
@@ -311,7 +311,7 @@
             once.stage = Stage::Sent {
                 nonce,
                 attempt: (attempt, target),
-                answered: answered_before > 0,
+                answered: false,
             };
         }
         self.forward(id, attempt, target, until);
@@ -428,7 +428,7 @@
             _ => false,
         };
         if in_time && still_first {
-            return self.send_once(id, nonce, 0);
+            return self.send_once(id, nonce);
         }
         self.record(&key, nonce, claim::Body::Void, true);
         let refusal = Refusal::not_run(Code::TargetRefused, "no target took the request");
--- a/camphorweir-policy/src/target.rs
+++ b/camphorweir-policy/src/target.rs
@@ -137,13 +137,13 @@
     services: HashMap<String, Vec<Index>>,
 }
 
-/// What a new configuration asks of the connections.
+/// An engine that a new configuration adds or moves: it wants a connection at this address.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// Connect to this engine at this address.
-    Link(TargetId, String),
-    /// Nothing runs there any more: disconnect.
-    Unlink(TargetId),
+pub struct Change {
+    /// The engine.
+    pub target: TargetId,
+    /// Its address now.
+    pub address: String,
 }
 
 impl Table {
@@ -232,7 +232,10 @@
     ) -> Index {
         let link = |changes: &mut Vec<Change>| {
             if matches!(given.serves, Serves::Layers(_)) {
-                changes.push(Change::Link(id.clone(), given.address.clone()));
+                changes.push(Change {
+                    target: id.clone(),
+                    address: given.address.clone(),
+                });
             }
         };
         if let Some(index) = self.find(id) {
