Check a request that waited for quarantine before it starts

Cause: a suspect kept apart from its like was queued again on a timer and opened an attempt without asking whether the like had been quarantined in the meantime, so a third target crashed of it.

--- a/camphorweir-policy/src/pipeline.rs
+++ b/camphorweir-policy/src/pipeline.rs
@@ -111,6 +111,11 @@
         let Some(request) = self.requests.get(&id) else {
             return Start::Over;
         };
+        // Its like may have crashed targets while it waited.
+        if let Err(refusal) = self.check_suspect(request.head.fingerprint) {
+            self.give_up(id, refusal.code, &refusal.detail);
+            return Start::Over;
+        }
         let Body::Stream(stream) = &request.body else {
             return Start::Over;
         };
--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -79,6 +79,23 @@
                 Thaw { entry: 1 },
             ],
         ),
+        (
+            "a request kept apart from its like started after the like had been quarantined",
+            0,
+            vec![
+                Poison { entry: 0, which: 0 },
+                Pass { ms: 2 },
+                Poison { entry: 0, which: 0 },
+                Prompt {
+                    entry: 1,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                RestartEngine { engine: 1 },
+                Poison { entry: 0, which: 1 },
+            ],
+        ),
     ]
 }
 
