Count passes under way that were given up against a suspect's next start

Cause: an attempt given up because another target of its path restarted left a step under way that crashed its target after the next attempt had started; the limit of two crashes looked only at crashes heard of. Ruled out: the quarantine check (mended before), a lost crash report. Before: the new regression case, 5 crashes, 4 allowed. After: it passes.

--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -84,6 +84,13 @@
         counted.filter(|(_, crashes)| *crashes >= LIMIT).collect()
     }
 
+    /// First passes of a request that were given up and may yet crash their targets.
+    fn pending(&self, fingerprint: u64, now: Duration) -> u32 {
+        let given_up = self.given_up.iter();
+        let pending = given_up.filter(|(print, _, until)| *print == fingerprint && now < *until);
+        pending.count() as u32
+    }
+
     /// Whether a peer runs a suspect now.
     fn runs_elsewhere(&self, fingerprint: u64) -> bool {
         let mut told = self.peers.values().flatten();
@@ -125,27 +132,33 @@
         Ok(())
     }
 
-    /// Whether a request has to wait, since it is a suspect and `targets` has another or its like
-    /// runs now; linear in the requests in flight, for suspects only.
+    /// Whether a request has to wait: what it has started may yet crash as many targets as it takes
+    /// for a quarantine, or it is a suspect and `targets` has another or its like runs now.
+    ///
+    /// Linear in the requests in flight for suspects, in the passes given up just now for others.
     pub(crate) fn keep_apart(&mut self, id: RequestId, targets: &[Index]) -> bool {
         let Some(fingerprint) = self.requests.get(&id).map(|one| one.head.fingerprint) else {
             return false;
         };
-        if self.suspects.crashes(fingerprint) == 0 {
+        let now = self.now.mono;
+        let crashes = self.suspects.crashes(fingerprint);
+        let pending = self.suspects.pending(fingerprint, now);
+        if crashes == 0 && pending < LIMIT {
             return false;
         }
-        let clash = self.requests.values().any(|other| {
-            let Some(attempt) = attempt_of(other) else {
-                return false;
-            };
-            let print = other.head.fingerprint;
-            let shares = targets
-                .iter()
-                .any(|target| attempt.path().contains(*target));
-            print == fingerprint || (shares && self.suspects.crashes(print) > 0)
-        });
+        let clash = crashes + pending >= LIMIT
+            || self.requests.values().any(|other| {
+                let Some(attempt) = attempt_of(other) else {
+                    return false;
+                };
+                let print = other.head.fingerprint;
+                let shares = targets
+                    .iter()
+                    .any(|target| attempt.path().contains(*target));
+                print == fingerprint || (shares && self.suspects.crashes(print) > 0)
+            });
         if clash {
-            self.timers.set(self.now.mono + APART, Timer::Apart(id));
+            self.timers.set(now + APART, Timer::Apart(id));
         }
         clash
     }
@@ -180,6 +193,10 @@
         let given_up = given_up.filter(|(_, target, until)| *target == index && now < *until);
         let given_up = given_up.map(|(fingerprint, ..)| *fingerprint);
         let suspects: BTreeSet<u64> = hit.chain(given_up).collect();
+        // What it was computing has ended with it.
+        self.suspects
+            .given_up
+            .retain(|(_, target, _)| *target != index);
         for fingerprint in &suspects {
             let own = self.suspects.own.entry(*fingerprint).or_default();
             own.crashes += 1;
--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -96,6 +96,31 @@
                 Poison { entry: 0, which: 1 },
             ],
         ),
+        (
+            "a suspect started again while a pass of it that had been given up was under way",
+            1788039478828524552,
+            vec![
+                Poison { entry: 0, which: 0 },
+                FreezeEngine {
+                    engine: 1,
+                    frozen: true,
+                },
+                Prompt {
+                    entry: 0,
+                    stem: 0,
+                    length: 16,
+                    count: 1,
+                },
+                Poison { entry: 1, which: 1 },
+                Prompt {
+                    entry: 2,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                Pass { ms: 7 },
+            ],
+        ),
     ]
 }
 
