Wait for peers' word of a crash before a suspect starts again

Cause: two entries with like requests each saw one crash in the same millisecond and started again before the other's word arrived. Ruled out: the count itself, both later heard of each other.

--- a/camphorweir-policy/src/suspect.rs
+++ b/camphorweir-policy/src/suspect.rs
@@ -36,7 +36,8 @@
 const OLD_NEWS: Duration = Duration::from_secs(10);
 /// Time in which a step may crash its target after its attempt was given up for another cause.
 const AFTERMATH: Duration = Duration::from_secs(1);
-/// Time between two tries to start a suspect apart from the others.
+/// Time between two tries to start a suspect apart from the others, the first of them after a crash:
+/// peers that run its like tell of their crashes in it, several times the way between zones.
 const APART: Duration = Duration::from_millis(20);
 
 /// Crashes with one request in flight.
@@ -45,6 +46,8 @@
     crashes: u32,
     /// When it is forgotten, since the Unix epoch.
     until: Duration,
+    /// Last crash that this entry saw, by the monotonic clock.
+    seen: Option<Duration>,
 }
 
 /// A target whose connection was lost.
@@ -84,6 +87,12 @@
         counted.filter(|(_, crashes)| *crashes >= LIMIT).collect()
     }
 
+    /// Whether peers may have seen a crash at the same time as this entry and not told of it yet.
+    fn fresh(&self, fingerprint: u64, now: Duration) -> bool {
+        let seen = self.own.get(&fingerprint).and_then(|own| own.seen);
+        seen.is_some_and(|at| now < at + APART)
+    }
+
     /// First passes of a request that were given up and may yet crash their targets.
     fn pending(&self, fingerprint: u64, now: Duration) -> u32 {
         let given_up = self.given_up.iter();
@@ -133,7 +142,8 @@
     }
 
     /// Whether a request has to wait: what it has started may yet crash as many targets as it takes
-    /// for a quarantine, or it is a suspect and `targets` has another or its like runs now.
+    /// for a quarantine, or it is a suspect and has just crashed a target, its like runs now or
+    /// `targets` has another suspect.
     ///
     /// Linear in the requests in flight for suspects, in the passes given up just now for others.
     pub(crate) fn keep_apart(&mut self, id: RequestId, targets: &[Index]) -> bool {
@@ -146,7 +156,8 @@
         if crashes == 0 && pending < LIMIT {
             return false;
         }
-        let clash = crashes + pending >= LIMIT
+        let unsettled = crashes + pending >= LIMIT || self.suspects.fresh(fingerprint, now);
+        let clash = unsettled
             || self.requests.values().any(|other| {
                 let Some(attempt) = attempt_of(other) else {
                     return false;
@@ -201,6 +212,7 @@
             let own = self.suspects.own.entry(*fingerprint).or_default();
             own.crashes += 1;
             own.until = self.now.wall + REMEMBER;
+            own.seen = Some(now);
             if self.suspects.crashes(*fingerprint) >= LIMIT {
                 let record = records::Record {
                     format: records::FORMAT,
--- a/camphorweir-policy/tests/always/regressions.rs
+++ b/camphorweir-policy/tests/always/regressions.rs
@@ -121,6 +121,26 @@
                 Pass { ms: 7 },
             ],
         ),
+        (
+            "two entries with a like request started it again before each heard of the other's crash",
+            3341622042128039432,
+            vec![
+                Poison { entry: 0, which: 0 },
+                FreezeEngine {
+                    engine: 1,
+                    frozen: true,
+                },
+                Prompt {
+                    entry: 1,
+                    stem: 0,
+                    length: 1,
+                    count: 1,
+                },
+                Poison { entry: 1, which: 1 },
+                Poison { entry: 0, which: 1 },
+                Pass { ms: 3 },
+            ],
+        ),
     ]
 }
 
