Let the cost of a target grow without bound as its memory fills

Ruled out: dead or draining targets (refusals come within 10 ms, named hops are live), the bound on first requests (192, at most 140 in use). Conclusion: what is left is load that entries do not know of: digests of all streams are too large for their rate where there are many entries.

--- a/camphorweir-relay/src/choice.rs
+++ b/camphorweir-relay/src/choice.rs
@@ -35,8 +35,9 @@
 const ROOM_FAR: f64 = 0.8;
 /// Taken off for each peer: the more there are, the longer each waits to be heard again.
 const ROOM_PEER: f64 = 0.002;
-/// Part of a full target's memory at which its steps count as twice as slow.
-const FULL: f64 = 0.9;
+/// A target counts as slower by the inverse of the part of its memory that is free, as the wait for
+/// a server that is shared grows; this is the fullest that is told apart.
+const FULLEST: f64 = 0.9;
 
 impl Desk {
     /// For operators: how many layers of each zone have how many live copies.
@@ -217,7 +218,7 @@
             false => 1.0 + FAILING_FACTOR * mark.failing,
         };
         let spread = 1.0 + SPREAD * draw_for(&ticket.id, &target.id);
-        let busy = (1.0 + fill / FULL) * failed * spread;
+        let busy = failed * spread / (1.0 - fill.min(FULLEST));
         Some(Part {
             target: target.id.clone(),
             span: target.span,
--- a/camphorweir-relay/tests/decide/desk.rs
+++ b/camphorweir-relay/tests/decide/desk.rs
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn streams_stay_in_their_zone_until_it_is_full_and_then_go_whole_to_another() {
+fn streams_begin_in_their_zone_and_fill_each_zone_whole() {
     let mut desk = desk();
     let mut plans = Vec::new();
     loop {
@@ -193,6 +193,45 @@
     assert!(refusal.retry_after.is_some_and(|wait| wait > ms(1_000)));
 }
 
+#[test]
+fn a_slower_target_with_room_goes_before_a_fast_one_that_is_filling() {
+    let mut desk = desk();
+    let mut engine = engine();
+    let slow = Hardware {
+        step: 2.0,
+        read: 2.0,
+        ..engine.kinds["half"]
+    };
+    engine.kinds.insert("slow".to_owned(), slow);
+    let mut known = desk.configuration().unwrap().as_ref().clone();
+    known.version += 1;
+    known.services.get_mut("scribe").unwrap().engine = Some(engine);
+    desk.configure(Arc::new(known), ms(0));
+    let mut target = desk.fleet.get(&"near-0".into()).cloned().unwrap();
+    (target.id, target.hardware) = ("near-2".into(), Some("slow".to_owned()));
+    target.address.set_port(9);
+    desk.fleet.record(target, ms(0));
+    let mut first = ticket(&mut desk, "/text/a", ms(0));
+    let plan = desk.plan(&mut first, ms(0)).unwrap();
+    assert_eq!(*plan.target, *"near-0");
+    // Ten of fifteen thousand token-layers are taken: what is left would fill in a moment.
+    let loads = ["near-0", "far-0"].map(|id| Load {
+        target: ids_tag(id),
+        streams: 10,
+        first: 10,
+        kept: 10,
+    });
+    let digest = Digest {
+        entry: "peer".to_owned(),
+        loads: loads.into(),
+        ..Digest::default()
+    };
+    desk.heard(digest, ms(0));
+    let mut second = ticket(&mut desk, "/text/a", ms(0));
+    let plan = desk.plan(&mut second, ms(0)).unwrap();
+    assert_eq!(*plan.target, *"near-2");
+}
+
 #[test]
 fn a_target_gets_no_more_requests_than_it_has_slots() {
     let mut desk = desk();
