Ask for a store that is away with one call at a time

Cause: the readers of the configuration, the targets, the entries and the lease each tried on by themselves while the store was away. Ruled out: the back-off itself; its pauses are bounded by the two seconds in which a change must be in force after the store's return.

--- a/camphorweir-entry/src/front/duty.rs
+++ b/camphorweir-entry/src/front/duty.rs
@@ -11,7 +11,6 @@
         ids::{Now, ServiceName, TargetId},
         lease::Lease,
         place::{Seat, place_plan},
-        reader::Source,
         site::{Configuration, Engine},
         span::Span,
     },
@@ -55,8 +54,7 @@
     let mut next = Instant::now();
     while !world.stopping() {
         // One entry of each zone is enough to choose from; another takes over when it is silent.
-        let takes_part = world.source() == Source::Store;
-        if takes_part && Instant::now() >= next {
+        if world.store_answers() && Instant::now() >= next {
             next = Instant::now() + JOIN_PAUSE;
             join(&world, &mut client, &mut lease).await;
         }
--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -29,8 +29,7 @@
     version: u64,
     site: Bytes,
     confirmed: Option<Now>,
-    /// When the store must have answered the read under way; `None` when it failed the last one.
-    due: Option<Now>,
+    read: Read,
     listed: Option<Now>,
     /// The newest value of each key.
     newest: BTreeMap<(List, String), Bytes>,
@@ -39,6 +38,17 @@
     next: u64,
 }
 
+/// How the store answers the reader of the configuration.
+#[derive(Clone, Copy, Debug)]
+enum Read {
+    /// This entry has not asked it.
+    Never,
+    /// It answered so far, and must have answered the read under way by then.
+    Due(Now),
+    /// It failed the last read.
+    Failed,
+}
+
 impl Default for Feed {
     fn default() -> Self {
         Self {
@@ -47,7 +57,7 @@
                 version: 0,
                 site: Bytes::new(),
                 confirmed: None,
-                due: None,
+                read: Read::Never,
                 listed: None,
                 newest: BTreeMap::new(),
                 changes: VecDeque::new(),
@@ -72,15 +82,33 @@
         }
     }
 
-    /// The store is being asked for the configuration and must have answered by `due`; `None` when
-    /// it did not answer in time or refused.
-    pub fn asked(&self, due: Option<Now>) {
-        self.inner().due = due;
+    /// The store is being asked for the configuration and must have answered by `due`. One that
+    /// failed is taken to be away until it has answered.
+    pub fn asked(&self, due: Now) {
+        let mut inner = self.inner();
+        if !matches!(inner.read, Read::Failed) {
+            inner.read = Read::Due(due);
+        }
+    }
+
+    /// The store answered, and the next read must have begun by `due`.
+    pub fn answered(&self, due: Now) {
+        self.inner().read = Read::Due(due);
+    }
+
+    /// The store did not answer in time, or refused.
+    pub fn failed(&self) {
+        self.inner().read = Read::Failed;
+    }
+
+    /// Whether the store failed the last read of the configuration.
+    pub fn has_failed(&self) -> bool {
+        matches!(self.inner().read, Read::Failed)
     }
 
     /// Whether the store answers this entry, so that others may follow it.
     pub fn is_sound(&self, now: Now) -> bool {
-        self.inner().due.is_some_and(|due| now < due)
+        matches!(self.inner().read, Read::Due(due) if now < due)
     }
 
     /// The configuration was the newest at this time.
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -143,11 +143,6 @@
     }
 }
 
-/// Whether others may follow this entry: it reads the store, which answers.
-fn is_source(world: &World) -> bool {
-    world.source() == Source::Store && world.feed().is_sound(world.now())
-}
-
 async fn answer(world: &World, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let status = |status: StatusCode| {
         let mut response = Response::new(Full::default());
@@ -165,11 +160,11 @@
     };
     let until = Instant::now() + Duration::from_millis(ask.wait_ms.into()).min(WAIT);
     let mut changes = world.feed().changes();
-    while is_source(world) && !world.feed().has_more(&ask) && Instant::now() < until {
+    while world.store_answers() && !world.feed().has_more(&ask) && Instant::now() < until {
         // Nothing new is an answer as well.
         let _ = timeout(SLICE, changes.changed()).await;
     }
-    if !is_source(world) {
+    if !world.store_answers() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     match world.feed().told(&ask, world.now()) {
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -10,7 +10,6 @@
         supervise::Backoff,
     },
     camphorweir_platform::store::{ENTRIES_TOPIC, Record, store_put},
-    camphorweir_relay::reader::Source,
     camphorweir_wire::{
         codec,
         digest::{Card, Digest},
@@ -146,7 +145,7 @@
         if !told {
             told = tell(world, socket, follow, &mut client).await;
         }
-        if world.source() == Source::Store {
+        if world.store_answers() {
             match newest(&mut client, ENTRIES_TOPIC).await {
                 Ok(batch) => world.apply_entries(&batch.records, true),
                 Err(fault) => log::debug!(reason:% = fault; "list of entries not read"),
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -51,10 +51,17 @@
             continue;
         }
         let began = world.now();
-        world.feed().asked(Some(began + SITE_WAIT + OVERDUE));
-        match site_step(&mut client, from, &world, began).await {
+        world.feed().asked(began + SITE_WAIT + OVERDUE);
+        // The first answer after a failure is awaited by all else that reads the store.
+        let wait = match world.feed().has_failed() {
+            true => Duration::ZERO,
+            false => SITE_WAIT,
+        };
+        match site_step(&mut client, from, &world, began, wait).await {
             Ok(next) => {
                 from = Some(next);
+                // The next read begins at once.
+                world.feed().answered(world.now() + OVERDUE);
                 reached.ok();
                 backoff.reset();
             }
@@ -75,10 +82,11 @@
     from: Option<u64>,
     world: &World,
     began: Now,
+    wait: Duration,
 ) -> Result<u64, Fault> {
     let batch = match from {
         None => newest(client, SITE_TOPIC).await?,
-        Some(from) => read(client, SITE_TOPIC, from, SITE_WAIT).await?,
+        Some(from) => read(client, SITE_TOPIC, from, wait).await?,
     };
     // Only the newest of several matters, as each is whole.
     let mut records = batch.records.iter().rev();
@@ -113,14 +121,17 @@
     let mut from = None;
     let mut reached = Reach::new("targets");
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
+    let mut away = false;
     loop {
-        if world.source() != Source::Store {
+        if !world.store_answers() {
+            away |= world.feed().has_failed();
             sleep(FOLLOW_LOOK).await;
             continue;
         }
-        match targets_step(&mut client, from, &world, reached.lost).await {
+        match targets_step(&mut client, from, &world, away || reached.lost).await {
             Ok(next) => {
                 from = Some(next);
+                away = false;
                 reached.ok();
                 backoff.reset();
             }
@@ -244,21 +255,17 @@
         Self { what, lost: false }
     }
 
-    /// Returns whether the store had been lost until now.
-    pub fn ok(&mut self) -> bool {
-        let back = std::mem::take(&mut self.lost);
-        if back {
+    /// It answered.
+    pub fn ok(&mut self) {
+        if std::mem::take(&mut self.lost) {
             log::info!(reader = self.what; "source regained");
         }
-        back
     }
 
-    /// Returns whether the store had been reached until now.
-    pub fn failed(&mut self, fault: &Fault) -> bool {
-        let first = !std::mem::replace(&mut self.lost, true);
-        if first {
+    /// It did not answer.
+    pub fn failed(&mut self, fault: &Fault) {
+        if !std::mem::replace(&mut self.lost, true) {
             log::warn!(reader = self.what, reason:% = fault; "source lost");
         }
-        first
     }
 }
--- a/camphorweir-entry/src/front/world.rs
+++ b/camphorweir-entry/src/front/world.rs
@@ -178,6 +178,12 @@
         self.reader().source(&self.settings().instance, &peers, now)
     }
 
+    /// Whether this entry is to read the store, which answers its reader of the configuration: that
+    /// one asks on while the store is away, for all others.
+    pub fn store_answers(&self) -> bool {
+        self.source() == Source::Store && self.feed().is_sound(self.now())
+    }
+
     /// The source did not answer.
     pub fn source_failed(&self) {
         let now = self.now();
@@ -188,7 +194,7 @@
     pub fn store_failed(&self) {
         let now = self.now();
         self.reader().store_failed(now);
-        self.feed().asked(None);
+        self.feed().failed();
     }
 
     /// The source's knowledge is this old; returns whether it is of use.
--- a/camphorweir-relay/src/desk.rs
+++ b/camphorweir-relay/src/desk.rs
@@ -374,13 +374,10 @@
             return;
         }
         for failing in failing {
-            let mut targets = self.fleet.all();
-            let known = targets.find(|target| ids_tag(&target.id) == failing.target);
-            let Some(id) = known.map(|target| target.id.clone()) else {
-                continue;
-            };
-            let rest = Duration::from_millis(failing.rest_ms.into());
-            self.board.warned(&id, now, rest, failing.silent);
+            if let Some(target) = self.fleet.tagged(failing.target) {
+                let rest = Duration::from_millis(failing.rest_ms.into());
+                self.board.warned(&target.id, now, rest, failing.silent);
+            }
         }
     }
 
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        ids::{Now, ServiceName, TargetId, Zone},
+        ids::{Now, ServiceName, TargetId, Zone, ids_tag},
         span::Span,
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
     },
@@ -69,8 +69,8 @@
     targets: BTreeMap<TargetId, Seen>,
     /// When the store answered again after an outage.
     returned: Option<Now>,
-    /// Rises with every change that a placement or a path may depend on.
-    revision: u64,
+    /// Identifiers by tag; also of targets that are gone, until another has the tag.
+    tags: HashMap<u32, TargetId>,
 }
 
 impl Fleet {
@@ -79,11 +79,6 @@
         self.returned = Some(now);
     }
 
-    /// Rises with every change.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
     /// Takes a record in. Draining is final for one life of a target.
     pub fn record(&mut self, mut target: Target, now: Now) -> Option<Change> {
         let mut since = now;
@@ -102,8 +97,10 @@
         if change == Some(Change::Up) {
             self.drop_address(target.address, target.born);
         }
-        self.revision += u64::from(change.is_some());
         let id = target.id.clone();
+        if change == Some(Change::Up) {
+            self.tags.insert(ids_tag(&id), id.clone());
+        }
         let seen = Seen {
             target,
             since,
@@ -129,7 +126,6 @@
             return Some(Change::Lapsed);
         }
         self.targets.remove(id);
-        self.revision += 1;
         Some(Change::Gone)
     }
 
@@ -162,7 +158,6 @@
         let gone: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.targets.remove(id);
-            self.revision += 1;
         }
         gone
     }
@@ -172,6 +167,11 @@
         self.targets.get(id).map(|seen| &seen.target)
     }
 
+    /// The target that peers name by a tag.
+    pub fn tagged(&self, tag: u32) -> Option<&Target> {
+        self.get(self.tags.get(&tag)?)
+    }
+
     /// For how long this life of a target has been known.
     pub fn age(&self, id: &TargetId, now: Now) -> Duration {
         let seen = self.targets.get(id);
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -1,6 +1,7 @@
 //! A small deployment: a store, targets, entries and a caller.
 
 use {
+    crate::{port::free, site::site},
     bytes::Bytes,
     camphorweir_entry::front::run::run,
     camphorweir_relay::{
@@ -14,10 +15,9 @@
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Request, client::conn::http1},
     hyper_util::rt::TokioIo,
-    serde_json::{Value, json},
     std::{future::Future, net::SocketAddr, time::Duration},
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::TcpStream,
         sync::oneshot,
         task::JoinHandle,
         time::{sleep, timeout},
@@ -105,7 +105,11 @@
             bench.entries.push(entry);
         }
         for entry in &bench.entries {
-            until("ready", || async { is_ready(entry).await.then_some(()) }).await;
+            until("ready", || async {
+                assert!(!entry.task.is_finished(), "the entry could not start");
+                is_ready(entry).await.then_some(())
+            })
+            .await;
         }
         until("layers placed", || async {
             let held = bench.parts.iter().filter(|part| part.span().is_some());
@@ -135,42 +139,13 @@
 
     /// Publishes a configuration with these keys.
     pub(crate) fn configure(&self, version: u64, keys: &[&str]) {
-        let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
-            json!({
-                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
-                "timeoutMs": 8000, "targetLatencyMs": 500, "service": service,
-                "maxAttempts": attempts, "resumable": kind == "streaming",
-            })
-        };
-        let tenants = keys
-            .iter()
-            .map(|key| json!({"name": format!("w-{key}"), "apiKeys": [key]}));
-        let tenants: Vec<Value> = tenants.collect();
-        let site = json!({
-            "version": version,
-            "routes": [
-                route("/seal/", "non_idempotent", "ledger", 1),
-                route("/look/", "idempotent", "ledger", 2),
-                route("/text/", "streaming", "scribe", 2),
-            ],
-            "services": [
-                {"name": "ledger", "maxConnections": 100},
-                {"name": "scribe", "maxConnections": 100, "engine": {
-                    "layers": 10, "layerMb": 100.0, "kvTokenBytes": 10000, "step_ms": 1.0,
-                    "read_per_s": 100000.0, "usual": {"prompt": 10, "answer": 10},
-                    "models": [{"loadS": 0.1}],
-                    "kinds": [{"name": "half", "mb": 600.0, "pace": 1.0, "readFactor": 1.0}],
-                }},
-            ],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "tenants": tenants,
-        });
+        let site = site(version, keys);
         self.store
             .put("keyed.op", "config", site.to_string().as_bytes());
     }
 
     async fn entry(&self, index: usize) -> Entry {
-        let (callers, ready, metrics) = (free().await, free().await, free().await);
+        let (callers, ready, metrics) = (free(), free(), free());
         let settings = Settings {
             instance: format!("entry-{index}"),
             zone: "z".into(),
@@ -236,11 +211,6 @@
     }
 }
 
-async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Waits until a look finds what is awaited.
 pub(crate) async fn until<T, F: Future<Output = Option<T>>>(what: &str, look: impl Fn() -> F) -> T {
     let found = timeout(GUARD, async {
--- a/camphorweir-standin/tests/front/lists.rs
+++ b/camphorweir-standin/tests/front/lists.rs
@@ -125,6 +125,30 @@
     );
 }
 
+#[tokio::test]
+async fn one_call_at_a_time_asks_for_a_store_that_is_away() {
+    let bench = Bench::start(1).await;
+    bench.store.set(Mood::Refusing);
+    // What was under way ends first.
+    sleep(Duration::from_millis(1000)).await;
+    let before = bench.store.calls();
+    sleep(Duration::from_secs(6)).await;
+    let calls = bench.store.calls() - before;
+    // Pauses grow to between 0.6 and 1.2 s, so one reader asks ten times at most.
+    assert!((3..=10).contains(&calls), "{calls} calls in six seconds");
+    // All that waited for it goes on once it answers.
+    bench.store.set(Mood::Sound);
+    sleep(CONFIGURE).await;
+    bench.parts[0].drain();
+    until("the list is read again", || async {
+        call(bench.front(), &stream("s1")).await;
+        let seen = bench.parts[0].seen().len();
+        call(bench.front(), &stream("s2")).await;
+        (bench.parts[0].seen().len() == seen).then_some(())
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_entry_that_the_store_refuses_keeps_up_with_its_zone() {
     keeps_up(Mood::Refusing).await;
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -3,4 +3,8 @@
 mod bench;
 mod calls;
 mod lists;
+#[path = "../support/port.rs"]
+mod port;
+#[path = "../support/site.rs"]
+mod site;
 mod streams;
