Add a soak of the platform's front: entries as processes under random faults

Loopback proxies delay, reset, mute and silence connections to the store and the targets; entries are paused, killed, stopped and started; the store refuses and is silent; targets crash and come back empty. Judged by what callers and targets see: runs, bodies, times, revoked keys, ends of stops, recovery.

--- a/camphorweir-standin/src/layered.rs
+++ b/camphorweir-standin/src/layered.rs
@@ -66,6 +66,10 @@
     orders: u64,
     stalled: Vec<(String, String)>,
     draining: bool,
+    /// Starts again so far.
+    restarts: u64,
+    /// The address in its record, if it is reached through another.
+    through: Option<SocketAddr>,
     alive: Arc<()>,
 }
 
@@ -143,6 +147,25 @@
         self.list();
     }
 
+    /// Starts again as another life of itself, without layers.
+    pub fn restart(&self) {
+        {
+            let mut state = self.state();
+            state.span = None;
+            state.orders = 0;
+            state.draining = false;
+            state.restarts += 1;
+            state.acts.clear();
+        }
+        self.list();
+    }
+
+    /// Is reached through another address from now on.
+    pub fn go_through(&self, address: SocketAddr) {
+        self.state().through = Some(address);
+        self.list();
+    }
+
     /// Runs of an attempt.
     pub fn runs(&self, id: &str) -> usize {
         self.state().runs.get(id).copied().unwrap_or_default()
@@ -169,11 +192,11 @@
             let state = self.state();
             json!({
                 "service": self.setup.service,
-                "address": self.address.to_string(),
+                "address": state.through.unwrap_or(self.address).to_string(),
                 "zone": self.setup.zone,
                 "slots": 8,
                 "state": if state.draining { "draining" } else { "ready" },
-                "born": 1,
+                "born": 1 + state.restarts,
                 "kind": self.setup.kind,
                 "layers": state.span.map(|(from, to)| json!({"from": from, "to": to, "version": 1})),
             })
@@ -200,7 +223,7 @@
         let layers = state.span.map(|(from, to)| json!({"from": from, "to": to}));
         Reply::json(
             200,
-            &json!({"busy": false, "seq": state.orders, "layers": layers, "stalled": stalled, "born": 1}),
+            &json!({"busy": false, "seq": state.orders, "layers": layers, "stalled": stalled, "born": 1 + state.restarts}),
         )
     }
 
--- /dev/null
+++ b/camphorweir-standin/tests/soak/caller.rs
@@ -0,0 +1,184 @@
+//! Callers that keep their connections, and what became of each call.
+
+use {
+    crate::deployment::KEYS,
+    bytes::Bytes,
+    camphorweir_standin::layered::{EVENTS, event},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request,
+        client::conn::http1::{self, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        net::TcpStream,
+        sync::watch,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// What callers say they wait.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(3000);
+/// Guards against a caller that hangs; the checks judge by [`PATIENCE`].
+const GUARD: Duration = Duration::from_secs(20);
+/// Longest pause between two calls of a caller in ms.
+const PAUSE_MS: u64 = 150;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    Seal,
+    Look,
+    Text,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub(crate) enum End {
+    /// It was not sent: there was no connection.
+    Unsent,
+    /// The connection ended before the answer, or in it.
+    Broken { status: Option<u16>, body: Bytes },
+    /// A whole answer.
+    Whole { status: u16, body: Bytes },
+}
+
+/// A call of the past.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) id: String,
+    pub(crate) kind: Kind,
+    /// Index in [`KEYS`].
+    pub(crate) key: usize,
+    /// Index of the entry.
+    pub(crate) entry: usize,
+    pub(crate) from: Instant,
+    pub(crate) to: Instant,
+    pub(crate) end: End,
+}
+
+impl Call {
+    /// The status, if one came.
+    pub(crate) fn status(&self) -> Option<u16> {
+        match &self.end {
+            End::Unsent => None,
+            End::Broken { status, .. } => *status,
+            End::Whole { status, .. } => Some(*status),
+        }
+    }
+}
+
+/// Every event of a stream.
+pub(crate) fn all_events() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+/// Calls entries until told to stop; gives what became of the calls.
+pub(crate) async fn run(
+    name: usize,
+    seed: u64,
+    entries: Vec<SocketAddr>,
+    stop: watch::Receiver<bool>,
+) -> Vec<Call> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut calls = Vec::new();
+    while !*stop.borrow() {
+        let entry = rng.random_range(0..entries.len());
+        let Some(mut line) = connect(entries[entry]).await else {
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+            continue;
+        };
+        // On one connection for as long as the entry keeps it.
+        while !*stop.borrow() && rng.random_bool(0.97) {
+            let kind = [Kind::Seal, Kind::Look, Kind::Text][rng.random_range(0..3)];
+            let key = usize::from(rng.random_bool(0.3));
+            let id = format!("{name}-{}", calls.len());
+            let (call, stays) = ask(&mut line, entry, id, kind, key).await;
+            calls.push(call);
+            if !stays {
+                break;
+            }
+            sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
+        }
+    }
+    calls
+}
+
+/// Makes one call on a connection of its own.
+pub(crate) async fn once(entry: SocketAddr, index: usize, id: String, kind: Kind) -> Option<Call> {
+    let mut line = connect(entry).await?;
+    Some(ask(&mut line, index, id, kind, 0).await.0)
+}
+
+async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = timeout(PATIENCE, TcpStream::connect(address)).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream.ok()?)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+/// Makes a call; says as well whether the connection may be used again.
+async fn ask(
+    line: &mut SendRequest<Full<Bytes>>,
+    entry: usize,
+    id: String,
+    kind: Kind,
+    key: usize,
+) -> (Call, bool) {
+    let path = match kind {
+        Kind::Seal => "/seal/a",
+        Kind::Look => "/look/a",
+        Kind::Text => "/text/a",
+    };
+    let mut request = Request::post(path)
+        .header("host", "h.example")
+        .header("x-attempt-id", &id)
+        .header("x-deadline-ms", PATIENCE.as_millis().to_string())
+        .header("authorization", format!("Bearer {}", KEYS[key]));
+    if kind == Kind::Text {
+        request = request.header("x-token-usage", "10,24");
+    }
+    let request = request.body(Full::new(Bytes::from_static(b"batch 7")));
+    let from = Instant::now();
+    let done = timeout(GUARD, exchange(line, request.unwrap())).await;
+    let (end, stays) = done.unwrap_or_else(|_| panic!("{id}: no end in {GUARD:?}"));
+    let call = Call {
+        id,
+        kind,
+        key,
+        entry,
+        from,
+        to: Instant::now(),
+        end,
+    };
+    (call, stays)
+}
+
+async fn exchange(
+    line: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> (End, bool) {
+    if line.ready().await.is_err() {
+        return (End::Unsent, false);
+    }
+    let Ok(response) = line.send_request(request).await else {
+        let body = Bytes::new();
+        return (End::Broken { status: None, body }, false);
+    };
+    let (head, mut rest) = response.into_parts();
+    let status = head.status.as_u16();
+    let closes = head.headers.get("connection");
+    let stays = closes.is_none_or(|value| value != "close");
+    let mut body = Vec::new();
+    while let Some(frame) = rest.frame().await {
+        let Ok(frame) = frame else {
+            let (status, body) = (Some(status), body.into());
+            return (End::Broken { status, body }, false);
+        };
+        body.extend(frame.into_data().unwrap_or_default());
+    }
+    let body = body.into();
+    (End::Whole { status, body }, stays)
+}
--- /dev/null
+++ b/camphorweir-standin/tests/soak/fault.rs
@@ -0,0 +1,150 @@
+//! Faults drawn from a seed, that overlap and come in series.
+
+use {
+    crate::{
+        deployment::{Deployment, ENTRIES},
+        proxy::Mode,
+    },
+    camphorweir_standin::{keyed::Mood, layered::Act},
+    rand::{Rng, rngs::SmallRng},
+    std::time::Duration,
+    tokio::time::{Instant, sleep_until},
+};
+
+/// Time in which faults begin.
+const FAULTY: Duration = Duration::from_secs(9);
+/// Longest pause between the begins of two faults in ms.
+const PAUSE_MS: u64 = 700;
+/// Shortest and longest time of a fault in ms.
+const LASTS_MS: (u64, u64) = (100, 3500);
+/// Targets of a deployment.
+const TARGETS: usize = 6;
+
+/// What happens from outside.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// An entry is paused for a while.
+    Pause(usize),
+    /// An entry is killed, and started again after a while.
+    Kill(usize),
+    /// An entry is told to stop, and started again when it has ended.
+    Stop(usize),
+    /// The store behaves so for all.
+    Store(Mood),
+    /// The store's connections to one entry.
+    Door(usize, Mode),
+    /// A target's connections.
+    Link(usize, Mode),
+    /// A target crashes and comes back empty after a while.
+    Crash(usize),
+    /// A target answers its next request so.
+    Act(usize, Act),
+    /// A configuration is published, without the second key or with it.
+    Publish(bool),
+    /// The store drops the history of what it holds.
+    Forget,
+}
+
+/// Faults with the times at which they begin and how long they last, from the start.
+pub(crate) fn script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+    let mut at = Duration::from_millis(200);
+    let mut script = Vec::new();
+    while at < FAULTY {
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
+        script.push((at, lasts, draw(rng)));
+        at += Duration::from_millis(rng.random_range(0..PAUSE_MS));
+    }
+    script
+}
+
+fn draw(rng: &mut SmallRng) -> Fault {
+    let entry = rng.random_range(0..ENTRIES);
+    let target = rng.random_range(0..TARGETS);
+    let delay = Duration::from_millis(rng.random_range(5..400));
+    let mode = [
+        Mode::Delay(delay),
+        Mode::Reset,
+        Mode::MuteCaller,
+        Mode::MuteServer,
+        Mode::Silent,
+    ][rng.random_range(0..5)];
+    let act = [
+        Act::Refuse,
+        Act::Lose,
+        Act::Foreign,
+        Act::CutIn(3),
+        Act::CutAtOnce,
+        Act::StallAfter(2),
+        Act::Slow,
+        Act::Fail,
+    ][rng.random_range(0..8)];
+    match rng.random_range(0..20) {
+        0..2 => Fault::Pause(entry),
+        2..4 => Fault::Kill(entry),
+        4..6 => Fault::Stop(entry),
+        6 => Fault::Store(Mood::Refusing),
+        7 => Fault::Store(Mood::Silent),
+        8..10 => Fault::Door(entry, mode),
+        10..13 => Fault::Link(target, mode),
+        13 => Fault::Crash(target),
+        14..17 => Fault::Act(target, act),
+        17..19 => Fault::Publish(rng.random_bool(0.6)),
+        _ => Fault::Forget,
+    }
+}
+
+/// Plays a script to its end.
+pub(crate) async fn play(deployment: &mut Deployment, script: &[(Duration, Duration, Fault)]) {
+    let start = Instant::now();
+    let begins = script.iter().map(|(at, _, fault)| (*at, *fault, true));
+    let ends = script
+        .iter()
+        .map(|(at, lasts, fault)| (*at + *lasts, *fault, false));
+    let mut steps: Vec<(Duration, Fault, bool)> = begins.chain(ends).collect();
+    steps.sort_by_key(|(at, ..)| *at);
+    for (at, fault, begins) in steps {
+        sleep_until(start + at).await;
+        match begins {
+            true => begin(deployment, fault),
+            false => end(deployment, fault),
+        }
+    }
+}
+
+fn begin(deployment: &mut Deployment, fault: Fault) {
+    match fault {
+        Fault::Pause(index) => deployment.entries[index].pause(),
+        Fault::Kill(index) => deployment.entries[index].kill(),
+        Fault::Stop(index) => deployment.entries[index].stop(),
+        Fault::Store(mood) => deployment.store.set(mood),
+        Fault::Door(index, mode) => deployment.entries[index].door.set(mode),
+        Fault::Link(index, mode) => deployment.targets[index].1.set(mode),
+        Fault::Crash(index) => deployment.targets[index].1.set(Mode::Reset),
+        Fault::Act(index, act) => deployment.targets[index].0.act(act),
+        Fault::Publish(revoke) => deployment.publish(revoke),
+        Fault::Forget => {
+            deployment.store.forget("keyed.op");
+            deployment.store.forget("keyed.servers");
+        }
+    }
+}
+
+fn end(deployment: &mut Deployment, fault: Fault) {
+    match fault {
+        Fault::Pause(index) => deployment.entries[index].go_on(),
+        Fault::Kill(index) | Fault::Stop(index) => {
+            // One that is told to stop may still be at work; it is started at the end then.
+            deployment.entries[index].reap();
+            deployment.entries[index].start();
+        }
+        Fault::Store(_) => deployment.store.set(Mood::Sound),
+        Fault::Door(index, _) => deployment.entries[index].door.mend(),
+        Fault::Link(index, _) => deployment.targets[index].1.mend(),
+        Fault::Crash(index) => {
+            let (target, proxy) = &deployment.targets[index];
+            target.restart();
+            proxy.set(Mode::Pass);
+        }
+        Fault::Act(..) | Fault::Forget | Fault::Publish(_) => {}
+    }
+}
--- /dev/null
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -0,0 +1,88 @@
+//! What must hold of every call, whatever happened.
+
+use {
+    crate::{
+        caller::{Call, End, Kind, PATIENCE, all_events},
+        deployment::Deployment,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// A call ends this long after its caller's patience at the latest: a turn of a busy machine.
+const SLACK: Duration = Duration::from_secs(1);
+/// A pause or end of an entry is seen by its callers within this time.
+const SEEN: Duration = Duration::from_millis(500);
+/// Runs of a call that may be repeated.
+const RUNS: usize = 2;
+
+/// Checks all calls; says what they came to.
+pub(crate) fn judge(seed: u64, deployment: &Deployment, calls: &[Call]) {
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    for call in calls {
+        let runs = deployment
+            .targets
+            .iter()
+            .map(|(target, _)| target.runs(&call.id));
+        let runs: usize = runs.sum();
+        let fault = check_runs(call, runs).or_else(|| check_body(call));
+        let fault = fault.or_else(|| check_entry(deployment, call));
+        if let Some(fault) = fault {
+            panic!("seed {seed}: {fault}; {runs} runs; {call:?}");
+        }
+        let whole = matches!(call.end, End::Whole { .. });
+        let what = format!("{:?} {:?} {whole}", call.kind, call.status());
+        *ends.entry(what).or_default() += 1;
+    }
+    println!("seed {seed}: {ends:?}");
+}
+
+/// A seal runs once at most, and what is said not to have run never ran.
+fn check_runs(call: &Call, runs: usize) -> Option<&'static str> {
+    let most = match call.kind {
+        Kind::Seal => 1,
+        Kind::Look | Kind::Text => RUNS,
+    };
+    let not_run = matches!(call.status(), Some(401 | 404 | 408 | 421 | 429 | 503));
+    match runs {
+        _ if runs > most => Some("it ran too often"),
+        0 if call.status() == Some(200) => Some("it was answered and did not run"),
+        1.. if not_run => Some("it ran and was said not to have"),
+        _ => None,
+    }
+}
+
+/// An answer is the target's own, whole or visibly broken.
+fn check_body(call: &Call) -> Option<&'static str> {
+    let (body, whole) = match &call.end {
+        End::Whole { status: 200, body } => (body, true),
+        End::Broken {
+            status: Some(200),
+            body,
+        } => (body, false),
+        _ => return None,
+    };
+    let right = match (call.kind, whole) {
+        (Kind::Text, true) => *body == all_events(),
+        (Kind::Text, false) => all_events().as_bytes().starts_with(body),
+        (Kind::Seal | Kind::Look, true) => body.starts_with(b"/") && body.len() > 8,
+        (Kind::Seal | Kind::Look, false) => true,
+    };
+    (!right).then_some("the body is not the target's")
+}
+
+/// An entry that works answers in time, and never lets a revoked key in.
+fn check_entry(deployment: &Deployment, call: &Call) -> Option<&'static str> {
+    let entry = &deployment.entries[call.entry];
+    if entry.was_hurt(call.from, call.to + SEEN) {
+        return None;
+    }
+    let cut = matches!(call.end, End::Broken { status: None, .. });
+    let late = call.to - call.from > PATIENCE + SLACK;
+    let revoked = call.key == 1 && deployment.is_revoked(call.from);
+    match call.status() {
+        _ if late => Some("it ended late"),
+        None if cut => Some("it got no answer"),
+        Some(200) if revoked => Some("its key had been revoked"),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -0,0 +1,109 @@
+//! A soak of the platform's front: entries as processes under random faults from outside, judged by
+//! what callers and targets see.
+//!
+//! `CAMPHORWEIR_SOAK_SEEDS` sets how many seeds are played and `CAMPHORWEIR_SOAK_FIRST` the first.
+
+mod caller;
+#[path = "../process/child.rs"]
+#[allow(dead_code)]
+mod child;
+mod deployment;
+mod fault;
+mod judge;
+#[path = "../support/port.rs"]
+mod port;
+mod proxy;
+#[path = "../support/site.rs"]
+mod site;
+
+use {
+    caller::{Call, Kind},
+    deployment::Deployment,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Seeds played without a setting, in CI.
+const SEEDS: u64 = 2;
+/// The first of them.
+const FIRST: u64 = 1;
+/// Seeds that have failed.
+const FAILED: &[u64] = &[];
+/// Callers at a time.
+const CALLERS: usize = 12;
+/// Everything is served again within this time after the last fault, as the platform asks.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Pause between looks whether it is.
+const LOOK: Duration = Duration::from_millis(100);
+
+fn setting(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_faults() {
+    let first = setting("CAMPHORWEIR_SOAK_FIRST", FIRST);
+    for seed in first..first + setting("CAMPHORWEIR_SOAK_SEEDS", SEEDS) {
+        soak(seed).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_that_failed_pass() {
+    for seed in FAILED {
+        soak(*seed).await;
+    }
+}
+
+async fn soak(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let script = fault::script(&mut rng);
+    println!("seed {seed}: {script:?}");
+    let mut deployment = Deployment::start().await;
+    recovered(&deployment, "start").await;
+    let entries: Vec<_> = deployment
+        .entries
+        .iter()
+        .map(|entry| entry.callers)
+        .collect();
+    let (stop, stopped) = watch::channel(false);
+    let callers = (0..CALLERS).map(|name| {
+        let seed = seed * CALLERS as u64 + name as u64;
+        tokio::spawn(caller::run(name, seed, entries.clone(), stopped.clone()))
+    });
+    let callers: Vec<_> = callers.collect();
+    fault::play(&mut deployment, &script).await;
+    deployment.heal().await;
+    recovered(&deployment, "end").await;
+    stop.send_replace(true);
+    let mut calls = Vec::new();
+    for caller in callers {
+        calls.extend(caller.await.unwrap());
+    }
+    judge::judge(seed, &deployment, &calls);
+}
+
+/// Waits until every entry serves every kind of call.
+async fn recovered(deployment: &Deployment, when: &str) {
+    let begun = Instant::now();
+    for (index, entry) in deployment.entries.iter().enumerate() {
+        for kind in [Kind::Seal, Kind::Look, Kind::Text] {
+            let mut tries = 0;
+            loop {
+                let id = format!("{when}-{index}-{kind:?}-{tries}");
+                let call = caller::once(entry.callers, index, id, kind).await;
+                if call.as_ref().and_then(Call::status) == Some(200) {
+                    break;
+                }
+                assert!(begun.elapsed() < RECOVERY, "{when}: {call:?}");
+                tries += 1;
+                sleep(LOOK).await;
+            }
+        }
+    }
+}
