Let a full target's cost grow by how little is known of its load

Cause: the cost without bound, made for many entries, moved streams of the small sites to slower targets although their entries know the load well. Ruled out: the single reader of an absent store, by the former cost on the same code. The test now asks for both sides: the fast target with ten peers, the slower one with sixty.

--- a/camphorweir-relay/src/choice.rs
+++ b/camphorweir-relay/src/choice.rs
@@ -35,9 +35,12 @@
 const ROOM_FAR: f64 = 0.8;
 /// Taken off for each peer: the more there are, the longer each waits to be heard again.
 const ROOM_PEER: f64 = 0.002;
-/// A target counts as slower by the inverse of the part of its memory that is free, as the wait for
-/// a server that is shared grows; this is the fullest that is told apart.
-const FULLEST: f64 = 0.9;
+/// Part of a target's memory at which its steps count as twice as slow, and the fullest that is told
+/// apart where little is known.
+const FULL: f64 = 0.9;
+/// Peers with which a round of digests takes about as long as a usual stream, so that half of what
+/// they have begun is not known: 400 bytes to each, within the rate of digests.
+const PEERS_VAGUE: f64 = 40.0;
 
 impl Desk {
     /// For operators: how many layers of each zone have how many live copies.
@@ -190,6 +193,18 @@
         zones
     }
 
+    /// How much slower a target counts for the part of its memory that is known to be in use.
+    ///
+    /// Where all is known the fastest can be filled to the brim. What peers begin unheard grows with
+    /// their number and with the time between their digests, which grows with it as well; there, the
+    /// cost grows without bound, so that what is nearly full is left to what is under way.
+    fn crowding(&self, fill: f64) -> f64 {
+        let vague = (self.peers.count() as f64 / PEERS_VAGUE).min(1.0).powi(2);
+        let known = 1.0 + fill / FULL;
+        let unknown = 1.0 / (1.0 - fill.min(FULL));
+        known + (unknown - known) * vague
+    }
+
     fn part(&self, ticket: &Ticket, target: &Target, engine: &Engine, now: Now) -> Option<Part> {
         if target.span.is_empty() {
             return None;
@@ -218,7 +233,7 @@
             false => 1.0 + FAILING_FACTOR * mark.failing,
         };
         let spread = 1.0 + SPREAD * draw_for(&ticket.id, &target.id);
-        let busy = failed * spread / (1.0 - fill.min(FULLEST));
+        let busy = failed * spread * self.crowding(fill);
         Some(Part {
             target: target.id.clone(),
             span: target.span,
--- a/camphorweir-relay/tests/decide/desk.rs
+++ b/camphorweir-relay/tests/decide/desk.rs
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn a_slower_target_with_room_goes_before_a_fast_one_that_is_filling() {
+fn a_slower_target_with_room_goes_before_a_fast_one_that_many_are_filling() {
     let mut desk = desk();
     let mut engine = engine();
     let slow = Hardware {
@@ -211,22 +211,30 @@
     (target.id, target.hardware) = ("near-2".into(), Some("slow".to_owned()));
     target.address.set_port(9);
     desk.fleet.record(target, ms(0));
+    // Ten of fifteen thousand token-layers are taken, each by another peer.
+    let hear = |desk: &mut Desk, peers: std::ops::Range<usize>| {
+        for peer in peers {
+            let loads = ["near-0", "far-0"].map(|id| Load {
+                target: ids_tag(id),
+                streams: 1,
+                first: 1,
+                kept: 1,
+            });
+            let digest = Digest {
+                entry: format!("peer-{peer}"),
+                loads: loads.into_iter().filter(|_| peer < 10).collect(),
+                ..Digest::default()
+            };
+            desk.heard(digest, ms(0));
+        }
+    };
+    // Few peers are heard often: what is known to be free is free.
+    hear(&mut desk, 0..10);
     let mut first = ticket(&mut desk, "/text/a", ms(0));
     let plan = desk.plan(&mut first, ms(0)).unwrap();
     assert_eq!(*plan.target, *"near-0");
-    // Ten of fifteen thousand token-layers are taken: what is left would fill in a moment.
-    let loads = ["near-0", "far-0"].map(|id| Load {
-        target: ids_tag(id),
-        streams: 10,
-        first: 10,
-        kept: 10,
-    });
-    let digest = Digest {
-        entry: "peer".to_owned(),
-        loads: loads.into(),
-        ..Digest::default()
-    };
-    desk.heard(digest, ms(0));
+    // Many are heard seldom: what is left would be full in a moment.
+    hear(&mut desk, 10..60);
     let mut second = ticket(&mut desk, "/text/a", ms(0));
     let plan = desk.plan(&mut second, ms(0)).unwrap();
     assert_eq!(*plan.target, *"near-2");
