Share a target's connections over all entries that are known

Cause: three entries were taken to use a target, so 63 could open up to 209 connections each to one that accepts 1,258. Before: the new test sees 50 of 100 connections for each of 61 entries; after: 1. Also: one home for times in whole ms, one loop over ports.

--- a/camphorweir-entry/src/front/call.rs
+++ b/camphorweir-entry/src/front/call.rs
@@ -1,12 +1,15 @@
 //! A caller's request from its head to its answer.
 
 use {
-    crate::front::{
-        answer::{Answer, closing, refusal, whole},
-        exchange::{Copy, Lack, Reply, exchange_send},
-        stall::stall_or,
-        stream::{Events, Job},
-        world::World,
+    crate::{
+        front::{
+            answer::{Answer, closing, refusal, whole},
+            exchange::{Copy, Lack, Reply, exchange_send},
+            stall::stall_or,
+            stream::{Events, Job},
+            world::World,
+        },
+        units::millis,
     },
     bytes::Bytes,
     camphorweir_platform::{
@@ -122,7 +125,7 @@
         code = code.map_or(0, Code::number),
         sends = ticket.tally.sends,
         runs = ticket.tally.runs,
-        took_ms = took.as_millis() as u64;
+        took_ms = millis(took);
         "request ended"
     );
 }
--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -1,6 +1,7 @@
 //! What this entry learned from the store, kept for entries that follow it.
 
 use {
+    crate::units::millis,
     bytes::Bytes,
     camphorweir_relay::ids::Now,
     camphorweir_wire::follow::{Ask, Change, List, Told},
@@ -214,7 +215,3 @@
     });
     changes.collect()
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -17,6 +17,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        io,
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -97,17 +98,8 @@
 /// # Errors
 ///
 /// That of the last port when none can be bound.
-pub async fn gossip_bind(world: &World) -> std::io::Result<Arc<UdpSocket>> {
-    let settings = world.settings();
-    let (first, last) = settings.ports;
-    let mut result = Err(std::io::ErrorKind::AddrNotAvailable.into());
-    for port in first..=last {
-        result = UdpSocket::bind((settings.callers.ip(), port)).await;
-        if result.is_ok() {
-            break;
-        }
-    }
-    result.map(Arc::new)
+pub async fn gossip_bind(world: &World) -> io::Result<Arc<UdpSocket>> {
+    first_free(world, UdpSocket::bind).await
 }
 
 /// Opens the listener for followers on the first free port of the settings.
@@ -115,12 +107,19 @@
 /// # Errors
 ///
 /// That of the last port when none can be bound.
-pub async fn gossip_listen(world: &World) -> std::io::Result<Arc<TcpListener>> {
+pub async fn gossip_listen(world: &World) -> io::Result<Arc<TcpListener>> {
+    first_free(world, TcpListener::bind).await
+}
+
+async fn first_free<T>(
+    world: &World,
+    bind: impl AsyncFn(SocketAddr) -> io::Result<T>,
+) -> io::Result<Arc<T>> {
     let settings = world.settings();
     let (first, last) = settings.ports;
-    let mut result = Err(std::io::ErrorKind::AddrNotAvailable.into());
+    let mut result = Err(io::ErrorKind::AddrNotAvailable.into());
     for port in first..=last {
-        result = TcpListener::bind((settings.callers.ip(), port)).await;
+        result = bind(SocketAddr::new(settings.callers.ip(), port)).await;
         if result.is_ok() {
             break;
         }
--- a/camphorweir-entry/src/seal.rs
+++ b/camphorweir-entry/src/seal.rs
@@ -1,7 +1,7 @@
 //! Seals letters between entries, and opens only those that are authentic, fresh and new.
 
 use {
-    crate::settings::Secret,
+    crate::{settings::Secret, units::millis},
     camphorweir_wire::{
         codec,
         ids::Nonce,
@@ -125,7 +125,3 @@
     hash.update(&letter.body);
     hash.finalize()
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/camphorweir-entry/src/telemetry.rs
+++ b/camphorweir-entry/src/telemetry.rs
@@ -5,6 +5,7 @@
         gauges::{Gauges, class},
         settings::{Format, Logs},
         times::{Label, Names, Times},
+        units::millis,
     },
     camphorweir_policy::action::{Ended, Note},
     camphorweir_wire::{code::Code, status::Status},
@@ -179,7 +180,3 @@
 fn request_id(request: u64) -> String {
     crate::refuse::show(request)
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/camphorweir-entry/src/units.rs
+++ b/camphorweir-entry/src/units.rs
@@ -12,6 +12,11 @@
     ("B", 1),
 ];
 
+/// A time in whole milliseconds, for messages and logs.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads a duration such as `250ms`, `10s`, `5min` or `1h`.
 ///
 /// # Errors
--- a/camphorweir-relay/src/choice.rs
+++ b/camphorweir-relay/src/choice.rs
@@ -74,8 +74,9 @@
         let configuration = self.configuration();
         let service = configuration.and_then(|known| known.services.get(service));
         let all = service.map_or(0, |service| service.connections);
+        let sharers = self.sharers.max(self.entries() as f64);
         // Entries may come and others' connections close late, so half of the even share.
-        (f64::from(all) / self.sharers / 2.0).max(2.0) as usize
+        (f64::from(all) / sharers / 2.0).max(1.0) as usize
     }
 
     pub(crate) fn plan_call(&self, ticket: &Ticket, now: Now) -> Option<Plan> {
--- a/camphorweir-relay/src/desk.rs
+++ b/camphorweir-relay/src/desk.rs
@@ -128,17 +128,21 @@
     pub peers: Peers,
     /// Entries that the store lists, this one included.
     pub listed: usize,
-    /// Entries that use the same targets, this one included.
+    /// Entries that use the same targets at least, this one included.
     pub(crate) sharers: f64,
     random: u64,
 }
 
 impl Desk {
-    /// This entry's part of the budget of repeats: one of those that are listed or heard, and of
-    /// as many as may be added before they are.
+    /// Entries that are listed or heard, this one included.
+    pub(crate) fn entries(&self) -> usize {
+        self.listed.max(self.peers.count() + 1)
+    }
+
+    /// This entry's part of the budget of repeats: one of those that are known, and of as many as
+    /// may be added before they are.
     fn repeat_share(&self) -> f64 {
-        let entries = self.listed.max(self.peers.count() + 1);
-        1.0 / (entries + UNHEARD) as f64
+        1.0 / (self.entries() + UNHEARD) as f64
     }
 
     /// A view that knows nothing yet. `sharers` entries are taken to use the same targets.
--- a/camphorweir-relay/tests/decide/desk.rs
+++ b/camphorweir-relay/tests/decide/desk.rs
@@ -240,6 +240,25 @@
     assert_eq!(*plan.target, *"near-2");
 }
 
+#[test]
+fn entries_share_the_connections_that_a_target_accepts() {
+    let mut desk = desk();
+    for peer in 0..60 {
+        let digest = Digest {
+            entry: format!("peer-{peer}"),
+            ..Digest::default()
+        };
+        desk.heard(digest, ms(0));
+    }
+    let mut ticket = ticket(&mut desk, "/text/a", ms(0));
+    let plan = desk.plan(&mut ticket, ms(0)).unwrap();
+    assert!(
+        (1..=100 / 61).contains(&plan.connections),
+        "{}",
+        plan.connections
+    );
+}
+
 #[test]
 fn a_target_gets_no_more_requests_than_it_has_slots() {
     let mut desk = desk();
