Follow the platform's settings file while the entry runs

Cause: SIGHUP only checked the file, and a change without a signal was not seen. The test changes a bound, then spoils the file, then takes the store away.

--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -13,6 +13,7 @@
 pub mod listen;
 pub mod meter;
 pub mod pool;
+pub mod reload;
 pub mod run;
 pub mod stall;
 pub mod store;
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -9,6 +9,7 @@
             gossip::{gossip_bind, gossip_listen, gossip_run},
             listen::{listen_callers, listen_ready},
             meter::{Meter, meter_serve},
+            reload::{Origin, reload_run},
             watch::{watch_site, watch_targets},
             world::World,
         },
@@ -32,18 +33,19 @@
 /// Pause between looks for connections that were idle too long.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
-/// Runs until `stop` comes, with metrics served on a port if one is given, and then until the requests in hand have ended.
+/// Runs until `stop` comes, with metrics served on a port if one is given, and then until the requests
+/// in hand have ended. `origin` is where changed settings are found.
 ///
 /// # Errors
 ///
 /// A sentence for operators when an address can't be bound or a task can't be kept up.
 pub async fn run(
     settings: Settings,
+    origin: Origin,
     metrics: Option<u16>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let (callers, ready) = (settings.callers, settings.ready);
-    let grace = settings.bounds.grace;
     log::info!(
         instance = settings.instance,
         zone:% = settings.zone,
@@ -89,6 +91,8 @@
         });
     }
     let made = world.clone();
+    tree.child("settings", move || reload_run(made.clone(), origin.clone()));
+    let made = world.clone();
     tree.child("sweep", move || sweep(made.clone()));
     let made = world.clone();
     tree.child("ready", move || listen_ready(made.clone(), ready.clone()));
@@ -103,6 +107,7 @@
     log::info!(requests = world.opened(); "stopping");
     world.stop();
     let begun = Instant::now();
+    let grace = world.desk().bounds().grace;
     let drained = async {
         sleep(DRAIN_LEAST).await;
         while world.opened() > 0 {
--- a/camphorweir-entry/src/main.rs
+++ b/camphorweir-entry/src/main.rs
@@ -3,7 +3,11 @@
 
 use {
     bpaf::Bpaf,
-    camphorweir_entry::{front, lines::lines_start, process, settings, telemetry},
+    camphorweir_entry::{
+        front::{reload::Origin, run::run as run_front},
+        lines::lines_start,
+        process, settings, telemetry,
+    },
     camphorweir_platform::settings::settings_load,
     std::{path::PathBuf, process::ExitCode},
     tokio::signal::unix::{Signal, SignalKind, signal},
@@ -59,7 +63,8 @@
 
 /// Runs an entry on the users' platform; its machines have one core.
 fn run_platform(metrics: Option<u16>) -> ExitCode {
-    let settings = match settings_load() {
+    let origin = Origin::new(|| settings_load().map_err(|error| error.to_string()));
+    let settings = match origin.load() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("camphorweir-entry: {error}");
@@ -73,10 +78,9 @@
     let ended = match runtime {
         Ok(runtime) => runtime.block_on(async {
             let stop = stop()?;
-            tokio::spawn(reload(
-                signal(SignalKind::hangup()).map_err(|error| error.to_string())?,
-            ));
-            front::run::run(settings, metrics, stop).await
+            let hangups = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+            tokio::spawn(reload(hangups, origin.clone()));
+            run_front(settings, origin, metrics, stop).await
         }),
         Err(error) => Err(error.to_string()),
     };
@@ -89,14 +93,10 @@
     }
 }
 
-/// Reads the settings again at each SIGHUP. Addresses and bounds hold for the life of a process, so
-/// what changed is in force after the next start; a bad file is named at once.
-async fn reload(mut hangups: Signal) {
+/// Has the settings read again at each SIGHUP.
+async fn reload(mut hangups: Signal, origin: Origin) {
     while hangups.recv().await.is_some() {
-        match settings_load() {
-            Ok(_) => log::info!("settings read again; they are in force at the next start"),
-            Err(error) => log::error!(reason:% = error; "new settings can't be used"),
-        }
+        origin.tell();
     }
 }
 
--- a/camphorweir-relay/src/budget.rs
+++ b/camphorweir-relay/src/budget.rs
@@ -9,7 +9,7 @@
 };
 
 /// The budget of all entries together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
     /// Repeats allowed for each request.
     pub ratio: f64,
@@ -33,6 +33,11 @@
 }
 
 impl Budget {
+    /// Other terms from now on; what is spent stays spent.
+    pub fn renew(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
     /// A budget with nothing spent.
     pub fn new(terms: Terms) -> Self {
         Self {
--- a/camphorweir-relay/src/desk.rs
+++ b/camphorweir-relay/src/desk.rs
@@ -161,6 +161,17 @@
         }
     }
 
+    /// The promises in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds
+    }
+
+    /// Other promises from now on.
+    pub fn bound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        self.budget.renew(bounds.repeats);
+    }
+
     /// Takes a configuration in; an older one is left aside. Returns whether it is new.
     pub fn configure(&mut self, configuration: Arc<Configuration>, confirmed: Now) -> bool {
         match &mut self.known {
--- a/camphorweir-relay/src/terms.rs
+++ b/camphorweir-relay/src/terms.rs
@@ -6,7 +6,7 @@
 };
 
 /// What an entry is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the instance.
     pub instance: String,
@@ -27,7 +27,7 @@
 }
 
 /// Promises with a time or a number.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// From SIGTERM to SIGKILL.
     pub grace: Duration,
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -3,7 +3,7 @@
 use {
     crate::{port::free, site::site},
     bytes::Bytes,
-    camphorweir_entry::front::run::run,
+    camphorweir_entry::front::{reload::Origin, run::run},
     camphorweir_relay::{
         budget,
         terms::{Bounds, Settings},
@@ -15,7 +15,12 @@
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Request, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{future::Future, net::SocketAddr, time::Duration},
+    std::{
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
     tokio::{
         net::TcpStream,
         sync::oneshot,
@@ -55,6 +60,8 @@
     pub(crate) callers: SocketAddr,
     ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// What its settings file would say now.
+    pub(crate) settings: Arc<Mutex<Result<Settings, String>>>,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<Result<(), String>>,
 }
@@ -165,7 +172,10 @@
             },
         };
         let (stop, stopped) = oneshot::channel::<()>();
-        let task = tokio::spawn(run(settings, Some(metrics.port()), async {
+        let file = Arc::new(Mutex::new(Ok(settings.clone())));
+        let read = file.clone();
+        let origin = Origin::new(move || read.lock().unwrap().clone());
+        let task = tokio::spawn(run(settings, origin, Some(metrics.port()), async {
             // A dropped sender stops the entry as well.
             let _ = stopped.await;
         }));
@@ -173,6 +183,7 @@
             callers,
             ready,
             metrics,
+            settings: file,
             stop: Some(stop),
             task,
         }
--- a/camphorweir-standin/tests/front/lists.rs
+++ b/camphorweir-standin/tests/front/lists.rs
@@ -62,6 +62,24 @@
     assert_eq!(bench.runs("a2"), 0);
 }
 
+#[tokio::test]
+async fn changed_settings_are_in_force_without_a_restart_and_bad_ones_change_nothing() {
+    let bench = Bench::start(1).await;
+    let entry = &bench.entries[0];
+    let mut settings = entry.settings.lock().unwrap().clone().unwrap();
+    settings.bounds.revoke = Duration::from_secs(60);
+    *entry.settings.lock().unwrap() = Ok(settings);
+    // Longer than the pause between looks.
+    sleep(Duration::from_secs(3)).await;
+    *entry.settings.lock().unwrap() = Err("not a file of settings".to_owned());
+    sleep(Duration::from_secs(3)).await;
+    bench.store.set(Mood::Refusing);
+    sleep(REVOKE + Duration::from_secs(1)).await;
+    // The former bound would have shut the key out by now.
+    let answer = call(bench.front(), &plain("/seal/b", "a1", KEYS[0])).await;
+    assert_eq!(answer.status, 200);
+}
+
 #[tokio::test]
 async fn history_that_is_gone_is_read_anew() {
     let bench = Bench::start(1).await;
