--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -82,6 +82,18 @@
     keep: Option<u64>,
 }
 
+impl State {
+    /// A body that comes on `line`, after a head that told `facts`.
+    fn flow(body: Incoming, line: Line, facts: &Facts) -> Self {
+        Self::Flow(Box::new(Flow {
+            body,
+            line,
+            closes: facts.closes,
+            keep: facts.keep,
+        }))
+    }
+}
+
 impl std::fmt::Debug for Events {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Events(..)")
@@ -96,12 +108,7 @@
             until: Box::pin(sleep_until(Instant::now() + left)),
             job: Some(job),
             plan: Some(plan),
-            state: State::Flow(Box::new(Flow {
-                body,
-                line,
-                closes: facts.closes,
-                keep: facts.keep,
-            })),
+            state: State::flow(body, line, facts),
             splitter: Splitter::default(),
             last: None,
             passed: false,
@@ -273,12 +280,8 @@
                         Ok((plan, reply)) => {
                             self.heard = Instant::now();
                             self.plan = Some(plan);
-                            self.state = State::Flow(Box::new(Flow {
-                                body: reply.response.into_body(),
-                                line: reply.line,
-                                closes: reply.facts.closes,
-                                keep: reply.facts.keep,
-                            }));
+                            let body = reply.response.into_body();
+                            self.state = State::flow(body, reply.line, &reply.facts);
                         }
                     }
                 }
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -121,6 +121,7 @@
     let mut from = None;
     let mut reached = Reach::new("targets");
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
+    // Since the list was last read.
     let mut away = false;
     loop {
         if !world.store_answers() {
@@ -128,7 +129,7 @@
             sleep(FOLLOW_LOOK).await;
             continue;
         }
-        match targets_step(&mut client, from, &world, away || reached.lost).await {
+        match targets_step(&mut client, from, &world, away).await {
             Ok(next) => {
                 from = Some(next);
                 away = false;
@@ -140,6 +141,7 @@
                     from = None;
                 }
                 reached.failed(&fault);
+                away = true;
                 sleep(backoff.pause()).await;
                 continue;
             }
--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -1,7 +1,7 @@
 //! The arguments of the command line.
 
 use {
-    bpaf::Bpaf,
+    bpaf::{Bpaf, Parser, long},
     camphorweir_config::model::Version,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
     uuid::Uuid,
@@ -156,8 +156,8 @@
 pub struct Release {
     /// Answer in JSON
     pub json: bool,
-    /// Address of the log service, such as http://10.0.0.5:7000
-    #[bpaf(argument("URL"))]
+    /// Address of the log service.
+    #[bpaf(external)]
     pub log: String,
     /// Who releases it; up to 64 bytes
     #[bpaf(
@@ -168,13 +168,8 @@
         )
     )]
     pub author: String,
-    /// Seconds after which an open result is given up as unreachable
-    #[bpaf(
-        argument::<u64>("SECONDS"),
-        fallback(60),
-        display_fallback,
-        map(Duration::from_secs)
-    )]
+    /// Time after which an open result is given up.
+    #[bpaf(external)]
     pub timeout: Duration,
     /// The request's fingerprint, 16 hex digits as `quarantine list` shows it
     #[bpaf(positional::<String>("FINGERPRINT"), parse(fingerprint))]
@@ -222,8 +217,8 @@
 pub struct Drain {
     /// Answer in JSON
     pub json: bool,
-    /// Address of the log service, such as http://10.0.0.5:7000
-    #[bpaf(argument("URL"))]
+    /// Address of the log service.
+    #[bpaf(external)]
     pub log: String,
     /// Who publishes, for the one who loses a race; up to 64 bytes
     #[bpaf(
@@ -234,13 +229,8 @@
         )
     )]
     pub author: String,
-    /// Seconds after which an open result is given up as unreachable
-    #[bpaf(
-        argument::<u64>("SECONDS"),
-        fallback(60),
-        display_fallback,
-        map(Duration::from_secs)
-    )]
+    /// Time after which an open result is given up.
+    #[bpaf(external)]
     pub timeout: Duration,
     /// The target's name
     #[bpaf(positional("TARGET"))]
@@ -253,8 +243,8 @@
 pub struct Resolve {
     /// Answer in JSON
     pub json: bool,
-    /// Address of the log service, such as http://10.0.0.5:7000
-    #[bpaf(argument("URL"))]
+    /// Address of the log service.
+    #[bpaf(external)]
     pub log: String,
     /// Who settles it, for the one who loses a race; up to 64 bytes
     #[bpaf(
@@ -270,13 +260,8 @@
     pub ran: bool,
     /// The entry that claimed the key is gone for good, although no record says so
     pub owner_gone: bool,
-    /// Seconds after which an open result is given up as unreachable
-    #[bpaf(
-        argument::<u64>("SECONDS"),
-        fallback(60),
-        display_fallback,
-        map(Duration::from_secs)
-    )]
+    /// Time after which an open result is given up.
+    #[bpaf(external)]
     pub timeout: Duration,
     /// The key, a UUID
     #[bpaf(positional("KEY"))]
@@ -289,8 +274,8 @@
 pub struct Publish {
     /// Answer in JSON
     pub json: bool,
-    /// Address of the log service, such as http://10.0.0.5:7000
-    #[bpaf(argument("URL"))]
+    /// Address of the log service.
+    #[bpaf(external)]
     pub log: String,
     /// Who publishes, for the one who loses a race; up to 64 bytes
     #[bpaf(
@@ -304,19 +289,31 @@
     /// Publish only while this version is in force
     #[bpaf(argument("VERSION"))]
     pub base: Option<Version>,
-    /// Seconds after which an open result is given up as unreachable
-    #[bpaf(
-        argument::<u64>("SECONDS"),
-        fallback(60),
-        display_fallback,
-        map(Duration::from_secs)
-    )]
+    /// Time after which an open result is given up.
+    #[bpaf(external)]
     pub timeout: Duration,
     /// The file; - is standard input
     #[bpaf(positional("FILE"), complete_shell(files()))]
     pub file: PathBuf,
 }
 
+/// Where what a command writes goes.
+fn log() -> impl Parser<String> {
+    long("log")
+        .help("Address of the log service, such as http://10.0.0.5:7000")
+        .argument("URL")
+}
+
+/// How long a command that writes waits for its result.
+fn timeout() -> impl Parser<Duration> {
+    long("timeout")
+        .help("Seconds after which an open result is given up as unreachable")
+        .argument::<u64>("SECONDS")
+        .fallback(60)
+        .display_fallback()
+        .map(Duration::from_secs)
+}
+
 #[allow(clippy::ptr_arg, reason = "the parser's guard takes the parsed type")]
 fn author_is_usable(author: &String) -> bool {
     !author.is_empty() && author.len() <= MAX_AUTHOR && !author.chars().any(char::is_control)
