--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -131,6 +131,14 @@
         Some(now.saturating_sub(read_at))
     }
 
+    /// Age of the older of the newest reads of the configuration and of the targets; `None` until
+    /// both were read.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        let inner = self.inner();
+        let oldest = inner.confirmed_at?.min(inner.targets_read_at?);
+        Some(now.saturating_sub(oldest))
+    }
+
     /// Applies a record from the store; `None` removes the key.
     pub fn apply_record(&self, list: List, key: &str, value: Option<&Bytes>) {
         let mut inner = self.inner();
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -1,11 +1,14 @@
 //! Replicates store data inside a zone: one instance reads the store, the others follow it.
 
 use {
-    crate::front::{
-        client::Client,
-        listen::serve_internal,
-        state::State,
-        watch::{Reachability, apply_configuration, apply_targets},
+    crate::{
+        front::{
+            client::Client,
+            listen::serve_internal,
+            state::State,
+            watch::{Reachability, apply_configuration, apply_targets},
+        },
+        supervise::Backoff,
     },
     bytes::Bytes,
     camphorweir_platform::store::{Call, Error, Record},
@@ -19,7 +22,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -34,8 +37,9 @@
 const SOURCE_CHECK_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest pause between two polls, so that changes close together share a response.
 const POLL_PAUSE: Duration = Duration::from_millis(60);
-/// Pause between checks whether this instance still reads the store, while a follower waits.
-const READER_CHECK_PAUSE: Duration = Duration::from_millis(120);
+/// First and longest pause after a failed poll; the aggregator names another source meanwhile.
+const FAILED_POLL_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(400));
 /// Limit on the body of a poll request, in bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 10;
 
@@ -44,6 +48,7 @@
     let mut client: Option<(SocketAddr, Client)> = None;
     let mut cursor = (0, 0);
     let mut reachability = Reachability::new("peer");
+    let mut backoff = Backoff::new(FAILED_POLL_BACKOFF.0, FAILED_POLL_BACKOFF.1);
     loop {
         let Source::Peer(address) = state.source() else {
             client = None;
@@ -57,11 +62,12 @@
                 cursor = next;
                 client = Some((address, peer_client));
                 reachability.succeeded();
+                backoff.reset();
                 sleep(POLL_PAUSE).await;
             }
             Err(error) => {
                 reachability.failed(&error);
-                state.peer_failed();
+                sleep(backoff.next_delay()).await;
             }
         }
     }
@@ -172,15 +178,10 @@
     };
     let deadline = Instant::now() + Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
     let mut changes = state.feed().subscribe();
-    while state.is_store_reader()
-        && !state.feed().has_changes_for(&ask)
-        && Instant::now() < deadline
-    {
-        // Without a change by the deadline, the response carries none.
-        let _ = timeout(READER_CHECK_PAUSE, changes.changed()).await;
-    }
-    if !state.is_store_reader() {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+    while !state.feed().has_changes_for(&ask) {
+        if timeout_at(deadline, changes.changed()).await.is_err() {
+            break;
+        }
     }
     match state.feed().update_for(&ask, state.now()) {
         Some(update) => Response::new(Full::new(codec::encode(&update).into())),
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -1,4 +1,5 @@
-//! Gossip between instances: load digests in UDP datagrams, of which any may be lost.
+//! Gossip between instances: load digests and their sums in UDP datagrams, of which any may be
+//! lost.
 
 use {
     crate::{
@@ -8,11 +9,17 @@
             watch::{RETRY_BACKOFF, read_newest},
         },
         supervise::Backoff,
+        units::millis,
     },
     camphorweir_platform::store::{INSTANCES_TOPIC, Record, store_append_call},
+    camphorweir_relay::{
+        ids::{Time, Zone, ids_tag},
+        source::{Assignment, Followed, Reads, Source as ReadSource},
+        summary::{summary_for_others, summary_for_zone},
+    },
     camphorweir_wire::{
         codec,
-        digest::{Addresses, Digest},
+        digest::{Addresses, Datagram, Digest, Scope, Source, Summary},
         replication::List,
     },
     std::{
@@ -28,12 +35,19 @@
     },
 };
 
-/// Pause between digests to instances of the same zone: about the time between the starts of two
+/// Pause between digests to the aggregator of the zone: about the time between the starts of two
 /// streams there.
 const DIGEST_PAUSE: Duration = Duration::from_millis(100);
-/// Number of digests to the own zone for each digest to other zones, as traffic between zones is
-/// expensive and streams go there only when the own zone is worse.
-const CROSS_ZONE_ROUNDS: u64 = 10;
+/// Number of digests for each summary of the load on the own zone's targets.
+const SUMMARY_ROUNDS: u64 = 2;
+/// Number of digests for each summary to the aggregators of other zones, as traffic between zones
+/// is expensive and streams go there only when the own zone is worse.
+const CROSS_ZONE_ROUNDS: u64 = 5;
+/// Number of digests for each summary of the load on other zones' targets.
+const OTHER_TARGETS_ROUNDS: u64 = 10;
+/// Number of instances of another zone that get summaries: its aggregator is one of the first in
+/// the order, or has sent a summary itself.
+const CROSS_ZONE_RECIPIENTS: usize = 2;
 /// Limit on digest traffic, in bytes per second; part of the 13 KB that an instance has for control
 /// traffic.
 const MAX_BYTES_PER_SECOND: f64 = 9_000.0;
@@ -41,29 +55,45 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Pause between reads of the list of instances, and so the time until all know a new instance.
 const LIST_PAUSE: Duration = Duration::from_secs(4);
-/// Timeout of a request to the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// The same for the first reads, while other instances may be starting too.
+const FIRST_LIST_PAUSE: Duration = Duration::from_millis(500);
+/// Number of first reads.
+const FIRST_LISTS: u32 = 4;
+/// Wait of a new instance for an aggregator to be heard before it reads the list again; instances
+/// that start together do so within this time.
+const START_WAIT: Duration = Duration::from_millis(400);
+/// Added to [`START_WAIT`] in proportion to the place in the order, so that the first instance is
+/// alone in reading the list.
+const START_SPREAD: Duration = Duration::from_millis(600);
+/// Timeout of the registration; appends of instances that start together wait for each other.
+const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// The other instances that the store lists, by name.
+/// The other instances that the store lists, by name, and instances heard of otherwise.
 #[derive(Debug, Default)]
-pub struct Instances(BTreeMap<String, Peer>);
+pub struct Instances {
+    listed: BTreeMap<String, Peer>,
+    /// Digest addresses of instances of the zone that send digests and are not listed yet.
+    unlisted: BTreeMap<String, SocketAddr>,
+    /// Digest address of the last sender of a summary in each other zone.
+    aggregators: BTreeMap<String, SocketAddr>,
+}
 
-/// Addresses of another instance, and whether it is in the same zone.
-#[derive(Clone, Copy, Debug)]
+/// Addresses of another instance, and its zone.
+#[derive(Clone, Debug)]
 struct Peer {
     digest_address: SocketAddr,
     follow_address: SocketAddr,
-    same_zone: bool,
+    zone: Zone,
 }
 
 impl Instances {
     /// Applies records from the store; `snapshot` when they are the whole list. Returns how many
     /// instances are listed, this one included.
     pub fn apply(&mut self, state: &State, records: &[Record], snapshot: bool) -> usize {
-        let settings = state.settings();
         if snapshot {
             let keys: BTreeSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
-            self.0.retain(|name, _| keys.contains(name.as_str()));
+            self.listed.retain(|name, _| keys.contains(name.as_str()));
+            self.unlisted.clear();
             state
                 .feed()
                 .retain_keys(List::Entries, |key| keys.contains(key));
@@ -71,30 +101,66 @@
         for record in records {
             let value = record.value.as_ref();
             state.feed().apply_record(List::Entries, &record.key, value);
-            let peer = value.and_then(|value| parse_peer(&settings.zone, value));
-            match peer {
-                Some(peer) if record.key != settings.instance => {
-                    self.0.insert(record.key.clone(), peer);
+            match value.and_then(|value| parse_peer(value)) {
+                Some(peer) if record.key != state.settings().instance => {
+                    self.unlisted.remove(&record.key);
+                    self.listed.insert(record.key.clone(), peer);
                 }
-                _ => drop(self.0.remove(&record.key)),
+                _ => drop(self.listed.remove(&record.key)),
             }
         }
-        self.0.len() + 1
+        self.listed.len() + 1
+    }
+
+    /// Name and follow address of each listed instance of a zone.
+    pub fn in_zone(&self, zone: &str) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let in_zone = self
+            .listed
+            .iter()
+            .filter(move |(_, peer)| *peer.zone == *zone);
+        in_zone.map(|(name, peer)| (name.as_str(), peer.follow_address))
+    }
+
+    /// Name and digest address of each known instance of the own zone.
+    fn zone_digest_addresses(&self, zone: &str) -> Vec<(String, SocketAddr)> {
+        let listed = self.listed.iter().filter(|(_, peer)| *peer.zone == *zone);
+        let listed = listed.map(|(name, peer)| (name.clone(), peer.digest_address));
+        let unlisted = self.unlisted.iter();
+        let unlisted = unlisted.map(|(name, address)| (name.clone(), *address));
+        listed.chain(unlisted).collect()
     }
 
-    /// Name and follow address of each instance in the same zone.
-    pub fn same_zone(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
-        let same_zone = self.0.iter().filter(|(_, peer)| peer.same_zone);
-        same_zone.map(|(name, peer)| (name.as_str(), peer.follow_address))
+    /// Digest addresses in other zones that get summaries.
+    fn cross_zone_addresses(&self, own_zone: &str) -> BTreeSet<SocketAddr> {
+        let mut by_zone: BTreeMap<&str, Vec<(u32, SocketAddr)>> = BTreeMap::new();
+        for (name, peer) in &self.listed {
+            let instances = by_zone.entry(&peer.zone).or_default();
+            instances.push((ids_tag(name), peer.digest_address));
+        }
+        by_zone.remove(own_zone);
+        let mut recipients: BTreeSet<SocketAddr> = self.aggregators.values().copied().collect();
+        for instances in by_zone.values_mut() {
+            instances.sort_unstable();
+            let first = instances.iter().take(CROSS_ZONE_RECIPIENTS);
+            recipients.extend(first.map(|(_, address)| *address));
+        }
+        recipients
+    }
+
+    /// Records the sender of a digest, which may not be listed yet.
+    fn record_digest(&mut self, name: &str, address: SocketAddr) {
+        if !self.listed.contains_key(name) {
+            self.unlisted.insert(name.to_owned(), address);
+        }
     }
 }
 
-fn parse_peer(zone: &str, value: &[u8]) -> Option<Peer> {
-    let card: Addresses = codec::decode(value).ok()?;
+fn parse_peer(value: &[u8]) -> Option<Peer> {
+    let addresses: Addresses = codec::decode(value).ok()?;
     Some(Peer {
-        digest_address: card.digest.parse().ok()?,
-        follow_address: card.follow.parse().ok()?,
-        same_zone: card.zone == zone,
+        digest_address: addresses.digest.parse().ok()?,
+        follow_address: addresses.follow.parse().ok()?,
+        zone: addresses.zone.into(),
     })
 }
 
@@ -137,34 +203,47 @@
 pub async fn gossip_run(state: State, socket: Arc<UdpSocket>, follow_address: SocketAddr) {
     tokio::join!(
         sync_instances(&state, &socket, follow_address),
-        send_digests(&state, &socket),
-        receive_digests(&state, &socket),
+        send_datagrams(&state, &socket, follow_address),
+        receive_datagrams(&state, &socket),
     );
 }
 
 async fn sync_instances(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
     let mut client = Client::new(state.settings().store_address);
-    let mut registered = false;
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
+    while !register(state, socket, follow_address, &mut client).await {
+        sleep(backoff.next_delay()).await;
+    }
+    let mut reads = 0;
     loop {
-        if !registered {
-            registered = register(state, socket, follow_address, &mut client).await;
-        }
+        let pause = match reads < FIRST_LISTS {
+            true => FIRST_LIST_PAUSE,
+            false => LIST_PAUSE,
+        };
+        sleep(pause).await;
         if state.is_store_reader() {
-            match read_newest(&mut client, INSTANCES_TOPIC).await {
-                Ok(batch) => state.apply_instances(&batch.records, true),
-                Err(error) => log::debug!(reason:% = error; "list of instances could not be read"),
-            }
+            reads += 1;
+            read_instances(state, &mut client).await;
         }
-        sleep(if registered {
-            LIST_PAUSE
-        } else {
-            backoff.next_delay()
-        })
-        .await;
     }
 }
 
+/// Reads the list of instances; returns whether it could be read.
+async fn read_instances(state: &State, client: &mut Client) -> bool {
+    match read_newest(client, INSTANCES_TOPIC).await {
+        Ok(batch) => {
+            state.apply_instances(&batch.records, true);
+            true
+        }
+        Err(error) => {
+            log::debug!(reason:% = error; "list of instances could not be read");
+            false
+        }
+    }
+}
+
+/// Makes sure that the store lists this instance, and learns of the others; returns whether both
+/// succeeded.
 async fn register(
     state: &State,
     socket: &UdpSocket,
@@ -174,82 +253,264 @@
     let Ok(address) = socket.local_addr() else {
         return false;
     };
-    let card = Addresses {
+    let addresses = Addresses {
         digest: address.to_string(),
         follow: follow_address.to_string(),
         zone: state.settings().zone.to_string(),
     };
-    let value = codec::encode(&card);
-    let Some(call) = store_append_call(INSTANCES_TOPIC, &state.settings().instance, &value) else {
-        return false;
-    };
-    match client.call(call, STORE_TIMEOUT).await {
-        Ok((200, _)) => true,
-        Ok((status, _)) => {
-            log::warn!(status = status; "could not register this instance in the store");
-            false
+    let value = codec::encode(&addresses);
+    let own = &state.settings().instance;
+    match read_newest(client, INSTANCES_TOPIC).await {
+        // After a restart the record is there, and so are those of the others.
+        Ok(batch) if is_listed(&batch.records, own, &value) => {
+            state.apply_instances(&batch.records, true);
+            return true;
         }
+        Ok(_) => {}
         Err(error) => {
-            log::warn!(reason:% = error; "could not register this instance in the store");
-            false
+            log::warn!(reason:% = error; "list of instances could not be read");
+            return false;
         }
     }
+    let Some(call) = store_append_call(INSTANCES_TOPIC, own, &value) else {
+        return false;
+    };
+    let reason = match client.call(call, STORE_TIMEOUT).await {
+        Ok((200, _)) => {
+            let place = f64::from(ids_tag(own)) / f64::from(u32::MAX);
+            sleep(START_WAIT + START_SPREAD.mul_f64(place)).await;
+            let is_heard = state.has_aggregator();
+            return is_heard || read_instances(state, client).await;
+        }
+        Ok((status, _)) => format!("refused with {status}"),
+        Err(error) => error.to_string(),
+    };
+    log::warn!(reason = reason; "could not register this instance in the store");
+    false
 }
 
-async fn send_digests(state: &State, socket: &UdpSocket) {
-    let incarnation = rand::random();
-    let mut number = 0;
+fn is_listed(records: &[Record], own: &str, value: &[u8]) -> bool {
+    let mut records = records.iter();
+    records.any(|record| record.key == own && record.value.as_deref() == Some(value))
+}
+
+/// Sends datagrams of this instance, numbered in the order of their rounds.
+struct Sender<'a> {
+    state: &'a State,
+    socket: &'a UdpSocket,
+    follow_address: SocketAddr,
+    incarnation: u64,
+    round: u64,
+    /// Whether this instance was the aggregator, and its source, in the last round.
+    last_role: (bool, ReadSource),
+}
+
+async fn send_datagrams(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
+    let mut sender = Sender {
+        state,
+        socket,
+        follow_address,
+        incarnation: rand::random(),
+        round: 0,
+        last_role: (false, ReadSource::Unknown),
+    };
     let mut ticks = interval(DIGEST_PAUSE);
     loop {
         ticks.tick().await;
-        let digest = state.router().digest(state.now());
+        sender.log_role();
+        let bytes_sent = sender.send_digest();
+        sender.send_summaries();
+        sender.round += 1;
+        // Keeps the rate of digests within its limit where they are large.
+        let pause = Duration::from_secs_f64(bytes_sent as f64 / MAX_BYTES_PER_SECOND);
+        sleep(pause.saturating_sub(DIGEST_PAUSE)).await;
+        ticks.reset();
+    }
+}
+
+impl Sender<'_> {
+    /// Logs a change of the role of this instance.
+    fn log_role(&mut self) {
+        let is_aggregator = self.state.roles().is_aggregator(self.state.now());
+        let role = (is_aggregator, self.state.source());
+        if role != self.last_role {
+            log::info!(aggregates = role.0, source:? = role.1; "role in the zone changed");
+            self.last_role = role;
+        }
+    }
+
+    /// Sends the digest of this instance; returns the number of bytes sent.
+    fn send_digest(&self) -> usize {
+        let now = self.state.now();
+        let reads = self.state.roles().own_reads();
+        let age = |at: Option<Time>| {
+            let age = now.saturating_sub(at?);
+            Some(u32::try_from(millis(age)).unwrap_or(u32::MAX))
+        };
         let digest = Digest {
-            entry: state.settings().instance.clone(),
-            incarnation,
-            sequence: number,
-            ..digest
+            entry: self.state.settings().instance.clone(),
+            incarnation: self.incarnation,
+            sequence: self.round,
+            store_read_ms: age(reads.succeeded_at),
+            store_failed_ms: age(reads.failed_at),
+            ..self.state.router().digest(now)
         };
-        let bytes = codec::encode(&digest);
-        if bytes.len() > MAX_DATAGRAM_BYTES {
-            log::warn!(bytes = bytes.len(); "digest exceeds the datagram size limit; not sent");
-        } else {
-            let recipients: Vec<Peer> = {
-                let instances = state.instances();
-                let peers = (0..).zip(instances.0.values().copied());
-                // Instances in other zones are spread over the rounds, so that no round is much
-                // larger than the others.
-                let due = peers.filter(|(index, peer)| {
-                    peer.same_zone || index % CROSS_ZONE_ROUNDS == number % CROSS_ZONE_ROUNDS
-                });
-                due.map(|(_, peer)| peer).collect()
-            };
-            for peer in &recipients {
-                // A full socket buffer drops this digest; the next one carries the same state.
-                let _ = socket.try_send_to(&bytes, peer.digest_address);
+        let bytes = codec::encode(&Datagram::Digest(digest.clone()));
+        self.state.router().peers.record_own_digest(digest);
+        let recipients = self.state.roles().digest_recipients(now);
+        let addresses = self.zone_addresses();
+        let addresses = addresses
+            .iter()
+            .filter(|(name, _)| recipients.contains(name));
+        addresses
+            .map(|(_, address)| self.send(&bytes, *address))
+            .sum()
+    }
+
+    /// Sends the summaries that are due in this round, if this instance is the aggregator.
+    fn send_summaries(&self) {
+        let now = self.state.now();
+        if !self.state.roles().is_aggregator(now) {
+            return;
+        }
+        self.state.router().peers.use_digests(now);
+        let assignment = self.state.roles().assign(self.follow_address, now);
+        if self.round.is_multiple_of(CROSS_ZONE_ROUNDS) {
+            self.send_to_other_zones(now);
+        }
+        let own_zone = &self.state.settings().zone;
+        if self.round.is_multiple_of(SUMMARY_ROUNDS) {
+            self.send_to_zone(own_zone, &assignment, now);
+        }
+        let zones = self.state.router().fleet.zones();
+        for (index, zone) in (0..).zip(zones) {
+            if zone != *own_zone && (self.round + index).is_multiple_of(OTHER_TARGETS_ROUNDS) {
+                self.send_to_zone(&zone, &assignment, now);
+            }
+        }
+    }
+
+    fn send_to_other_zones(&self, now: Time) {
+        let summaries = summary_for_others(&self.state.router(), now);
+        let own_zone = &self.state.settings().zone;
+        let recipients = self.state.instances().cross_zone_addresses(own_zone);
+        for summary in summaries {
+            let bytes = codec::encode(&Datagram::Summary(self.stamp(summary)));
+            for address in &recipients {
+                self.send(&bytes, *address);
+            }
+        }
+    }
+
+    /// Sends the load on the targets of a zone to the instances of the own zone.
+    fn send_to_zone(&self, zone: &Zone, assignment: &Assignment, now: Time) {
+        let (summaries, sequences) = {
+            let router = self.state.router();
+            let sequences = router.peers.sequences();
+            let sequences = sequences.map(|(name, sequence)| (name.to_owned(), sequence));
+            let sequences: BTreeMap<String, u64> = sequences.collect();
+            (summary_for_zone(&router, zone, now), sequences)
+        };
+        let source = assignment.followed.as_ref().map(|followed| Source {
+            entry: followed.name.clone(),
+            follow: followed.address.to_string(),
+            read_ms: u32::try_from(millis(followed.read_age)).unwrap_or(u32::MAX),
+        });
+        let recipients = self.zone_addresses();
+        for summary in summaries {
+            let mut summary = self.stamp(summary);
+            summary.readers = assignment.readers.clone();
+            summary.source = source.clone();
+            for (name, address) in &recipients {
+                summary.included_sequence = sequences.get(name).copied();
+                let bytes = codec::encode(&Datagram::Summary(summary.clone()));
+                self.send(&bytes, *address);
             }
-            // Keeps the rate within its limit where there are many peers.
-            let bytes_sent = (bytes.len() * recipients.len()) as f64;
-            sleep(
-                Duration::from_secs_f64(bytes_sent / MAX_BYTES_PER_SECOND)
-                    .saturating_sub(DIGEST_PAUSE),
-            )
-            .await;
-            ticks.reset();
         }
-        number += 1;
+    }
+
+    fn stamp(&self, summary: Summary) -> Summary {
+        Summary {
+            entry: self.state.settings().instance.clone(),
+            incarnation: self.incarnation,
+            sequence: self.round,
+            ..summary
+        }
+    }
+
+    fn zone_addresses(&self) -> Vec<(String, SocketAddr)> {
+        let zone = &self.state.settings().zone;
+        self.state.instances().zone_digest_addresses(zone)
+    }
+
+    fn send(&self, bytes: &[u8], address: SocketAddr) -> usize {
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            log::warn!(bytes = bytes.len(); "datagram exceeds the size limit; not sent");
+            return 0;
+        }
+        // A full socket buffer drops this datagram; the next one carries the same state.
+        let _ = self.socket.try_send_to(bytes, address);
+        bytes.len()
     }
 }
 
-async fn receive_digests(state: &State, socket: &UdpSocket) {
+async fn receive_datagrams(state: &State, socket: &UdpSocket) {
     let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
     loop {
-        let Ok(count) = socket.recv(&mut buffer).await else {
+        let Ok((count, address)) = socket.recv_from(&mut buffer).await else {
             sleep(DIGEST_PAUSE).await;
             continue;
         };
-        match codec::decode::<Digest>(&buffer[..count]) {
-            Ok(digest) => state.router().apply_digest(digest, state.now()),
-            Err(error) => log::debug!(reason:% = error; "datagram is not a valid digest"),
+        match codec::decode(&buffer[..count]) {
+            Ok(Datagram::Digest(digest)) => receive_digest(state, digest, address),
+            Ok(Datagram::Summary(summary)) => receive_summary(state, summary, address),
+            Err(error) => log::debug!(reason:% = error; "datagram is not valid"),
+        }
+    }
+}
+
+fn receive_digest(state: &State, digest: Digest, address: SocketAddr) {
+    let now = state.now();
+    let at = |age: Option<u32>| Some(now.saturating_sub(Duration::from_millis(age?.into())));
+    let reads = Reads {
+        succeeded_at: at(digest.store_read_ms),
+        failed_at: at(digest.store_failed_ms),
+    };
+    state.roles().record_report(&digest.entry, reads, now);
+    state.instances().record_digest(&digest.entry, address);
+    state.router().apply_digest(digest, now);
+}
+
+fn receive_summary(state: &State, summary: Summary, address: SocketAddr) {
+    let now = state.now();
+    match &summary.scope {
+        Scope::EntriesOf(zone) => {
+            let mut instances = state.instances();
+            instances.aggregators.insert(zone.clone(), address);
+        }
+        Scope::TargetsOf(_) => {
+            let assignment = decode_assignment(&summary);
+            let mut roles = state.roles();
+            roles.record_summary(&summary.entry, assignment, now);
+            // Another instance may think that it is the aggregator for a moment.
+            if roles.aggregator(now) != Some(summary.entry.as_str()) {
+                return;
+            }
         }
     }
+    state.router().apply_summary(summary, now);
+}
+
+fn decode_assignment(summary: &Summary) -> Assignment {
+    let followed = summary.source.as_ref().and_then(|source| {
+        Some(Followed {
+            name: source.entry.clone(),
+            address: source.follow.parse().ok()?,
+            read_age: Duration::from_millis(source.read_ms.into()),
+        })
+    });
+    Assignment {
+        readers: summary.readers.clone(),
+        followed,
+    }
 }
--- a/camphorweir-entry/src/front/placement.rs
+++ b/camphorweir-entry/src/front/placement.rs
@@ -56,8 +56,8 @@
     let pending = Pending::default();
     let mut next_renewal = Instant::now();
     while !state.is_stopping() {
-        // One member of the group per zone is enough; when it times out, another instance becomes
-        // the store reader.
+        // The store reader of each zone is a member of the group; when it times out, another
+        // instance becomes the reader.
         if state.is_store_reader() && Instant::now() >= next_renewal {
             next_renewal = Instant::now() + RENEWAL_PAUSE;
             renew_membership(&state, &mut client, &mut lease).await;
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -10,7 +10,7 @@
         ids::Time,
         router::Router,
         settings::Settings,
-        source::{Peer, Selector, Source},
+        source::{Roles, Source, source_is_fresh},
     },
     std::{
         sync::{
@@ -43,7 +43,7 @@
     probe_wakeup: Notify,
     listener_close: Notify,
     instances: Mutex<Instances>,
-    selector: Mutex<Selector>,
+    roles: Mutex<Roles>,
     stopping: watch::Sender<Option<Time>>,
     in_flight: AtomicUsize,
 }
@@ -67,9 +67,11 @@
             INSTANCES_PER_ZONE,
             rand::random(),
         );
+        let clock = Clock::start();
+        let roles = Roles::new(settings.instance.clone(), clock.now());
         Self(Arc::new(Inner {
             settings,
-            clock: Clock::start(),
+            clock,
             router: Mutex::new(router),
             pool: Pool::default(),
             stall_reports: Reports::default(),
@@ -79,7 +81,7 @@
             probe_wakeup: Notify::new(),
             listener_close: Notify::new(),
             instances: Mutex::default(),
-            selector: Mutex::default(),
+            roles: Mutex::new(roles),
             stopping: watch::channel(None).0,
             in_flight: AtomicUsize::new(0),
         }))
@@ -158,36 +160,34 @@
 
     /// Applies records of instances; `snapshot` when they are the whole list.
     pub fn apply_instances(&self, records: &[Record], snapshot: bool) {
-        let listed_instances = self.instances().apply(self, records, snapshot);
-        self.router().listed_instances = listed_instances;
+        let zone = &self.0.settings.zone;
+        let (listed, members) = {
+            let mut instances = self.instances();
+            let listed = instances.apply(self, records, snapshot);
+            let members = instances.in_zone(zone);
+            let members = members.map(|(name, address)| (name.to_owned(), address));
+            (listed, members.collect::<Vec<_>>())
+        };
+        self.roles().set_members(members.into_iter());
+        self.router().listed_instances = listed;
     }
 
-    fn selector(&self) -> MutexGuard<'_, Selector> {
-        self.0
-            .selector
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// The roles of the zone's instances; the lock must not be held across an await.
+    pub fn roles(&self) -> MutexGuard<'_, Roles> {
+        self.0.roles.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an aggregator of the zone before this instance was heard of recently.
+    pub fn has_aggregator(&self) -> bool {
+        let now = self.now();
+        self.roles().aggregator(now).is_some()
     }
 
     /// The source that this instance reads from now.
     pub fn source(&self) -> Source {
         let now = self.now();
-        let peers: Vec<Peer> = {
-            let instances = self.instances();
-            let router = self.router();
-            let same_zone = instances.same_zone();
-            let live_peers = same_zone.filter_map(|(name, address)| {
-                let time_since_digest = router.peers.time_since_digest(name, now)?;
-                Some(Peer {
-                    name: name.to_owned(),
-                    address,
-                    time_since_digest,
-                })
-            });
-            live_peers.collect()
-        };
-        self.selector()
-            .select(&self.settings().instance, &peers, now)
+        let own_age = self.feed().age(now);
+        self.roles().source(own_age, now)
     }
 
     /// Whether this instance reads the store, and its configuration reads succeed. While the store
@@ -196,23 +196,22 @@
         self.source() == Source::Store && self.feed().reads_on_time(self.now())
     }
 
-    /// Records that the followed peer did not answer.
-    pub fn peer_failed(&self) {
+    /// Records that the store answered a read.
+    pub fn store_succeeded(&self) {
         let now = self.now();
-        self.selector().record_peer_failure(now);
+        self.roles().record_read(now);
     }
 
     /// Records that the store did not answer.
     pub fn store_failed(&self) {
         let now = self.now();
-        self.selector().record_store_failure(now);
+        self.roles().record_read_failure(now);
         self.feed().read_failed();
     }
 
-    /// Checks the age of the followed peer's data; returns whether it is fresh enough to use.
+    /// Whether the followed peer's data is fresh enough to use.
     pub fn check_source_age(&self, age: Duration) -> bool {
-        let now = self.now();
-        self.selector().check_peer_age(age, now)
+        source_is_fresh(age)
     }
 
     /// Limits on callers' requests.
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -66,6 +66,7 @@
                 from = Some(next);
                 // The next read starts at once.
                 state.feed().read_succeeded(state.now() + OVERDUE_AFTER);
+                state.store_succeeded();
                 reachability.succeeded();
                 backoff.reset();
             }
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -195,6 +195,11 @@
         targets.filter(move |target| &*target.service == service && !target.draining)
     }
 
+    /// Zones of all targets.
+    pub fn zones(&self) -> BTreeSet<Zone> {
+        self.targets().map(|target| target.zone.clone()).collect()
+    }
+
     /// All targets.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.targets.values().map(|entry| &entry.target)
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod source;
 pub mod span;
 pub mod sse;
+pub mod summary;
 pub mod tracker;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -5,7 +5,7 @@
         access::{Snapshot, access_check, access_keys_trusted},
         budget::Budget,
         configuration::{Configuration, Engine, Route},
-        fleet::Fleet,
+        fleet::{Fleet, Target},
         head::Head,
         ids::{RequestId, ServiceName, TargetId, Time, Workspace, Zone, ids_tag},
         path::Path,
@@ -16,7 +16,7 @@
     },
     camphorweir_wire::{
         code::Code,
-        digest::{Digest, Failing, Load, MEMORY_UNIT_TOKEN_LAYERS},
+        digest::{Digest, Failing, Load, MEMORY_UNIT_TOKEN_LAYERS, Scope, Summary},
         outcome::Refusal,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -408,7 +408,7 @@
         });
         let failing = self
             .tracker
-            .ejected(now)
+            .failing(now)
             .map(|(target, remaining)| Failing {
                 target: ids_tag(target),
                 excluded_ms: u16::try_from(remaining.as_millis()).unwrap_or(u16::MAX),
@@ -424,9 +424,37 @@
     /// Applies the digest of a peer.
     pub fn apply_digest(&mut self, digest: Digest, now: Time) {
         let failing = digest.failing.clone();
-        if !self.peers.apply(digest, now) {
+        if self.peers.apply_digest(digest, now) {
+            self.record_failing(&failing, now);
+        }
+    }
+
+    /// Applies a summary of the load of many instances.
+    pub fn apply_summary(&mut self, summary: Summary, now: Time) {
+        if !self.peers.apply_summary(summary.clone(), now) {
             return;
         }
+        if let Scope::TargetsOf(zone) = &summary.scope {
+            self.peers.use_summaries(now);
+            self.clear_recovered(zone, &summary);
+        }
+        self.record_failing(&summary.failing, now);
+    }
+
+    /// Clears what peers reported of the targets that a summary covers and does not list as failing.
+    fn clear_recovered(&mut self, zone: &str, summary: &Summary) {
+        let is_covered = |target: &&Target| {
+            let tag = ids_tag(&target.id);
+            *target.zone == *zone
+                && tag % summary.parts.max(1) == summary.part
+                && !summary.failing.iter().any(|failing| failing.target == tag)
+        };
+        for target in self.fleet.targets().filter(is_covered) {
+            self.tracker.clear_peer_report(&target.id);
+        }
+    }
+
+    fn record_failing(&mut self, failing: &[Failing], now: Time) {
         for failing in failing {
             if let Some(target) = self.fleet.by_tag(failing.target) {
                 let remaining = Duration::from_millis(failing.excluded_ms.into());
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -20,8 +20,12 @@
 /// Round trip in ms assumed for a request to another zone, when the configuration has no delay for
 /// that zone.
 const DEFAULT_ZONE_ROUND_TRIP_MS: f64 = 1.0;
-/// A path in another zone is chosen only when it is faster by this factor.
+/// A path in another zone is chosen only when it is faster by this factor at least.
 const REMOTE_PATH_FACTOR: f64 = 1.15;
+/// Added to that factor, in a different share for each request. What is known of other zones is
+/// older than what is known of the own one, so as the own zone fills up, a growing part of the
+/// requests leaves it rather than all at the same moment.
+const REMOTE_FACTOR_SPREAD: f64 = 3.0;
 /// Added to the cost factor of a target whose failure rate is 1, and in proportion below.
 const FAILURE_RATE_WEIGHT: f64 = 20.0;
 /// The cost of a target rises by up to this share, differently for each request, so that instances
@@ -151,7 +155,10 @@
             let path = path_choose(offers, &demand)?;
             let factor = match *zone == self.zone {
                 true => 1.0,
-                false => REMOTE_PATH_FACTOR,
+                false => {
+                    let share = request_jitter(&request.id, zone);
+                    REMOTE_PATH_FACTOR + REMOTE_FACTOR_SPREAD * share
+                }
             };
             Some((path.cost_ms() * factor, path))
         });
--- a/camphorweir-relay/src/source.rs
+++ b/camphorweir-relay/src/source.rs
@@ -1,92 +1,335 @@
-//! Choice of the data source: one instance of a zone reads the store, the others follow it.
+//! Roles of the instances of a zone: one sums up their load, one reads the store, and the others
+//! follow that reader.
 //!
-//! Calls to the store are paid for and limited over all instances, so their number must not grow
-//! with the number of instances in a zone.
+//! Calls to the store are paid for and limited over all instances, so their number must grow with
+//! the zones and not with the instances. The aggregator, the first live instance in an order that
+//! all know, assigns the readers; it has at most [`MAX_READERS`] try at once.
 
 use {
     crate::ids::{Time, ids_tag},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
-/// Time without a digest after which a peer is not followed. Peers of a large zone send about one
-/// digest a second and some are lost; a failed peer is noticed sooner, when it does not answer.
-const PEER_TIMEOUT: Duration = Duration::from_secs(4);
-/// After a failure of the peer, the store is read for this long.
-const PEER_BACKOFF: Duration = Duration::from_secs(3);
-/// After a failure of the store, a peer is followed for this long before the next try.
-const STORE_BACKOFF: Duration = Duration::from_secs(2);
+/// Silence after which an aggregator is replaced: three summaries in a row are lost.
+const AGGREGATOR_TIMEOUT: Duration = Duration::from_millis(700);
+/// Silence before an instance takes over, for each instance before it in the order, so that the
+/// first live one does so alone.
+const TAKEOVER_STEP: Duration = Duration::from_millis(300);
+/// Longest silence before an instance takes over, however many are before it.
+const MAX_TAKEOVER: Duration = Duration::from_millis(2500);
+/// Limit on the instances of a zone that read the store at the same time.
+const MAX_READERS: usize = 2;
+/// Longest time since a reader's last successful read with which it is healthy: the wait of one
+/// read, and the time to report it.
+const READ_FRESH: Duration = Duration::from_millis(1500);
+/// Time that an assigned reader has for a first successful read.
+const READ_TRIAL: Duration = Duration::from_millis(1200);
 /// Longest age of the data of a followed peer; a peer with older data has itself lost the store.
 /// Above the age of a healthy peer's data, which is at most the wait and the response time of one
 /// read.
 const MAX_PEER_AGE: Duration = Duration::from_millis(2400);
+/// Age of an instance's own data at which it reads the store itself although it should follow,
+/// where the followed peer reads the store but can't be reached.
+const SELF_READ_AGE: Duration = Duration::from_millis(3000);
+/// Age up to which a report of an instance counts as a sign of life.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// A peer of the same zone.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Name of the peer.
-    pub name: String,
-    /// Address at which the peer can be followed.
-    pub address: SocketAddr,
-    /// Time since the last digest of the peer.
-    pub time_since_digest: Duration,
-}
-
-/// Where this instance reads the configuration and the lists from.
+/// Where this instance gets the configuration and the lists from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
     /// The store.
     Store,
     /// A peer that reads the store.
     Peer(SocketAddr),
+    /// Nothing yet: no aggregator has been heard of.
+    Unknown,
+}
+
+/// The instance that the others of a zone follow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Followed {
+    /// Its name.
+    pub name: String,
+    /// Address at which it is followed.
+    pub address: SocketAddr,
+    /// Time since its last successful read of the store, when this was sent.
+    pub read_age: Duration,
 }
 
-/// Recent failures of the sources.
-#[derive(Clone, Debug, Default)]
-pub struct Selector {
-    /// When a peer last failed.
-    peer_failed_at: Option<Time>,
-    /// When the store last failed.
-    store_failed_at: Option<Time>,
+/// What an aggregator assigns to the instances of its zone.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Assignment {
+    /// Instances that read the store.
+    pub readers: Vec<String>,
+    /// The instance to follow; `None` until one has read the store.
+    pub followed: Option<Followed>,
 }
 
-impl Selector {
-    /// The source to use now. The instance of the zone whose tag is lowest reads the store; the
-    /// others follow it. An instance whose reads of the store fail also follows a peer, as the
-    /// store may still answer that peer.
-    pub fn select(&self, own: &str, peers: &[Peer], now: Time) -> Source {
-        let is_within = |at: Option<Time>, time| at.is_some_and(|at| now.saturating_sub(at) < time);
-        if is_within(self.peer_failed_at, PEER_BACKOFF) {
-            return Source::Store;
+/// What an instance says of its reads of the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reads {
+    /// When it last read successfully; `None` for never.
+    pub succeeded_at: Option<Time>,
+    /// When a read last failed; `None` for never.
+    pub failed_at: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    reads: Reads,
+    received_at: Time,
+}
+
+/// The roles in the zone, as this instance knows them.
+#[derive(Clone, Debug)]
+pub struct Roles {
+    own: String,
+    started_at: Time,
+    /// Addresses at which the listed instances of the zone are followed, by place in the order.
+    members: BTreeMap<(u32, String), SocketAddr>,
+    /// Whether the list of instances was read since the start.
+    is_list_known: bool,
+    /// When a summary of each instance of the zone last arrived.
+    heard: BTreeMap<String, Time>,
+    /// Reports of the instances that send their digests here.
+    reports: BTreeMap<String, Report>,
+    /// This instance's own reads.
+    own_reads: Reads,
+    /// Readers that this instance has assigned as aggregator, with the time of the assignment.
+    trials: BTreeMap<String, Time>,
+    /// The newest assignment that was received or, by an aggregator, made.
+    assignment: Assignment,
+    assigned_at: Option<Time>,
+}
+
+impl Roles {
+    /// Roles of an instance that has just started and knows no other.
+    pub fn new(own: String, now: Time) -> Self {
+        Self {
+            own,
+            started_at: now,
+            members: BTreeMap::new(),
+            is_list_known: false,
+            heard: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            own_reads: Reads::default(),
+            trials: BTreeMap::new(),
+            assignment: Assignment::default(),
+            assigned_at: None,
+        }
+    }
+
+    /// Replaces the listed instances of the zone other than this one.
+    pub fn set_members(&mut self, members: impl Iterator<Item = (String, SocketAddr)>) {
+        let ranked = members.map(|(name, address)| (rank(&name), address));
+        self.members = ranked.collect();
+        self.is_list_known = true;
+    }
+
+    /// Records a summary of an instance of the zone, and the assignment in it.
+    pub fn record_summary(&mut self, sender: &str, assignment: Assignment, now: Time) {
+        self.heard.insert(sender.to_owned(), now);
+        if self.aggregator(now) == Some(sender) {
+            self.assignment = assignment;
+            self.assigned_at = Some(now);
+        }
+    }
+
+    /// Records what an instance says of its reads.
+    pub fn record_report(&mut self, sender: &str, reads: Reads, now: Time) {
+        let received_at = now;
+        self.reports
+            .insert(sender.to_owned(), Report { reads, received_at });
+    }
+
+    /// Records a successful read of the store by this instance.
+    pub fn record_read(&mut self, now: Time) {
+        self.own_reads.succeeded_at = Some(now);
+    }
+
+    /// Records a failed read of the store by this instance.
+    pub fn record_read_failure(&mut self, now: Time) {
+        self.own_reads.failed_at = Some(now);
+    }
+
+    /// This instance's own reads.
+    pub fn own_reads(&self) -> Reads {
+        self.own_reads
+    }
+
+    /// The first instance in the order that was heard of recently, if it is before this one.
+    pub fn aggregator(&self, now: Time) -> Option<&str> {
+        let heard = self.heard.iter();
+        let live = heard.filter(|(_, at)| now.saturating_sub(**at) < AGGREGATOR_TIMEOUT);
+        let before = live
+            .map(|(name, _)| name.as_str())
+            .filter(|name| rank(name) < rank(&self.own));
+        before.min_by_key(|name| rank(name))
+    }
+
+    /// Whether this instance sums up the load of its zone: those before it in the order are silent.
+    pub fn is_aggregator(&self, now: Time) -> bool {
+        let own = rank(&self.own);
+        let heard = self.heard.iter().map(|(name, at)| (*at, rank(name)));
+        let last = heard.filter(|(_, rank)| *rank < own).max();
+        let first = last.as_ref().map(|(_, rank)| rank.clone());
+        let before = self.members.range(first.unwrap_or_default()..own).count();
+        let last_heard = last.map(|(at, _)| at);
+        let silence = now.saturating_sub(last_heard.unwrap_or(self.started_at));
+        if !self.is_list_known {
+            return silence >= MAX_TAKEOVER;
+        }
+        if before == 0 && last_heard.is_none() {
+            return true;
+        }
+        let steps = u32::try_from(before.saturating_sub(1)).unwrap_or(u32::MAX);
+        let takeover = AGGREGATOR_TIMEOUT + TAKEOVER_STEP.saturating_mul(steps);
+        silence >= takeover.min(MAX_TAKEOVER)
+    }
+
+    /// Instances that this one sends its digests to: the aggregator, and the one that would take
+    /// over. Without an aggregator, the first two of the order.
+    pub fn digest_recipients(&self, now: Time) -> Vec<String> {
+        let aggregator = self.aggregator(now);
+        let first = match (aggregator, self.is_aggregator(now)) {
+            (Some(name), _) => rank(name),
+            (None, true) => rank(&self.own),
+            (None, false) => Default::default(),
+        };
+        let after = self.members.range(first.clone()..).map(name_of);
+        let after = after.filter(|name| Some(name.as_str()) != aggregator);
+        let standby = after.take(if aggregator.is_some() { 1 } else { 2 });
+        let aggregator = aggregator.map(str::to_owned);
+        aggregator.into_iter().chain(standby.cloned()).collect()
+    }
+
+    /// Assigns the readers of the zone; for the aggregator.
+    ///
+    /// A healthy reader stays. Where none is healthy, the instances whose last failure is longest
+    /// ago try, at most [`MAX_READERS`] at once.
+    pub fn assign(&mut self, own_address: SocketAddr, now: Time) -> Assignment {
+        self.drop_outdated(now);
+        let own_report = Report {
+            reads: self.own_reads,
+            received_at: now,
+        };
+        let listed = self.members.keys().map(|(_, name)| name);
+        let listed = listed.filter_map(|name| Some((name.clone(), *self.reports.get(name)?)));
+        let mut live: Vec<(String, Report)> = listed.collect();
+        live.push((self.own.clone(), own_report));
+        live.sort_by_key(|(name, _)| rank(name));
+        let readers = self.choose_readers(&live, now);
+        let followed = self.choose_followed(&live, &readers, own_address, now);
+        self.assignment = Assignment { readers, followed };
+        self.assigned_at = Some(now);
+        self.assignment.clone()
+    }
+
+    fn choose_readers(&mut self, live: &[(String, Report)], now: Time) -> Vec<String> {
+        let assigned = &self.assignment.readers;
+        let healthy = live
+            .iter()
+            .find(|(name, report)| assigned.contains(name) && is_fresh(report.reads, now));
+        if let Some((name, _)) = healthy {
+            self.trials.clear();
+            return vec![name.clone()];
         }
-        let rank = |name: &str| (ids_tag(name), name.to_owned());
-        let live = peers
+        let is_trying = |name: &String, report: &Report| {
+            let since = self.trials.get(name)?;
+            let has_failed = report.reads.failed_at.is_some_and(|at| at > *since);
+            (!has_failed && now.saturating_sub(*since) < READ_TRIAL).then_some(*since)
+        };
+        let mut trials: BTreeMap<String, Time> = live
             .iter()
-            .filter(|peer| peer.time_since_digest < PEER_TIMEOUT);
-        let first = live.min_by_key(|peer| rank(&peer.name));
-        let store_down = is_within(self.store_failed_at, STORE_BACKOFF);
-        match first {
-            Some(peer) if store_down || rank(&peer.name) < rank(own) => Source::Peer(peer.address),
-            _ => Source::Store,
+            .filter_map(|(name, report)| Some((name.clone(), is_trying(name, report)?)))
+            .collect();
+        let mut waiting: Vec<&(String, Report)> = live
+            .iter()
+            .filter(|(name, _)| !self.trials.contains_key(name))
+            .collect();
+        waiting.sort_by_key(|(name, report)| (report.reads.failed_at, rank(name)));
+        for (name, _) in waiting.iter().chain(&live.iter().collect::<Vec<_>>()) {
+            if trials.len() < MAX_READERS && !trials.contains_key(name) {
+                trials.insert(name.clone(), now);
+            }
         }
+        self.trials = trials;
+        self.trials.keys().cloned().collect()
     }
 
-    /// Records that a peer did not answer, or does not read the store itself.
-    pub fn record_peer_failure(&mut self, now: Time) {
-        self.peer_failed_at = Some(now);
+    fn choose_followed(
+        &self,
+        live: &[(String, Report)],
+        readers: &[String],
+        own_address: SocketAddr,
+        now: Time,
+    ) -> Option<Followed> {
+        let read = live
+            .iter()
+            .filter_map(|(name, report)| Some((report.reads.succeeded_at?, name)));
+        // A healthy reader, or else the one with the newest data.
+        let is_healthy = |name: &String| !self.trials.contains_key(name) && readers.contains(name);
+        let best = |(at, name): &(Time, &String)| (is_healthy(name), *at, Reverse(rank(name)));
+        let (read_at, name) = read.max_by_key(best)?;
+        let address = match *name == self.own {
+            true => own_address,
+            false => *self.members.get(&rank(name))?,
+        };
+        Some(Followed {
+            name: name.clone(),
+            address,
+            read_age: now.saturating_sub(read_at),
+        })
     }
 
-    /// Records that the store did not answer or refused.
-    pub fn record_store_failure(&mut self, now: Time) {
-        self.store_failed_at = Some(now);
+    /// Drops what was heard too long ago to count.
+    fn drop_outdated(&mut self, now: Time) {
+        self.reports
+            .retain(|_, report| now.saturating_sub(report.received_at) < REPORT_TIMEOUT);
+        let live: BTreeSet<String> = self.reports.keys().cloned().collect();
+        self.trials
+            .retain(|name, _| live.contains(name) || *name == self.own);
     }
 
-    /// Checks the age of a peer's data; returns whether the data can be used, and records a failure
-    /// of the peer if not.
-    pub fn check_peer_age(&mut self, age: Duration, now: Time) -> bool {
-        let is_fresh = age < MAX_PEER_AGE;
-        if !is_fresh {
-            self.record_peer_failure(now);
+    /// Where this instance gets its data from; `own_age` is the age of the data it has.
+    pub fn source(&self, own_age: Option<Duration>, now: Time) -> Source {
+        if self.assignment.readers.contains(&self.own) {
+            return Source::Store;
+        }
+        let Some(followed) = &self.assignment.followed else {
+            return Source::Unknown;
+        };
+        let since = now.saturating_sub(self.assigned_at.unwrap_or(self.started_at));
+        let own_age = own_age.unwrap_or(now.saturating_sub(self.started_at));
+        let is_cut_off = own_age > SELF_READ_AGE && followed.read_age + since < READ_FRESH;
+        match is_cut_off || followed.name == self.own {
+            true => Source::Store,
+            false => Source::Peer(followed.address),
         }
-        is_fresh
     }
 }
+
+/// Place of an instance in the order, the same for all.
+fn rank(name: &str) -> (u32, String) {
+    (ids_tag(name), name.to_owned())
+}
+
+fn name_of<'a>((key, _): (&'a (u32, String), &SocketAddr)) -> &'a String {
+    &key.1
+}
+
+fn is_fresh(reads: Reads, now: Time) -> bool {
+    let age = reads.succeeded_at.map(|at| now.saturating_sub(at));
+    let is_recent = age.is_some_and(|age| age < READ_FRESH);
+    is_recent && reads.succeeded_at >= reads.failed_at
+}
+
+/// Whether the data of a followed peer is fresh enough to use.
+pub fn source_is_fresh(age: Duration) -> bool {
+    age < MAX_PEER_AGE
+}
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -137,13 +137,17 @@
         self.states.iter().filter(|(_, state)| state.streams > 0)
     }
 
-    /// Targets that this instance has ejected, with the remaining time.
-    pub fn ejected(&self, now: Time) -> impl Iterator<Item = (&TargetId, Duration)> {
-        let ejected = self
-            .states
-            .iter()
-            .filter(move |(_, state)| state.ejected_until > now);
-        ejected.map(move |(target, state)| (target, state.ejected_until.saturating_sub(now)))
+    /// Targets that this instance has ejected or found unresponsive, with the remaining time; for
+    /// an unresponsive one at least the time to its next probe.
+    pub fn failing(&self, now: Time) -> impl Iterator<Item = (&TargetId, Duration)> {
+        self.states.iter().filter_map(move |(target, state)| {
+            let until_probe = match state.is_unresponsive(now) {
+                true => PROBE_INTERVAL,
+                false => Duration::ZERO,
+            };
+            let remaining = state.ejected_until.saturating_sub(now).max(until_probe);
+            (!remaining.is_zero()).then_some((target, remaining))
+        })
     }
 
     /// Ejects a target that a peer has ejected, for the remaining time there but no longer than
@@ -164,6 +168,13 @@
         }
     }
 
+    /// Clears the report of peers that a target does not respond.
+    pub fn clear_peer_report(&mut self, target: &TargetId) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.peer_reported_at = None;
+        }
+    }
+
     /// Counts a request whose first hop is this target.
     pub fn start_request(&mut self, target: &TargetId) {
         self.state_mut(target).in_flight += 1;
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -181,6 +181,7 @@
         ..Digest::default()
     };
     router.apply_digest(digest, ms(0));
+    router.peers.use_digests(ms(0));
     let mut request = admit_request(&mut router, "/text/a", ms(0));
     let refusal = router.plan(&mut request, ms(0)).unwrap_err();
     assert_eq!(refusal.detail, "far is full, near is full");
@@ -233,6 +234,7 @@
             };
             router.apply_digest(digest, ms(0));
         }
+        router.peers.use_digests(ms(0));
     };
     // With few peers, digests are frequent: memory that appears free is free.
     apply_digests(&mut router, 0..10);
@@ -256,6 +258,7 @@
         };
         router.apply_digest(digest, ms(0));
     }
+    router.peers.use_digests(ms(0));
     let mut request = admit_request(&mut router, "/text/a", ms(0));
     let plan = router.plan(&mut request, ms(0)).unwrap();
     assert!(
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -1,5 +1,8 @@
 //! The datagrams by which entries share, many times a second, their load on targets and which
 //! targets fail.
+//!
+//! Each entry sends digests to the aggregator of its zone, which sends sums back, and to the
+//! aggregators of the other zones.
 
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +33,74 @@
     pub loads: Vec<Load>,
     /// Targets that are failing now.
     pub failing: Vec<Failing>,
+    /// Time since the sender last read the store successfully, in ms; `None` for never.
+    pub store_read_ms: Option<u32>,
+    /// Time since a read of the store last failed at the sender, in ms; `None` for never.
+    pub store_failed_ms: Option<u32>,
+}
+
+/// Any datagram between entries.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Datagram {
+    /// The load of the sender alone.
+    Digest(Digest),
+    /// The load of many entries.
+    Summary(Summary),
+}
+
+/// The load of many entries on some targets; it fits in one datagram.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Summary {
+    /// The sender's name.
+    pub entry: String,
+    /// The sender's incarnation, random at each start.
+    pub incarnation: u64,
+    /// Sequence number, rising with each round of summaries of an incarnation.
+    pub sequence: u64,
+    /// Which entries and targets the summary covers.
+    pub scope: Scope,
+    /// Which part of the scope this is: the targets whose tag modulo `parts` is `part`.
+    pub part: u32,
+    /// Number of parts of the scope, at least 1.
+    pub parts: u32,
+    /// Number of entries whose load is included.
+    pub entries: u32,
+    /// Sequence number of the recipient's own digest that is included; `None` for none.
+    pub included_sequence: Option<u64>,
+    /// Load by target.
+    pub loads: Vec<Load>,
+    /// Targets that are failing now for any of the entries.
+    pub failing: Vec<Failing>,
+    /// The entries of the zone that read the store; only in summaries for the own zone.
+    pub readers: Vec<String>,
+    /// The entry that the others of the zone follow; only in summaries for the own zone.
+    pub source: Option<Source>,
+}
+
+/// What a summary covers.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Scope {
+    /// The load of the entries of this zone on all targets; sent to other zones.
+    EntriesOf(String),
+    /// The load of all entries on the targets of this zone; sent inside the sender's zone.
+    TargetsOf(String),
+}
+
+impl Default for Scope {
+    fn default() -> Self {
+        Self::TargetsOf(String::new())
+    }
+}
+
+/// The entry of a zone that the others follow.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Source {
+    /// Name of the entry.
+    pub entry: String,
+    /// Address at which it is followed, as `IP:PORT`.
+    pub follow: String,
+    /// Time since its last successful read of the store, in ms.
+    pub read_ms: u32,
 }
 
 /// Load of an entry on one target.
