--- a/camphorweir-entry/src/front/client.rs
+++ b/camphorweir-entry/src/front/client.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     camphorweir_platform::store::{Call, Error},
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, header},
+    hyper::{Request, header, http::response::Parts},
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
@@ -36,17 +36,31 @@
     /// [`Error::NoResponse`] without a complete response in time. The connection is then closed, as
     /// the rest of that response could still arrive on it.
     pub async fn call(&mut self, call: Call, time_limit: Duration) -> Result<(u16, Bytes), Error> {
+        let (head, body) = self.exchange(call, time_limit).await?;
+        Ok((head.status.as_u16(), body))
+    }
+
+    /// Makes a call like [`Client::call`]; returns head and body of the response.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Client::call`].
+    pub async fn exchange(
+        &mut self,
+        call: Call,
+        time_limit: Duration,
+    ) -> Result<(Parts, Bytes), Error> {
         let connection = self
             .connection
             .take()
             .filter(|connection| !connection.sender.is_closed());
         let result = timeout(time_limit, send(self.address, connection, call, time_limit)).await;
-        let (connection, status, body) = match result {
+        let (connection, head, body) = match result {
             Ok(result) => result?,
             Err(_) => return Err(no_response("timed out")),
         };
         self.connection = Some(connection);
-        Ok((status, body))
+        Ok((head, body))
     }
 }
 
@@ -55,7 +69,7 @@
     connection: Option<Connection>,
     call: Call,
     time_limit: Duration,
-) -> Result<(Connection, u16, Bytes), Error> {
+) -> Result<(Connection, Parts, Bytes), Error> {
     let mut connection = match connection {
         Some(connection) => connection,
         None => Connection::open(address, time_limit)
@@ -72,12 +86,10 @@
         .map_err(no_response)?;
     let response = connection.sender.send_request(request).await;
     let response = response.map_err(no_response)?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(no_response)?.to_bytes();
-    Ok((connection, status, body))
+    Ok((connection, head, body))
 }
 
 fn no_response(reason: impl ToString) -> Error {
--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -32,6 +32,8 @@
     confirmed_at: Option<Time>,
     read_status: ReadStatus,
     targets_read_at: Option<Time>,
+    /// When the store last answered again after an outage or a restore.
+    recovered_at: Option<Time>,
     /// Newest value of each key.
     newest: BTreeMap<(List, String), Bytes>,
     changes: VecDeque<Change>,
@@ -60,6 +62,7 @@
                 confirmed_at: None,
                 read_status: ReadStatus::Never,
                 targets_read_at: None,
+                recovered_at: None,
                 newest: BTreeMap::new(),
                 changes: VecDeque::new(),
                 next_sequence: 0,
@@ -125,6 +128,12 @@
         inner.targets_read_at = inner.targets_read_at.max(Some(at));
     }
 
+    /// Records that the store answered again at this time, after an outage or a restore.
+    pub fn set_recovered(&self, at: Time) {
+        let mut inner = self.inner();
+        inner.recovered_at = inner.recovered_at.max(Some(at));
+    }
+
     /// Age of the newest read of the list of targets.
     pub fn targets_age(&self, now: Time) -> Option<Duration> {
         let read_at = self.inner().targets_read_at?;
@@ -211,6 +220,8 @@
         Some(Response {
             age_ms,
             targets_age_ms,
+            recovered_ms: inner.recovered_at.map(age),
+            version: inner.version,
             configuration: newer.then(|| ByteBuf::from(inner.configuration.as_ref())),
             feed_incarnation: inner.incarnation,
             next_sequence: inner.next_sequence,
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -6,7 +6,7 @@
             client::Client,
             listen::serve_internal,
             state::State,
-            watch::{Reachability, apply_configuration, apply_targets},
+            watch::{Reachability, apply_configuration, apply_targets, record_store_recovery},
         },
         supervise::Backoff,
     },
@@ -50,7 +50,7 @@
     let mut reachability = Reachability::new("peer");
     let mut backoff = Backoff::new(FAILED_POLL_BACKOFF.0, FAILED_POLL_BACKOFF.1);
     loop {
-        let Source::Peer(address) = state.source() else {
+        let Some(address) = polled_peer(&state) else {
             client = None;
             sleep(SOURCE_CHECK_PAUSE).await;
             continue;
@@ -73,6 +73,15 @@
     }
 }
 
+/// The peer to poll: the one that this instance follows, or, for a reader of the store, one that
+/// has a newer configuration than the store showed.
+fn polled_peer(state: &State) -> Option<SocketAddr> {
+    match state.source() {
+        Source::Peer(address) => Some(address),
+        Source::Store | Source::Unknown => state.newer_peer(),
+    }
+}
+
 async fn poll_peer(
     state: &State,
     client: &mut Client,
@@ -101,6 +110,11 @@
     let update: replication::Response = codec::decode(&body).map_err(|error| Error::Malformed {
         reason: error.to_string(),
     })?;
+    if let Some(configuration) = &update.configuration {
+        let value = Bytes::copy_from_slice(configuration);
+        let confirmed_at = sent_at.saturating_sub(Duration::from_millis(update.age_ms));
+        apply_configuration(state, &value, confirmed_at);
+    }
     let next = (update.feed_incarnation, update.next_sequence);
     let age = Duration::from_millis(update.age_ms.max(update.targets_age_ms));
     if !state.check_source_age(age) {
@@ -115,19 +129,21 @@
 /// Applies an update from a peer. The ages in it count from when the poll was sent, which is the
 /// earliest time they can refer to.
 fn apply_update(state: &State, update: replication::Response, sent_at: Duration) {
-    if let Some(configuration) = &update.configuration {
-        apply_configuration(state, &Bytes::copy_from_slice(configuration), sent_at);
-    }
     let confirmed_at = sent_at.saturating_sub(Duration::from_millis(update.age_ms));
-    state.router().confirm_configuration(confirmed_at);
-    state.feed().set_confirmed(confirmed_at);
+    if update.version >= state.configuration_version() {
+        state.router().confirm_configuration(confirmed_at);
+        state.feed().set_confirmed(confirmed_at);
+    }
+    if let Some(age_ms) = update.recovered_ms {
+        record_store_recovery(state, sent_at.saturating_sub(Duration::from_millis(age_ms)));
+    }
     let targets_read_at = sent_at.saturating_sub(Duration::from_millis(update.targets_age_ms));
     state.feed().set_targets_read(targets_read_at);
     let (targets, instances): (Vec<Change>, Vec<Change>) = update
         .changes
         .into_iter()
         .partition(|change| change.list == List::Targets);
-    apply_targets(state, &records(targets), update.is_snapshot, false);
+    apply_targets(state, &records(targets), update.is_snapshot);
     let instances = records(instances);
     if update.is_snapshot || !instances.is_empty() {
         state.apply_instances(&instances, update.is_snapshot);
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -4,8 +4,8 @@
 use {
     crate::{
         front::{
-            client::Client,
             state::State,
+            store::Store,
             watch::{RETRY_BACKOFF, read_newest},
         },
         supervise::Backoff,
@@ -14,12 +14,13 @@
     camphorweir_platform::store::{INSTANCES_TOPIC, Record, store_append_call},
     camphorweir_relay::{
         ids::{Time, Zone, ids_tag},
-        source::{Assignment, Followed, Reads, Source as ReadSource},
+        source::{self as roles, Assignment, Followed, Reads},
+        store::Era,
         summary::{summary_for_others, summary_for_zone},
     },
     camphorweir_wire::{
         codec,
-        digest::{Addresses, Datagram, Digest, Scope, Source, Summary},
+        digest::{Addresses, Datagram, Digest, Newest, Scope, Source, Summary},
         replication::List,
     },
     std::{
@@ -65,6 +66,8 @@
 /// Added to [`START_WAIT`] in proportion to the place in the order, so that the first instance is
 /// alone in reading the list.
 const START_SPREAD: Duration = Duration::from_millis(600);
+/// Time after a restore of the store over which instances look for their records in it.
+const RESTORE_SPREAD: Duration = Duration::from_secs(3);
 /// Timeout of the registration; appends of instances that start together wait for each other.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -209,11 +212,12 @@
 }
 
 async fn sync_instances(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
-    let mut client = Client::new(state.settings().store_address);
+    let mut store = Store::new(state);
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
-    while !register(state, socket, follow_address, &mut client).await {
+    while !register(state, socket, follow_address, &mut store).await {
         sleep(backoff.next_delay()).await;
     }
+    let mut era = state.era();
     let mut reads = 0;
     loop {
         let pause = match reads < FIRST_LISTS {
@@ -221,18 +225,31 @@
             false => LIST_PAUSE,
         };
         sleep(pause).await;
+        if state.era() != era {
+            // The record may be lost; instances look for theirs one after the other.
+            sleep(RESTORE_SPREAD.mul_f64(place_in_order(&state.settings().instance))).await;
+            if register(state, socket, follow_address, &mut store).await {
+                era = state.era();
+                log::info!(era = era.0; "this instance is listed after the restore of the store");
+            }
+        }
         if state.is_store_reader() {
             reads += 1;
-            read_instances(state, &mut client).await;
+            read_instances(state, &mut store).await;
         }
     }
 }
 
+/// Place of an instance in the order that decides on roles, from 0 to 1.
+fn place_in_order(name: &str) -> f64 {
+    f64::from(ids_tag(name)) / f64::from(u32::MAX)
+}
+
 /// Reads the list of instances; returns whether it could be read.
-async fn read_instances(state: &State, client: &mut Client) -> bool {
-    match read_newest(client, INSTANCES_TOPIC).await {
-        Ok(batch) => {
-            state.apply_instances(&batch.records, true);
+async fn read_instances(state: &State, store: &mut Store) -> bool {
+    match read_newest(store, INSTANCES_TOPIC).await {
+        Ok(read) => {
+            state.apply_instances(&read.records, true);
             true
         }
         Err(error) => {
@@ -248,7 +265,7 @@
     state: &State,
     socket: &UdpSocket,
     follow_address: SocketAddr,
-    client: &mut Client,
+    store: &mut Store,
 ) -> bool {
     let Ok(address) = socket.local_addr() else {
         return false;
@@ -260,10 +277,10 @@
     };
     let value = codec::encode(&addresses);
     let own = &state.settings().instance;
-    match read_newest(client, INSTANCES_TOPIC).await {
+    match read_newest(store, INSTANCES_TOPIC).await {
         // After a restart the record is there, and so are those of the others.
-        Ok(batch) if is_listed(&batch.records, own, &value) => {
-            state.apply_instances(&batch.records, true);
+        Ok(read) if is_listed(&read.records, own, &value) => {
+            state.apply_instances(&read.records, true);
             return true;
         }
         Ok(_) => {}
@@ -275,14 +292,13 @@
     let Some(call) = store_append_call(INSTANCES_TOPIC, own, &value) else {
         return false;
     };
-    let reason = match client.call(call, STORE_TIMEOUT).await {
-        Ok((200, _)) => {
-            let place = f64::from(ids_tag(own)) / f64::from(u32::MAX);
-            sleep(START_WAIT + START_SPREAD.mul_f64(place)).await;
+    let reason = match store.call(call, STORE_TIMEOUT).await {
+        Ok(response) if response.status == 200 => {
+            sleep(START_WAIT + START_SPREAD.mul_f64(place_in_order(own))).await;
             let is_heard = state.has_aggregator();
-            return is_heard || read_instances(state, client).await;
+            return is_heard || read_instances(state, store).await;
         }
-        Ok((status, _)) => format!("refused with {status}"),
+        Ok(response) => format!("refused with {}", response.status),
         Err(error) => error.to_string(),
     };
     log::warn!(reason = reason; "could not register this instance in the store");
@@ -302,7 +318,7 @@
     incarnation: u64,
     round: u64,
     /// Whether this instance was the aggregator, and its source, in the last round.
-    last_role: (bool, ReadSource),
+    last_role: (bool, roles::Source),
 }
 
 async fn send_datagrams(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
@@ -312,7 +328,7 @@
         follow_address,
         incarnation: rand::random(),
         round: 0,
-        last_role: (false, ReadSource::Unknown),
+        last_role: (false, roles::Source::Unknown),
     };
     let mut ticks = interval(DIGEST_PAUSE);
     loop {
@@ -353,6 +369,8 @@
             sequence: self.round,
             store_read_ms: age(reads.succeeded_at),
             store_failed_ms: age(reads.failed_at),
+            store_era: self.state.known_era().map(|era| era.0),
+            configuration_version: self.state.configuration_version(),
             ..self.state.router().digest(now)
         };
         let bytes = codec::encode(&Datagram::Digest(digest.clone()));
@@ -374,7 +392,8 @@
             return;
         }
         self.state.router().peers.use_digests(now);
-        let assignment = self.state.roles().assign(self.follow_address, now);
+        let version = self.state.configuration_version();
+        let assignment = self.state.roles().assign(self.follow_address, version, now);
         if self.round.is_multiple_of(CROSS_ZONE_ROUNDS) {
             self.send_to_other_zones(now);
         }
@@ -416,11 +435,16 @@
             follow: followed.address.to_string(),
             read_ms: u32::try_from(millis(followed.read_age)).unwrap_or(u32::MAX),
         });
+        let newest = assignment.newest.map(|newest| Newest {
+            version: newest.version,
+            follow: newest.address.to_string(),
+        });
         let recipients = self.zone_addresses();
         for summary in summaries {
             let mut summary = self.stamp(summary);
             summary.readers = assignment.readers.clone();
             summary.source = source.clone();
+            summary.newest = newest.clone();
             for (name, address) in &recipients {
                 summary.included_sequence = sequences.get(name).copied();
                 let bytes = codec::encode(&Datagram::Summary(summary.clone()));
@@ -434,6 +458,7 @@
             entry: self.state.settings().instance.clone(),
             incarnation: self.incarnation,
             sequence: self.round,
+            store_era: self.state.known_era().map(|era| era.0),
             ..summary
         }
     }
@@ -476,13 +501,25 @@
         succeeded_at: at(digest.store_read_ms),
         failed_at: at(digest.store_failed_ms),
     };
-    state.roles().record_report(&digest.entry, reads, now);
+    observe_era(state, digest.store_era);
+    let version = digest.configuration_version;
+    state
+        .roles()
+        .record_report(&digest.entry, reads, version, now);
     state.instances().record_digest(&digest.entry, address);
     state.router().apply_digest(digest, now);
 }
 
+/// Learns an era of the store that a peer names.
+fn observe_era(state: &State, era: Option<u64>) {
+    if let Some(era) = era {
+        state.observe_era(Era(era), "peer");
+    }
+}
+
 fn receive_summary(state: &State, summary: Summary, address: SocketAddr) {
     let now = state.now();
+    observe_era(state, summary.store_era);
     match &summary.scope {
         Scope::EntriesOf(zone) => {
             let mut instances = state.instances();
@@ -509,8 +546,15 @@
             read_age: Duration::from_millis(source.read_ms.into()),
         })
     });
+    let newest = summary.newest.as_ref().and_then(|newest| {
+        Some(roles::Newest {
+            version: newest.version,
+            address: newest.follow.parse().ok()?,
+        })
+    });
     Assignment {
         readers: summary.readers.clone(),
         followed,
+        newest,
     }
 }
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -33,6 +33,8 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     send_failures: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_restores: Counter<u64>,
     duration: DurationHistogram,
     first_event: DurationHistogram,
     workspace_names: WorkspaceLabels,
@@ -78,6 +80,11 @@
                 "camphorweir.send.failures",
                 "Sends without an answer, by cause",
             ),
+            store_calls: counter("camphorweir.store.calls", "Calls to the store, by kind"),
+            store_restores: counter(
+                "camphorweir.store.restores",
+                "Times that the store came back from an older copy",
+            ),
             duration: DurationHistogram::new(&meter, "whole", "From arrival to the end"),
             first_event: DurationHistogram::new(
                 &meter,
@@ -147,6 +154,16 @@
         self.send_failures.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a call to the store.
+    pub fn record_store_call(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a restore of the store.
+    pub fn record_store_restore(&self) {
+        self.store_restores.add(1, &[]);
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self, state: &State) -> String {
         self.update_gauges(state);
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -18,5 +18,6 @@
 pub mod run;
 pub mod stall;
 pub mod state;
+pub mod store;
 pub mod stream;
 pub mod watch;
--- a/camphorweir-entry/src/front/placement.rs
+++ b/camphorweir-entry/src/front/placement.rs
@@ -1,7 +1,7 @@
 //! Layer placement: the instance that holds the lease orders targets to load layers.
 
 use {
-    crate::front::{client::Client, state::State},
+    crate::front::{client::Client, state::State, store::Store},
     camphorweir_platform::{
         control::{control_decode_report, control_place_call, control_report_call},
         store::{Error, store_decode_grant, store_join_call, store_leave_call},
@@ -13,6 +13,7 @@
         lease::Lease,
         placement::{Candidate, placement_plan},
         span::Span,
+        store::Era,
     },
     std::{
         collections::HashMap,
@@ -51,7 +52,7 @@
 
 /// Stays in the group, and places layers while it holds the lease, until the instance stops.
 pub async fn placement_run(state: State) {
-    let mut client = Client::new(state.settings().store_address);
+    let mut store = Store::new(&state);
     let mut lease = Lease::new(MEMBERSHIP_TERM - LEASE_MARGIN);
     let pending = Pending::default();
     let mut next_renewal = Instant::now();
@@ -60,8 +61,9 @@
         // instance becomes the reader.
         if state.is_store_reader() && Instant::now() >= next_renewal {
             next_renewal = Instant::now() + RENEWAL_PAUSE;
-            renew_membership(&state, &mut client, &mut lease).await;
+            renew_membership(&state, &mut store, &mut lease).await;
         }
+        enter_era(&state, &mut lease);
         let fencing_token = lease.fencing_token(state.now());
         state.set_holds_lease(fencing_token.is_some());
         if let Some(fencing_token) = fencing_token {
@@ -70,12 +72,17 @@
         sleep_until(Instant::now() + ROUND_PAUSE).await;
     }
     let leave = store_leave_call(&state.settings().instance);
-    if let Err(error) = client.call(leave, STORE_TIMEOUT).await {
+    if let Err(error) = store.call(leave, STORE_TIMEOUT).await {
         log::warn!(reason:% = error; "could not give up the lease; it ends with its term");
     }
 }
 
-async fn renew_membership(state: &State, client: &mut Client, lease: &mut Lease) {
+fn enter_era(state: &State, lease: &mut Lease) {
+    let era = state.era();
+    lease.enter_era(era, state.has_seen_restore(), state.now(), MEMBERSHIP_TERM);
+}
+
+async fn renew_membership(state: &State, store: &mut Store, lease: &mut Lease) {
     let sent_at = state.now();
     let was_holder = lease.fencing_token(sent_at).is_some();
     let call = store_join_call(
@@ -83,11 +90,15 @@
         MEMBERSHIP_TERM,
         lease.generation(),
     );
-    let granted = client.call(call, STORE_TIMEOUT).await;
-    let granted = granted.and_then(|(status, body)| store_decode_grant(status, &body));
+    let response = store.call(call, STORE_TIMEOUT).await;
+    enter_era(state, lease);
+    let granted = response.and_then(|response| {
+        let grant = store_decode_grant(response.status, &response.body)?;
+        Ok((grant, response.era))
+    });
     match granted {
-        Ok(grant) => {
-            lease.renew(grant, sent_at);
+        Ok((grant, era)) => {
+            lease.renew(grant, sent_at, era);
             if grant.is_holder != was_holder {
                 log::info!(held = grant.is_holder, fence = grant.generation; "lease state changed");
             }
@@ -133,8 +144,9 @@
                 current: target.span,
                 span,
                 fencing_token,
+                era: state.era(),
             };
-            tokio::spawn(send_order(pending.clone(), order));
+            tokio::spawn(send_order(state.clone(), pending.clone(), order));
         }
     }
 }
@@ -177,13 +189,15 @@
     current: Span,
     span: Span,
     fencing_token: u64,
+    /// Era of the store in which the lease was granted.
+    era: Era,
 }
 
 /// Sends an order after checking the target's own report. A failed order is removed from `pending`
 /// after a pause, so that it can be planned again.
-async fn send_order(pending: Pending, order: Order) {
+async fn send_order(state: State, pending: Pending, order: Order) {
     let mut client = Client::new(order.address);
-    let result = try_order(&mut client, &order).await;
+    let result = try_order(&state, &mut client, &order).await;
     log::info!(
         target_name:% = order.id,
         held_from = order.current.from,
@@ -201,7 +215,7 @@
     }
 }
 
-async fn try_order(client: &mut Client, order: &Order) -> Result<u16, String> {
+async fn try_order(state: &State, client: &mut Client, order: &Order) -> Result<u16, String> {
     let describe = |error: Error| error.to_string();
     let response = client.call(control_report_call(), TARGET_TIMEOUT).await;
     let (status, body) = response.map_err(describe)?;
@@ -212,6 +226,9 @@
     if report.is_busy || report.span != order.current {
         return Err("the target holds other layers than planned or is already loading".to_owned());
     }
+    if state.era() != order.era {
+        return Err("the store was restored since the lease was granted".to_owned());
+    }
     let call = control_place_call(order.span, order.fencing_token, report.order_count);
     let (status, _) = client.call(call, TARGET_TIMEOUT).await.map_err(describe)?;
     Ok(status)
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -11,8 +11,10 @@
         router::Router,
         settings::Settings,
         source::{Roles, Source, source_is_fresh},
+        store::{Cursor, Era, Eras, Observation},
     },
     std::{
+        net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -44,6 +46,7 @@
     listener_close: Notify,
     instances: Mutex<Instances>,
     roles: Mutex<Roles>,
+    eras: Mutex<Eras>,
     stopping: watch::Sender<Option<Time>>,
     in_flight: AtomicUsize,
 }
@@ -82,6 +85,7 @@
             listener_close: Notify::new(),
             instances: Mutex::default(),
             roles: Mutex::new(roles),
+            eras: Mutex::default(),
             stopping: watch::channel(None).0,
             in_flight: AtomicUsize::new(0),
         }))
@@ -196,6 +200,66 @@
         self.source() == Source::Store && self.feed().reads_on_time(self.now())
     }
 
+    /// The highest era of the store that was heard of; `None` before any.
+    pub fn known_era(&self) -> Option<Era> {
+        self.eras().known()
+    }
+
+    fn eras(&self) -> MutexGuard<'_, Eras> {
+        self.0.eras.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The highest era of the store that was heard of.
+    pub fn era(&self) -> Era {
+        self.eras().current()
+    }
+
+    /// Whether the store has come back from an older copy since this instance started.
+    pub fn has_seen_restore(&self) -> bool {
+        self.eras().has_seen_restore()
+    }
+
+    /// Whether the store may lack configurations that no peer can make up for.
+    pub fn may_lack_configurations(&self) -> bool {
+        let now = self.now();
+        let has_peers = self.router().peers.count() > 0;
+        let rewrite = self.router().bounds().key_revocation;
+        !has_peers && self.eras().may_lack_writes(rewrite, now)
+    }
+
+    /// The offset of a cursor, if it is of the current era.
+    pub fn offset(&self, cursor: Option<Cursor>) -> Option<u64> {
+        self.eras().offset(cursor)
+    }
+
+    /// Records an era of the store that `source` named, and logs a restore.
+    pub fn observe_era(&self, era: Era, source: &str) -> Observation {
+        let now = self.now();
+        let observation = self.eras().observe(era, now);
+        if let Observation::Restored { from } = observation {
+            let router = self.router();
+            let version = router
+                .configuration()
+                .map_or(0, |configuration| configuration.version);
+            log::warn!(
+                source = source,
+                from = from.0,
+                era = era.0,
+                version = version,
+                holds_lease = self.holds_lease();
+                "the store came back from an older copy; reading it anew"
+            );
+            self.metrics().record_store_restore();
+        }
+        observation
+    }
+
+    /// The peer to take a newer configuration from than the one in force here, if there is any.
+    pub fn newer_peer(&self) -> Option<SocketAddr> {
+        let own_version = self.configuration_version();
+        self.roles().newer_peer(own_version)
+    }
+
     /// Records that the store answered a read.
     pub fn store_succeeded(&self) {
         let now = self.now();
@@ -214,6 +278,14 @@
         source_is_fresh(age)
     }
 
+    /// Version of the configuration in force; 0 before any.
+    pub fn configuration_version(&self) -> u64 {
+        let router = self.router();
+        router
+            .configuration()
+            .map_or(0, |configuration| configuration.version)
+    }
+
     /// Limits on callers' requests.
     pub fn limits(&self) -> Limits {
         let router = self.router();
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        front::{client::Client, state::State},
+        front::{state::State, store::Store},
         supervise::Backoff,
     },
     bytes::Bytes,
@@ -10,11 +10,16 @@
         configuration::{CONFIGURATION_KEY, configuration_decode},
         record::record_decode,
         store::{
-            Batch, CONFIGURATION_TOPIC, Error, Record, TARGETS_TOPIC, store_decode_batch,
+            CONFIGURATION_TOPIC, Error, Record, TARGETS_TOPIC, store_decode_batch,
             store_decode_page, store_newest_call, store_read_call,
         },
     },
-    camphorweir_relay::{fleet::Change, ids::Time, source::Source},
+    camphorweir_relay::{
+        fleet::Change,
+        ids::Time,
+        source::Source,
+        store::{Cursor, Shown},
+    },
     camphorweir_wire::replication::List,
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -42,8 +47,9 @@
 
 /// Reads the configuration from the store as it changes; never returns.
 pub async fn watch_configuration(state: State) {
-    let mut client = Client::new(state.settings().store_address);
-    let mut from = None;
+    let mut store = Store::new(&state);
+    let mut cursor = None;
+    let mut shown = Shown::default();
     let mut reachability = Reachability::new("configuration");
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     loop {
@@ -61,9 +67,10 @@
             true => Duration::ZERO,
             false => CONFIGURATION_WAIT,
         };
-        match read_configuration(&mut client, from, &state, started_at, wait).await {
-            Ok(next) => {
-                from = Some(next);
+        match read_configuration(&mut store, cursor, &state, wait).await {
+            Ok(read) => {
+                cursor = Some(read.next);
+                accept_configuration(&state, &read, &mut shown, started_at);
                 // The next read starts at once.
                 state.feed().read_succeeded(state.now() + OVERDUE_AFTER);
                 state.store_succeeded();
@@ -71,8 +78,8 @@
                 backoff.reset();
             }
             Err(error) => {
-                if matches!(error, Error::Trimmed { .. }) {
-                    from = None;
+                if matches!(error, Error::NoSuchOffset { .. }) {
+                    cursor = None;
                 }
                 reachability.failed(&error);
                 state.store_failed();
@@ -83,34 +90,48 @@
 }
 
 async fn read_configuration(
-    client: &mut Client,
-    from: Option<u64>,
+    store: &mut Store,
+    cursor: Option<Cursor>,
     state: &State,
-    started_at: Time,
     wait: Duration,
-) -> Result<u64, Error> {
-    let batch = match from {
-        None => read_newest(client, CONFIGURATION_TOPIC).await?,
-        Some(from) => read_from(client, CONFIGURATION_TOPIC, from, wait).await?,
-    };
+) -> Result<Read, Error> {
+    match state.offset(cursor) {
+        None => read_newest(store, CONFIGURATION_TOPIC).await,
+        Some(from) => read_from(store, CONFIGURATION_TOPIC, from, wait).await,
+    }
+}
+
+/// Applies the newest configuration of a read that started at `started_at`, and counts the read as
+/// a confirmation if it shows that nothing newer exists.
+fn accept_configuration(state: &State, read: &Read, shown: &mut Shown, started_at: Time) {
     // Each record is a complete configuration, so only the newest matters.
-    let mut records = batch.records.iter().rev();
+    let mut records = read.records.iter().rev();
     let newest = records.find(|record| record.key == CONFIGURATION_KEY);
-    if let Some(value) = newest.and_then(|record| record.value.as_ref()) {
-        apply_configuration(state, value, started_at);
+    if let Some(value) = newest.and_then(|record| record.value.as_ref())
+        && let Some(version) = apply_configuration(state, value, started_at)
+    {
+        shown.record(read.next.era, version);
+    }
+    let in_force = state.configuration_version();
+    if shown.confirms(read.next.era, in_force) && !state.may_lack_configurations() {
+        state.router().confirm_configuration(started_at);
+        state.feed().set_confirmed(started_at);
+    } else {
+        log::debug!(
+            version = in_force,
+            era = read.next.era.0;
+            "the store shows no configuration as new as the one in force"
+        );
     }
-    state.router().confirm_configuration(started_at);
-    state.feed().set_confirmed(started_at);
-    Ok(batch.next_offset)
 }
 
-/// Applies a published configuration that was the newest at `confirmed_at`.
-pub fn apply_configuration(state: &State, value: &Bytes, confirmed_at: Time) {
+/// Applies a published configuration that was the newest at `confirmed_at`; returns its version.
+pub fn apply_configuration(state: &State, value: &Bytes, confirmed_at: Time) -> Option<u64> {
     let configuration = match configuration_decode(value) {
         Ok(configuration) => configuration,
         Err(error) => {
             log::error!(reason:% = error; "published configuration could not be decoded");
-            return;
+            return None;
         }
     };
     let (version, routes, keys) = (
@@ -125,12 +146,13 @@
         state.feed().set_configuration(version, value.clone());
         log::info!(version = version, routes = routes, keys = keys; "configuration in force");
     }
+    Some(version)
 }
 
 /// Reads the list of targets from the store; never returns.
 pub async fn watch_targets(state: State) {
-    let mut client = Client::new(state.settings().store_address);
-    let mut from = None;
+    let mut store = Store::new(&state);
+    let mut cursor = None;
     let mut reachability = Reachability::new("targets");
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     // Whether the store was unavailable since the last read of the list.
@@ -141,16 +163,18 @@
             sleep(SOURCE_CHECK_PAUSE).await;
             continue;
         }
-        match read_targets(&mut client, from, &state, store_was_unavailable).await {
+        // Targets write their records again after a restore, as after an outage.
+        store_was_unavailable |= cursor.is_some() && state.offset(cursor).is_none();
+        match read_targets(&mut store, cursor, &state, store_was_unavailable).await {
             Ok(next) => {
-                from = Some(next);
+                cursor = Some(next);
                 store_was_unavailable = false;
                 reachability.succeeded();
                 backoff.reset();
             }
             Err(error) => {
-                if matches!(error, Error::Trimmed { .. }) {
-                    from = None;
+                if matches!(error, Error::NoSuchOffset { .. }) {
+                    cursor = None;
                 }
                 reachability.failed(&error);
                 store_was_unavailable = true;
@@ -167,30 +191,36 @@
 }
 
 async fn read_targets(
-    client: &mut Client,
-    from: Option<u64>,
+    store: &mut Store,
+    cursor: Option<Cursor>,
     state: &State,
     after_outage: bool,
-) -> Result<u64, Error> {
-    let snapshot = from.is_none();
+) -> Result<Cursor, Error> {
+    let from = state.offset(cursor);
     let started_at = state.now();
-    let batch = match from {
-        None => read_newest(client, TARGETS_TOPIC).await?,
-        Some(from) => read_from(client, TARGETS_TOPIC, from, Duration::ZERO).await?,
+    let read = match from {
+        None => read_newest(store, TARGETS_TOPIC).await?,
+        Some(from) => read_from(store, TARGETS_TOPIC, from, Duration::ZERO).await?,
     };
-    apply_targets(state, &batch.records, snapshot, after_outage);
+    if after_outage {
+        record_store_recovery(state, state.now());
+    }
+    apply_targets(state, &read.records, from.is_none());
     state.feed().set_targets_read(started_at);
-    Ok(batch.next_offset)
+    Ok(read.next)
 }
 
-/// Applies records of targets. `snapshot` says that they are the whole list, and `after_outage`
-/// that the store was unavailable before this read.
-pub fn apply_targets(state: &State, records: &[Record], snapshot: bool, after_outage: bool) {
+/// Records that the store answered again at this time, so that targets whose records lapsed
+/// meanwhile are kept for a while.
+pub fn record_store_recovery(state: &State, at: Time) {
+    state.router().fleet.record_store_recovery(at);
+    state.feed().set_recovered(at);
+}
+
+/// Applies records of targets; `snapshot` says that they are the whole list.
+pub fn apply_targets(state: &State, records: &[Record], snapshot: bool) {
     let now = state.now();
     let mut router = state.router();
-    if after_outage {
-        router.fleet.record_store_recovery(now);
-    }
     if snapshot {
         let keys = records.iter().map(|record| record.key.as_str().into());
         let listed: BTreeSet<Arc<str>> = keys.collect();
@@ -233,41 +263,66 @@
     log::info!(target_name = id, change:? = change; "target changed");
 }
 
+/// Records that were read from the store, in order.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// The records.
+    pub records: Vec<Record>,
+    /// Where the next read starts.
+    pub next: Cursor,
+}
+
 /// Reads the newest record of every key, page by page. The pages are not a consistent snapshot, so
 /// later reads continue from the offset at which the first page was made.
 ///
 /// # Errors
 ///
-/// The [`Error`] of the first page that fails.
-pub async fn read_newest(client: &mut Client, topic: &str) -> Result<Batch, Error> {
+/// The [`Error`] of the first page that fails; [`Error::Outdated`] where the store was restored
+/// between two pages.
+pub async fn read_newest(store: &mut Store, topic: &str) -> Result<Read, Error> {
     let mut records: Vec<Record> = Vec::new();
     let mut after: Option<String> = None;
-    let mut next_offset = None;
+    let mut first: Option<Cursor> = None;
     loop {
         let call = store_newest_call(topic, after.as_deref());
-        let (status, body) = client.call(call, RESPONSE_MARGIN).await?;
-        let page = store_decode_page(status, &body)?;
+        let response = store.call(call, RESPONSE_MARGIN).await?;
+        let page = store_decode_page(response.status, &response.body)?;
+        let next = *first.get_or_insert(Cursor {
+            era: response.era,
+            offset: page.end_offset,
+        });
+        if next.era != response.era {
+            return Err(Error::Outdated);
+        }
         records.extend(page.records);
-        let next_offset = *next_offset.get_or_insert(page.end_offset);
         after = page.last_key;
         if after.is_none() {
-            return Ok(Batch {
-                records,
-                next_offset,
-            });
+            return Ok(Read { records, next });
         }
     }
 }
 
 async fn read_from(
-    client: &mut Client,
+    store: &mut Store,
     topic: &str,
     from: u64,
     wait: Duration,
-) -> Result<Batch, Error> {
+) -> Result<Read, Error> {
+    let era = store.era();
     let call = store_read_call(topic, from, wait);
-    let (status, body) = client.call(call, wait + RESPONSE_MARGIN).await?;
-    store_decode_batch(status, &body, from)
+    let response = store.call(call, wait + RESPONSE_MARGIN).await?;
+    if response.era != era {
+        // The offset belongs to another history.
+        return Err(Error::Outdated);
+    }
+    let batch = store_decode_batch(response.status, &response.body, from)?;
+    Ok(Read {
+        records: batch.records,
+        next: Cursor {
+            era,
+            offset: batch.next_offset,
+        },
+    })
 }
 
 /// Logs when a reader loses its source and when it recovers, once for each change.
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -16,6 +16,10 @@
 /// targets renew their records within two seconds; the rest is the time of one read of the list.
 const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 
+/// Time for which the last record of a removed target is remembered; longer than the store's copies
+/// are old.
+const REMOVED_MEMORY: Duration = Duration::from_secs(120);
+
 /// A target as its record describes it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
@@ -29,6 +33,8 @@
     pub zone: Zone,
     /// Unix time of the target's start in ms; differs after a restart under the same identifier.
     pub started_ms: u64,
+    /// Number of the record since the target's start; rises with each record that it writes.
+    pub sequence: u64,
     /// Number of requests that the target works on at once.
     pub slots: u32,
     /// Whether the target has announced that it shuts down.
@@ -63,10 +69,20 @@
     lapsed_at: Option<Time>,
 }
 
+impl Entry {
+    /// Start and number of the record, by which records of a target are ordered.
+    fn version(&self) -> (u64, u64) {
+        (self.target.started_ms, self.target.sequence)
+    }
+}
+
 /// All targets by identifier.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     targets: BTreeMap<TargetId, Entry>,
+    /// Start and number of the last record of each removed target, and when it was removed. The
+    /// store may show that record again when it comes back from an older copy.
+    removed: HashMap<TargetId, (u64, u64, Time)>,
     /// When the store answered again after the last outage.
     store_recovered_at: Option<Time>,
     /// Identifiers by tag; those of removed targets stay until another target has the tag.
@@ -76,14 +92,21 @@
 impl Fleet {
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&mut self, now: Time) {
-        self.store_recovered_at = Some(now);
+        self.store_recovered_at = self.store_recovered_at.max(Some(now));
     }
 
-    /// Applies the record of a target. A draining target keeps draining until a restart.
+    /// Applies the record of a target, unless a newer one is known. A draining target keeps draining
+    /// until a restart, and a removed one stays removed until it writes again.
     pub fn upsert(&mut self, mut target: Target, now: Time) -> Option<Change> {
         let mut first_seen = now;
+        let version = (target.started_ms, target.sequence);
+        let is_removed =
+            |(started_ms, sequence, _): &(u64, u64, Time)| version <= (*started_ms, *sequence);
+        if self.removed.get(&target.id).is_some_and(is_removed) {
+            return None;
+        }
         let change = match self.targets.get(&target.id) {
-            Some(entry) if entry.target.started_ms > target.started_ms => return None,
+            Some(entry) if entry.version() > version => return None,
             Some(entry) if entry.target.started_ms == target.started_ms => {
                 target.draining |= entry.target.draining;
                 first_seen = entry.first_seen;
@@ -98,6 +121,7 @@
             self.remove_older_at(target.address, target.started_ms);
         }
         let id = target.id.clone();
+        self.removed.remove(&id);
         if change == Some(Change::Up) {
             self.ids_by_tag.insert(ids_tag(&id), id.clone());
         }
@@ -126,10 +150,20 @@
             entry.lapsed_at = Some(now);
             return Some(Change::Lapsed);
         }
-        self.targets.remove(id);
+        self.forget(id, now);
         Some(Change::Gone)
     }
 
+    /// Removes a target and remembers its last record.
+    fn forget(&mut self, id: &TargetId, now: Time) {
+        if let Some(entry) = self.targets.remove(id) {
+            let (started_ms, sequence) = entry.version();
+            self.removed.insert(id.clone(), (started_ms, sequence, now));
+        }
+        self.removed
+            .retain(|_, (_, _, at)| now.saturating_sub(*at) < REMOVED_MEMORY);
+    }
+
     /// Removes the targets that a complete list of identifiers does not contain.
     pub fn remove_unlisted(
         &mut self,
@@ -162,7 +196,7 @@
             .filter(|(_, entry)| entry.lapsed_at.is_some());
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &removed {
-            self.targets.remove(id);
+            self.forget(id, now);
         }
         removed
     }
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod source;
 pub mod span;
 pub mod sse;
+pub mod store;
 pub mod summary;
 pub mod tracker;
--- a/camphorweir-relay/src/source.rs
+++ b/camphorweir-relay/src/source.rs
@@ -61,6 +61,15 @@
     pub read_age: Duration,
 }
 
+/// The newest configuration that any instance of a zone has in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Newest {
+    /// Its version.
+    pub version: u64,
+    /// Address at which an instance that has it is followed.
+    pub address: SocketAddr,
+}
+
 /// What an aggregator assigns to the instances of its zone.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Assignment {
@@ -68,6 +77,9 @@
     pub readers: Vec<String>,
     /// The instance to follow; `None` until one has read the store.
     pub followed: Option<Followed>,
+    /// The newest configuration of the zone. A reader of the store that has an older one takes it
+    /// from there, as the store may have lost it with a restore.
+    pub newest: Option<Newest>,
 }
 
 /// What an instance says of its reads of the store.
@@ -82,6 +94,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     reads: Reads,
+    /// Version of the configuration in force there.
+    version: u64,
     received_at: Time,
 }
 
@@ -140,11 +154,14 @@
         }
     }
 
-    /// Records what an instance says of its reads.
-    pub fn record_report(&mut self, sender: &str, reads: Reads, now: Time) {
-        let received_at = now;
-        self.reports
-            .insert(sender.to_owned(), Report { reads, received_at });
+    /// Records what an instance says of its reads, and the version that it has in force.
+    pub fn record_report(&mut self, sender: &str, reads: Reads, version: u64, now: Time) {
+        let report = Report {
+            reads,
+            version,
+            received_at: now,
+        };
+        self.reports.insert(sender.to_owned(), report);
     }
 
     /// Records a successful read of the store by this instance.
@@ -212,10 +229,13 @@
     ///
     /// A healthy reader stays. Where none is healthy, the instances whose last failure is longest
     /// ago try, at most [`MAX_READERS`] at once.
-    pub fn assign(&mut self, own_address: SocketAddr, now: Time) -> Assignment {
+    ///
+    /// `own_address` is where this instance is followed, and `own_version` its configuration.
+    pub fn assign(&mut self, own_address: SocketAddr, own_version: u64, now: Time) -> Assignment {
         self.drop_outdated(now);
         let own_report = Report {
             reads: self.own_reads,
+            version: own_version,
             received_at: now,
         };
         let listed = self.members.keys().map(|(_, name)| name);
@@ -225,7 +245,12 @@
         live.sort_by_key(|(name, _)| rank(name));
         let readers = self.choose_readers(&live, now);
         let followed = self.choose_followed(&live, &readers, own_address, now);
-        self.assignment = Assignment { readers, followed };
+        let newest = self.choose_newest(&live, own_address);
+        self.assignment = Assignment {
+            readers,
+            followed,
+            newest,
+        };
         self.assigned_at = Some(now);
         self.assignment.clone()
     }
@@ -276,17 +301,35 @@
         let is_healthy = |name: &String| !self.trials.contains_key(name) && readers.contains(name);
         let best = |(at, name): &(Time, &String)| (is_healthy(name), *at, Reverse(rank(name)));
         let (read_at, name) = read.max_by_key(best)?;
-        let address = match *name == self.own {
-            true => own_address,
-            false => *self.members.get(&rank(name))?,
-        };
         Some(Followed {
             name: name.clone(),
-            address,
+            address: self.address(name, own_address)?,
             read_age: now.saturating_sub(read_at),
         })
     }
 
+    fn choose_newest(&self, live: &[(String, Report)], own_address: SocketAddr) -> Option<Newest> {
+        let (name, report) = live.iter().max_by_key(|(_, report)| report.version)?;
+        Some(Newest {
+            version: report.version,
+            address: self.address(name, own_address)?,
+        })
+    }
+
+    /// Address at which an instance of the zone is followed.
+    fn address(&self, name: &str, own_address: SocketAddr) -> Option<SocketAddr> {
+        match name == self.own {
+            true => Some(own_address),
+            false => self.members.get(&rank(name)).copied(),
+        }
+    }
+
+    /// The instance to take a configuration from that is newer than `own_version`.
+    pub fn newer_peer(&self, own_version: u64) -> Option<SocketAddr> {
+        let newest = self.assignment.newest?;
+        (newest.version > own_version).then_some(newest.address)
+    }
+
     /// Drops what was heard too long ago to count.
     fn drop_outdated(&mut self, now: Time) {
         self.reports
--- a/camphorweir-relay/tests/decide/fleet.rs
+++ b/camphorweir-relay/tests/decide/fleet.rs
@@ -18,6 +18,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: "z".into(),
         started_ms,
+        sequence: 1,
         slots: 1,
         draining: false,
         hardware: None,
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -10,4 +10,5 @@
 mod router;
 mod source;
 mod sse;
+mod store;
 mod tracker;
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -104,6 +104,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: zone.into(),
             started_ms: 1,
+            sequence: 1,
             slots: if from == to { 4 } else { 64 },
             draining: false,
             hardware: Some("half".to_owned()),
--- a/camphorweir-relay/tests/decide/source.rs
+++ b/camphorweir-relay/tests/decide/source.rs
@@ -39,6 +39,7 @@
             address: address(index),
             read_age: ms(100),
         }),
+        newest: None,
     }
 }
 
@@ -103,13 +104,13 @@
     let names = names(39);
     let mut aggregator = roles(&names, 0);
     for name in &names[1..] {
-        aggregator.record_report(name, Reads::default(), ms(0));
+        aggregator.record_report(name, Reads::default(), 0, ms(0));
     }
-    let first = aggregator.assign(address(0), ms(0));
+    let first = aggregator.assign(address(0), 0, ms(0));
     assert_eq!(first.readers, names[..2]);
     assert_eq!(first.followed, None);
     aggregator.record_read(ms(40));
-    let next = aggregator.assign(address(0), ms(100));
+    let next = aggregator.assign(address(0), 0, ms(100));
     assert_eq!(next.readers, names[..1]);
     assert_eq!(next.followed.unwrap().name, names[0]);
     assert_eq!(aggregator.source(Some(ms(60)), ms(100)), Source::Store);
@@ -127,14 +128,14 @@
     let mut aggregator = roles(&names, 0);
     let mut time = ms(0);
     aggregator.record_read(time);
-    aggregator.assign(address(0), time);
+    aggregator.assign(address(0), 0, time);
     // The store refuses the first twenty instances and serves the rest.
     let mut rounds = 0;
     loop {
         time += ms(200);
         rounds += 1;
         aggregator.record_read_failure(time);
-        let readers = aggregator.assign(address(0), time).readers;
+        let readers = aggregator.assign(address(0), 0, time).readers;
         assert!(readers.len() <= 2, "{readers:?}");
         if readers.iter().all(|reader| names[20..].contains(reader)) {
             break;
@@ -146,18 +147,18 @@
                 _ => Reads::default(),
             };
             if was_asked || rounds == 1 {
-                aggregator.record_report(name, reads, time + ms(10));
+                aggregator.record_report(name, reads, 0, time + ms(10));
             }
         }
         for name in &names[20..] {
-            aggregator.record_report(name, Reads::default(), time + ms(10));
+            aggregator.record_report(name, Reads::default(), 0, time + ms(10));
         }
         assert!(rounds < 25, "no working reader was found");
     }
     // One of them reads: it stays the only reader, and is followed.
     let reader = names[20].clone();
-    aggregator.record_report(&reader, read_at(time + ms(50)), time + ms(60));
-    let found = aggregator.assign(address(0), time + ms(100));
+    aggregator.record_report(&reader, read_at(time + ms(50)), 0, time + ms(60));
+    let found = aggregator.assign(address(0), 0, time + ms(100));
     assert_eq!(found.readers, std::slice::from_ref(&reader));
     assert_eq!(found.followed.unwrap().name, reader);
 }
@@ -168,14 +169,17 @@
     let mut aggregator = roles(&names, 0);
     for time in [0, 1_000] {
         for name in &names[1..] {
-            aggregator.record_report(name, Reads::default(), ms(time));
+            aggregator.record_report(name, Reads::default(), 0, ms(time));
         }
-        assert_eq!(aggregator.assign(address(0), ms(time)).readers, names[..2]);
+        assert_eq!(
+            aggregator.assign(address(0), 0, ms(time)).readers,
+            names[..2]
+        );
     }
     for name in &names[1..] {
-        aggregator.record_report(name, Reads::default(), ms(1_200));
+        aggregator.record_report(name, Reads::default(), 0, ms(1_200));
     }
-    let second = aggregator.assign(address(0), ms(1_200)).readers;
+    let second = aggregator.assign(address(0), 0, ms(1_200)).readers;
     assert_eq!(second.len(), 2);
     assert!(
         second.contains(&names[2]) && second.contains(&names[3]),
@@ -204,3 +208,15 @@
     assert!(source_is_fresh(ms(2_399)));
     assert!(!source_is_fresh(ms(2_400)));
 }
+
+#[test]
+fn a_reader_takes_a_configuration_that_the_store_has_lost_from_the_instance_that_has_it() {
+    let names = names(3);
+    let mut aggregator = roles(&names, 0);
+    aggregator.record_report(&names[1], Reads::default(), 7, ms(0));
+    aggregator.record_report(&names[2], Reads::default(), 9, ms(0));
+    let newest = aggregator.assign(address(0), 7, ms(1)).newest.unwrap();
+    assert_eq!((newest.version, newest.address), (9, address(2)));
+    assert_eq!(aggregator.newer_peer(7), Some(address(2)));
+    assert_eq!(aggregator.newer_peer(9), None);
+}
--- /dev/null
+++ b/camphorweir-relay/tests/load/main.rs
@@ -0,0 +1,80 @@
+//! What callers get from zones of many instances under load.
+
+mod world;
+
+use {
+    std::time::Duration,
+    world::{Load, World, Zone},
+};
+
+/// The zones of the largest published deployment, with the requests of a calm day.
+const ZONES: &[Zone] = &[
+    Zone {
+        targets: (4, 18, 21),
+        per_second: 102.0,
+    },
+    Zone {
+        targets: (3, 29, 12),
+        per_second: 71.0,
+    },
+    Zone {
+        targets: (7, 12, 14),
+        per_second: 72.0,
+    },
+    Zone {
+        targets: (4, 18, 21),
+        per_second: 97.0,
+    },
+    Zone {
+        targets: (2, 29, 11),
+        per_second: 77.0,
+    },
+];
+
+fn load(seed: u64) -> Load {
+    Load {
+        instances: 39,
+        zones: ZONES,
+        factor: 1.0,
+        length: Duration::from_secs(8),
+        loss_at: None,
+        seed,
+    }
+}
+
+/// Targets refuse fewer sends than this on a day without faults: what instances know of each other
+/// is old by some hundred ms, and a refused send costs the caller time and the retry budget.
+const MAX_REJECTED: f64 = 0.02;
+
+#[test]
+fn on_a_calm_day_targets_have_room_for_what_they_are_sent() {
+    let result = World::new(load(1)).run();
+    assert_eq!((result.refused, result.failed), (0, 0), "{result:?}");
+    assert!(result.share_in_time() > 0.99, "{result:?}");
+    assert!(result.share_rejected() < MAX_REJECTED, "{result:?}");
+}
+
+#[test]
+fn at_a_third_more_load_all_are_still_served_in_time() {
+    let heavy = Load {
+        factor: 1.33,
+        ..load(2)
+    };
+    let result = World::new(heavy).run();
+    assert_eq!((result.refused, result.failed), (0, 0), "{result:?}");
+    assert!(result.share_in_time() > 0.99, "{result:?}");
+    assert!(result.share_rejected() < MAX_REJECTED, "{result:?}");
+}
+
+#[test]
+fn the_loss_of_a_third_of_a_zone_costs_only_the_streams_on_it() {
+    let loss = Load {
+        factor: 1.33,
+        loss_at: Some(Duration::from_secs(3)),
+        ..load(3)
+    };
+    let result = World::new(loss).run();
+    // Other zones take the requests until the layers are loaded again.
+    assert_eq!((result.refused, result.late), (0, 0), "{result:?}");
+    assert!(result.share_in_time() > 0.95, "{result:?}");
+}
--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -89,6 +89,14 @@
         Self::with_body(status, body.to_string().into_bytes())
     }
 
+    /// Adds a header to a response; a reply without one stays as it is.
+    pub fn with_header(mut self, name: &'static str, value: u64) -> Self {
+        if let Self::Response(response) = &mut self {
+            response.headers_mut().insert(name, value.into());
+        }
+        self
+    }
+
     fn with_body(status: u16, body: Vec<u8>) -> Self {
         let mut response = Response::new(ScriptedBody::whole(body));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
--- a/camphorweir-standin/src/metadata.rs
+++ b/camphorweir-standin/src/metadata.rs
@@ -1,4 +1,5 @@
-//! Stand-in for the metadata store of the users' platform: keyed topics, one member group, outages.
+//! Stand-in for the metadata store of the users' platform: keyed topics, one member group, outages,
+//! and restores from an older copy.
 
 use {
     crate::http1::{self, Reply, Request},
@@ -27,9 +28,19 @@
     Silent,
 }
 
+/// A record of a topic.
+#[derive(Clone, Debug)]
+struct Record {
+    key: String,
+    value: Vec<u8>,
+    written_at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    topics: BTreeMap<String, Vec<(String, Vec<u8>)>>,
+    /// Number of restores so far.
+    era: u64,
+    topics: BTreeMap<String, Vec<Record>>,
     /// Offset of the oldest retained record, by topic.
     first_offsets: BTreeMap<String, usize>,
     members: BTreeSet<String>,
@@ -78,7 +89,24 @@
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
-        topic.push((key.to_owned(), value.to_vec()));
+        topic.push(Record {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            written_at: Instant::now(),
+        });
+    }
+
+    /// Comes back from a copy that is `age` old: later records are gone and their offsets free, and
+    /// the group starts anew.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.state();
+        let is_kept = |record: &Record| record.written_at.elapsed() >= age;
+        for records in state.topics.values_mut() {
+            records.retain(is_kept);
+        }
+        state.members.clear();
+        state.generation = 0;
+        state.era += 1;
     }
 
     /// Ends the retention of a topic's records; the newest value of each key stays readable.
@@ -100,6 +128,19 @@
         }
     }
 
+    /// Keys of a topic that have a value.
+    pub fn keys(&self, topic: &str) -> BTreeSet<String> {
+        let state = self.state();
+        let mut keys = BTreeSet::new();
+        for record in state.topics.get(topic).into_iter().flatten() {
+            match record.value.is_empty() {
+                true => keys.remove(&record.key),
+                false => keys.insert(record.key.clone()),
+            };
+        }
+        keys
+    }
+
     /// Number of requests received so far.
     pub fn request_count(&self) -> usize {
         self.state().request_count
@@ -116,14 +157,16 @@
             Behavior::Refusing => return Reply::status(503),
             Behavior::Silent => return Reply::Hang,
         }
-        match request.path.as_str() {
+        let reply = match request.path.as_str() {
             "/api/log-read" => self.read(&request).await,
             "/api/log-newest" => self.newest(&request),
             "/api/log-append" => self.append(&request),
             "/api/log-join" => self.join(&request),
             "/api/log-leave" => self.leave(&request),
             _ => Reply::status(404),
-        }
+        };
+        let era = self.state().era;
+        reply.with_header("store-era", era)
     }
 
     async fn read(&self, request: &Request) -> Reply {
@@ -135,10 +178,10 @@
             {
                 let state = self.state();
                 let first = state.first_offsets.get(&topic).copied().unwrap_or_default();
-                if from < first {
+                let records = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
+                if from < first || from > records.len() {
                     return Reply::json(410, &json!({"first": first}));
                 }
-                let records = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
                 if records.len() > from || Instant::now() >= deadline {
                     return Reply::bytes(encode_records(records, from, first));
                 }
@@ -153,8 +196,8 @@
         let topic = request.query("topic");
         let records = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
         let mut newest = BTreeMap::new();
-        for (offset, (key, value)) in records.iter().enumerate() {
-            newest.insert(key, (offset, value));
+        for (offset, record) in records.iter().enumerate() {
+            newest.insert(&record.key, (offset, &record.value));
         }
         let present = newest
             .into_iter()
@@ -223,10 +266,10 @@
     Some((String::from_utf8(key.to_vec()).ok()?, value))
 }
 
-fn encode_records(records: &[(String, Vec<u8>)], from: usize, first: usize) -> Vec<u8> {
+fn encode_records(records: &[Record], from: usize, first: usize) -> Vec<u8> {
     let mut bytes = (records.len() as u64).to_be_bytes().to_vec();
     bytes.extend((first as u64).to_be_bytes());
-    for (key, value) in records.iter().skip(from) {
+    for Record { key, value, .. } in records.iter().skip(from) {
         bytes.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
         bytes.push(key.len() as u8);
         bytes.extend(key.as_bytes());
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -64,8 +64,12 @@
     requests: Vec<Request>,
     layers: Option<(u64, u64)>,
     order_count: u64,
+    /// Fencing tokens of the orders received.
+    fencing_tokens: Vec<u64>,
     stalled_hops: Vec<(String, String)>,
     draining: bool,
+    /// Number of records written.
+    record_count: u64,
     /// Number of restarts.
     restarts: u64,
     /// Address published instead of the listener's, such as that of a proxy.
@@ -187,10 +191,16 @@
         self.state().layers
     }
 
+    /// Fencing tokens of the orders received so far.
+    pub fn fencing_tokens(&self) -> Vec<u64> {
+        self.state().fencing_tokens.clone()
+    }
+
     /// Writes the target's record to the metadata store.
     pub fn publish_record(&self) {
         let record = {
-            let state = self.state();
+            let mut state = self.state();
+            state.record_count += 1;
             json!({
                 "service": self.setup.service,
                 "address": state.published_address.unwrap_or(self.address).to_string(),
@@ -198,6 +208,7 @@
                 "slots": 8,
                 "state": if state.draining { "draining" } else { "ready" },
                 "born": 1 + state.restarts,
+                "seq": state.record_count,
                 "kind": self.setup.kind,
                 "layers": state.layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1})),
             })
@@ -239,6 +250,7 @@
     fn handle_order(&self, request: &Request) -> Reply {
         let order: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let mut state = self.state();
+        state.fencing_tokens.extend(order["fence"].as_u64());
         if order["expect"].as_u64() != Some(state.order_count) {
             return Reply::status(409);
         }
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod lists;
 #[path = "../support/port.rs"]
 mod port;
+mod restores;
 #[path = "../support/site.rs"]
 mod site;
 mod streams;
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -37,6 +37,10 @@
     pub store_read_ms: Option<u32>,
     /// Time since a read of the store last failed at the sender, in ms; `None` for never.
     pub store_failed_ms: Option<u32>,
+    /// Highest era of the store that the sender has heard of; `None` for none.
+    pub store_era: Option<u64>,
+    /// Version of the configuration in force at the sender; 0 before any.
+    pub configuration_version: u64,
 }
 
 /// Any datagram between entries.
@@ -75,6 +79,10 @@
     pub readers: Vec<String>,
     /// The entry that the others of the zone follow; only in summaries for the own zone.
     pub source: Option<Source>,
+    /// The newest configuration in the zone; only in summaries for the own zone.
+    pub newest: Option<Newest>,
+    /// Highest era of the store that the sender has heard of; `None` for none.
+    pub store_era: Option<u64>,
 }
 
 /// What a summary covers.
@@ -103,6 +111,15 @@
     pub read_ms: u32,
 }
 
+/// The newest configuration that any entry of a zone has in force.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Newest {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Address at which an entry that has it is followed, as `IP:PORT`.
+    pub follow: String,
+}
+
 /// Load of an entry on one target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
--- a/camphorweir-wire/src/replication.rs
+++ b/camphorweir-wire/src/replication.rs
@@ -45,6 +45,10 @@
     pub age_ms: u64,
     /// Age of the newest read of the targets, in ms.
     pub targets_age_ms: u64,
+    /// Time since the store was last available again, in ms; `None` while it was never away.
+    pub recovered_ms: Option<u64>,
+    /// Version of the configuration in force at the sender.
+    pub version: u64,
     /// The published configuration, if newer than the follower's.
     pub configuration: Option<ByteBuf>,
     /// Incarnation of the feed.
