Name the module of the zone's roles for what it holds

Cause: the module `source` held the roles of instances, of which the source of their data is one. Change: renamed to `roles`, its check with it; no change of behaviour.

--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -15,7 +15,7 @@
     },
     bytes::Bytes,
     camphorweir_platform::store::{Call, Error, Record},
-    camphorweir_relay::source::Source,
+    camphorweir_relay::roles::Source,
     camphorweir_wire::{
         codec,
         replication::{self, Change, List},
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -14,7 +14,7 @@
     camphorweir_platform::store::{INSTANCES_TOPIC, Record, store_append_call},
     camphorweir_relay::{
         ids::{Time, Zone, ids_tag},
-        source::{self as roles, Assignment, Followed, Member, Reads},
+        roles::{self, Assignment, Followed, Member, Reads},
         store::Era,
         summary::{summary_for_others, summary_for_zone},
     },
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -8,9 +8,9 @@
     camphorweir_relay::{
         configuration::Limits,
         ids::Time,
+        roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
-        source::{Roles, Source, source_is_fresh},
         store::{Cursor, Era, Eras, Observation},
     },
     std::{
@@ -278,7 +278,7 @@
 
     /// Whether the followed peer's data is fresh enough to use.
     pub fn check_source_age(&self, age: Duration) -> bool {
-        source_is_fresh(age)
+        roles_source_is_fresh(age)
     }
 
     /// Version of the configuration in force; 0 before any.
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -17,7 +17,7 @@
     camphorweir_relay::{
         fleet::Change,
         ids::Time,
-        source::Source,
+        roles::Source,
         store::{Cursor, Shown},
     },
     camphorweir_wire::replication::List,
--- a/camphorweir-relay/src/source.rs
+++ b/camphorweir-relay/src/roles.rs
@@ -416,6 +416,6 @@
 }
 
 /// Whether the data of a followed peer is fresh enough to use.
-pub fn source_is_fresh(age: Duration) -> bool {
+pub fn roles_source_is_fresh(age: Duration) -> bool {
     age < MAX_PEER_AGE
 }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -7,8 +7,9 @@
 mod path;
 mod peers;
 mod retry;
+mod roles;
 mod router;
-mod source;
+
 mod sse;
 mod store;
 mod tracker;
--- a/camphorweir-relay/tests/decide/source.rs
+++ b/camphorweir-relay/tests/decide/roles.rs
@@ -1,7 +1,7 @@
 use {
     camphorweir_relay::{
         ids::{Time, ids_tag},
-        source::{Assignment, Followed, Member, Reads, Roles, Source, source_is_fresh},
+        roles::{Assignment, Followed, Member, Reads, Roles, Source, roles_source_is_fresh},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -209,8 +209,8 @@
 
 #[test]
 fn data_of_a_peer_that_has_lost_the_store_is_not_used() {
-    assert!(source_is_fresh(ms(2_399)));
-    assert!(!source_is_fresh(ms(2_400)));
+    assert!(roles_source_is_fresh(ms(2_399)));
+    assert!(!roles_source_is_fresh(ms(2_400)));
 }
 
 #[test]
