Read the store at once when the followed peer has lost it

Change: as before the aggregators, a reader whose read is late says so to its followers, and they read the store themselves; now only until the aggregator names another source, for 2 s at most. A late read also counts as failed at once where readers are assigned. Ruled out: a lost configuration (it arrived, 0.1 to 1.4 s late). Test: roles::after_a_failed_peer_the_store_is_read_until_another_source_is_named.

--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -116,6 +116,11 @@
         matches!(self.inner().read_status, ReadStatus::Due(due) if now < due)
     }
 
+    /// Whether the current read of the configuration is late, or the next one was not started in time.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        matches!(self.inner().read_status, ReadStatus::Due(due) if now >= due)
+    }
+
     /// Records that the configuration was the newest at this time.
     pub fn set_confirmed(&self, at: Time) {
         let mut inner = self.inner();
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -25,7 +25,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -40,6 +40,8 @@
 const SOURCE_CHECK_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest pause between two polls, so that changes close together share a response.
 const POLL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between checks whether this instance still reads the store in time, while a follower waits.
+const READER_CHECK_PAUSE: Duration = Duration::from_millis(120);
 /// First and longest pause after a failed poll; the aggregator names another source meanwhile.
 const FAILED_POLL_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(400));
@@ -71,6 +73,7 @@
             }
             Err(error) => {
                 reachability.failed(&error);
+                state.peer_failed();
                 sleep(backoff.next_delay()).await;
             }
         }
@@ -183,6 +186,11 @@
     }
 }
 
+/// Whether this instance should read the store and does not get its data in time.
+fn has_lost_store(state: &State) -> bool {
+    state.source() == Source::Store && !state.feed().reads_on_time(state.now())
+}
+
 async fn handle_poll(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let status = |status: StatusCode| {
         let mut response = Response::new(Full::default());
@@ -203,10 +211,15 @@
     };
     let deadline = Instant::now() + Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
     let mut changes = state.feed().subscribe();
-    while !state.feed().has_changes_for(&ask) {
-        if timeout_at(deadline, changes.changed()).await.is_err() {
-            break;
-        }
+    // A reader that has lost the store must not keep its followers waiting: a change may be in
+    // force elsewhere.
+    while !has_lost_store(state) && !state.feed().has_changes_for(&ask) && Instant::now() < deadline
+    {
+        // Without a change by the deadline, the response carries none.
+        let _ = timeout(READER_CHECK_PAUSE, changes.changed()).await;
+    }
+    if has_lost_store(state) {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     match state.feed().update_for(&ask, state.now()) {
         Some(update) => Response::new(Full::new(codec::encode(&update).into())),
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -372,6 +372,9 @@
     /// Sends the digest of this instance; returns the number of bytes sent.
     fn send_digest(&self) -> usize {
         let now = self.state.now();
+        if self.state.is_overdue_reader() {
+            self.state.roles().record_read_failure(now);
+        }
         let reads = self.state.roles().own_reads();
         let age = |at: Option<Time>| {
             let age = now.saturating_sub(at?);
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -276,6 +276,17 @@
         self.feed().read_failed();
     }
 
+    /// Records that the followed peer did not answer, or does not read the store in time.
+    pub fn peer_failed(&self) {
+        let now = self.now();
+        self.roles().record_peer_failure(now);
+    }
+
+    /// Whether this instance reads the store, and the current read is late.
+    pub fn is_overdue_reader(&self) -> bool {
+        self.source() == Source::Store && self.feed().is_overdue(self.now())
+    }
+
     /// Whether the followed peer's data is fresh enough to use.
     pub fn check_source_age(&self, age: Duration) -> bool {
         roles_source_is_fresh(age)
--- a/camphorweir-relay/src/roles.rs
+++ b/camphorweir-relay/src/roles.rs
@@ -33,6 +33,9 @@
 /// Above the age of a healthy peer's data, which is at most the wait and the response time of one
 /// read.
 const MAX_PEER_AGE: Duration = Duration::from_millis(2400);
+/// After a failure of the followed peer, the store is read for this long, unless the aggregator names
+/// another source before.
+const PEER_BACKOFF: Duration = Duration::from_secs(2);
 /// Age of an instance's own data at which it reads the store itself although it should follow,
 /// where the followed peer reads the store but can't be reached.
 const SELF_READ_AGE: Duration = Duration::from_millis(3700);
@@ -136,6 +139,8 @@
     /// The newest assignment that was received or, by an aggregator, made.
     assignment: Assignment,
     assigned_at: Option<Time>,
+    /// The followed peer that failed last, and when.
+    failed_peer: Option<(String, Time)>,
 }
 
 impl Roles {
@@ -155,6 +160,7 @@
             trials: BTreeMap::new(),
             assignment: Assignment::default(),
             assigned_at: None,
+            failed_peer: None,
         }
     }
 
@@ -211,6 +217,12 @@
         self.own_reads.failed_at = Some(now);
     }
 
+    /// Records that the followed peer did not answer, or does not read the store in time.
+    pub fn record_peer_failure(&mut self, now: Time) {
+        let followed = self.assignment.followed.as_ref();
+        self.failed_peer = followed.map(|followed| (followed.name.clone(), now));
+    }
+
     /// This instance's own reads.
     pub fn own_reads(&self) -> Reads {
         self.own_reads
@@ -398,7 +410,10 @@
         let since = now.saturating_sub(self.assigned_at.unwrap_or(self.started_at));
         let own_age = own_age.unwrap_or(now.saturating_sub(self.started_at));
         let is_cut_off = own_age > SELF_READ_AGE && followed.read_age + since < READ_FRESH;
-        match is_cut_off || followed.name == self.own {
+        let has_failed = self.failed_peer.as_ref().is_some_and(|(name, at)| {
+            *name == followed.name && now.saturating_sub(*at) < PEER_BACKOFF
+        });
+        match is_cut_off || has_failed || followed.name == self.own {
             true => Source::Store,
             false => Source::Peer(followed.address),
         }
--- a/camphorweir-relay/tests/decide/roles.rs
+++ b/camphorweir-relay/tests/decide/roles.rs
@@ -207,6 +207,25 @@
     assert_eq!(follower.source(Some(ms(3_800)), ms(10_000)), peer);
 }
 
+#[test]
+fn after_a_failed_peer_the_store_is_read_until_another_source_is_named() {
+    let names = names(5);
+    let mut follower = roles(&names, 3);
+    let told = assignment(&[&names[0]], Some((&names[0], 0)));
+    follower.record_summary(&names[0], 100, told.clone(), ms(0));
+    follower.record_peer_failure(ms(100));
+    assert_eq!(follower.source(Some(ms(50)), ms(101)), Source::Store);
+    let next = assignment(&[&names[1]], Some((&names[1], 1)));
+    follower.record_summary(&names[0], 100, next, ms(300));
+    let peer = Source::Peer(address(1));
+    assert_eq!(follower.source(Some(ms(50)), ms(301)), peer);
+    // The same peer is tried again after a while.
+    follower.record_summary(&names[0], 100, told, ms(400));
+    assert_eq!(follower.source(Some(ms(50)), ms(401)), Source::Store);
+    let peer = Source::Peer(address(0));
+    assert_eq!(follower.source(Some(ms(50)), ms(2_100)), peer);
+}
+
 #[test]
 fn data_of_a_peer_that_has_lost_the_store_is_not_used() {
     assert!(roles_source_is_fresh(ms(2_399)));
