Log and count exclusions of targets that rest on a peer's report

An instance that had probed nothing refused for lack of layers, and no line or metric said that reports of peers were the reason.

Change: a line names target and reporting peer when a report alone makes a target unresponsive here, and the gauge of targets has the state silent_to_peers beside silent.

--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -13,7 +13,7 @@
     },
     camphorweir_platform::store::{INSTANCES_TOPIC, Record, store_append_call},
     camphorweir_relay::{
-        ids::{Time, Zone, ids_tag},
+        ids::{TargetId, Time, Zone, ids_tag},
         roles::{self, Assignment, Followed, Member, Reads},
         store::Era,
         summary::{summary_for_others, summary_for_zone},
@@ -525,7 +525,20 @@
         .roles()
         .record_report(&digest.entry, reads, version, now);
     state.instances().record_digest(&digest.entry, address);
-    state.router().apply_digest(digest, now);
+    let reporter = digest.entry.clone();
+    let reported = state.router().apply_digest(digest, now);
+    log_reported(&reporter, &reported);
+}
+
+/// Logs the targets that this instance avoids on a peer's word from now on.
+fn log_reported(reporter: &str, reported: &[TargetId]) {
+    for target in reported {
+        log::info!(
+            target_name:% = target,
+            peer = reporter;
+            "target counts as unresponsive on a peer's report"
+        );
+    }
 }
 
 /// Learns an era of the store that a peer names.
@@ -553,7 +566,9 @@
             }
         }
     }
-    state.router().apply_summary(summary, now);
+    let reporter = summary.entry.clone();
+    let reported = state.router().apply_summary(summary, now);
+    log_reported(&reporter, &reported);
 }
 
 fn decode_assignment(summary: &Summary) -> Assignment {
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -186,6 +186,13 @@
         self.targets.record(draining as u64, &by_state("draining"));
         self.targets
             .record(unresponsive as u64, &by_state("silent"));
+        let seen_here = all()
+            .filter(|target| router.tracker.state(&target.id).is_unresponsive(now))
+            .count();
+        self.targets.record(
+            (unresponsive - seen_here) as u64,
+            &by_state("silent_to_peers"),
+        );
         for (zone, copies, layers) in router.layer_copies(now) {
             let labels = [
                 KeyValue::new("zone", zone.to_string()),
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -421,24 +421,27 @@
         }
     }
 
-    /// Applies the digest of a peer.
-    pub fn apply_digest(&mut self, digest: Digest, now: Time) {
+    /// Applies the digest of a peer; returns the targets that are unresponsive here from now on on
+    /// the word of that peer alone.
+    pub fn apply_digest(&mut self, digest: Digest, now: Time) -> Vec<TargetId> {
         let failing = digest.failing.clone();
-        if self.peers.apply_digest(digest, now) {
-            self.record_failing(&failing, now);
+        match self.peers.apply_digest(digest, now) {
+            true => self.record_failing(&failing, now),
+            false => Vec::new(),
         }
     }
 
-    /// Applies a summary of the load of many instances.
-    pub fn apply_summary(&mut self, summary: Summary, now: Time) {
+    /// Applies a summary of the load of many instances; returns the targets that are unresponsive
+    /// here from now on on the word of those instances alone.
+    pub fn apply_summary(&mut self, summary: Summary, now: Time) -> Vec<TargetId> {
         if !self.peers.apply_summary(summary.clone(), now) {
-            return;
+            return Vec::new();
         }
         if let Scope::TargetsOf(zone) = &summary.scope {
             self.peers.use_summaries(now);
             self.clear_recovered(zone, &summary);
         }
-        self.record_failing(&summary.failing, now);
+        self.record_failing(&summary.failing, now)
     }
 
     /// Clears what peers reported of the targets that a summary covers and does not list as failing.
@@ -454,14 +457,23 @@
         }
     }
 
-    fn record_failing(&mut self, failing: &[Failing], now: Time) {
+    fn record_failing(&mut self, failing: &[Failing], now: Time) -> Vec<TargetId> {
+        let mut newly_unresponsive = Vec::new();
         for failing in failing {
             if let Some(target) = self.fleet.by_tag(failing.target) {
                 let remaining = Duration::from_millis(failing.excluded_ms.into());
-                self.tracker
-                    .record_peer_ejection(&target.id, now, remaining, failing.unresponsive);
+                let is_new = self.tracker.record_peer_ejection(
+                    &target.id,
+                    now,
+                    remaining,
+                    failing.unresponsive,
+                );
+                if is_new {
+                    newly_unresponsive.push(target.id.clone());
+                }
             }
         }
+        newly_unresponsive
     }
 
     /// The refusal that ends a request with `code`; a request that may have run is not reported as
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -151,14 +151,16 @@
     }
 
     /// Ejects a target that a peer has ejected, for the remaining time there but no longer than
-    /// after a first failure seen here. `unresponsive` is what the peer reports.
+    /// after a first failure seen here. `unresponsive` is what the peer reports. Returns whether
+    /// the report alone makes the target unresponsive here, and the one before did not.
     pub fn record_peer_ejection(
         &mut self,
         target: &TargetId,
         now: Time,
         remaining: Duration,
         unresponsive: bool,
-    ) {
+    ) -> bool {
+        let was_unresponsive = self.is_unresponsive(target, now);
         let state = self.state_mut(target);
         state.peer_ejected_until = state
             .peer_ejected_until
@@ -166,6 +168,7 @@
         if unresponsive {
             state.peer_reported_at = Some(now);
         }
+        unresponsive && !was_unresponsive
     }
 
     /// Clears the report of peers that a target does not respond.
