Tests that fail: callers of an instance that is cut off from all targets

Cause: not mended here.

Change: the stand-in target can cut off a client by its address (silent, reset, or new connections only); an instance has a setting for the local address of its connections to targets, which the platform's settings leave to the system. One test plays the decision alone: the digest of an instance that reaches nothing is applied by one that reaches all. Four play three entries over loopback. The bound is the rule's: a third of the first attempts may fail at a cut instance, none at the others.

--- a/camphorweir-entry/src/front/client.rs
+++ b/camphorweir-entry/src/front/client.rs
@@ -6,8 +6,11 @@
     camphorweir_platform::store::{Call, Error},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Request, header, http::response::Parts},
-    std::{net::SocketAddr, time::Duration},
-    tokio::time::timeout,
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+    tokio::time::{Instant, timeout},
 };
 
 /// Limit on a response body, in bytes; above the size of one page or read of the store.
@@ -17,6 +20,8 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
+    /// Local address of the connection; the system's choice if `None`.
+    source: Option<IpAddr>,
     connection: Option<Connection>,
 }
 
@@ -25,10 +30,19 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            source: None,
             connection: None,
         }
     }
 
+    /// A client that is not connected yet and will connect from a local address, if one is given.
+    pub fn from_source(address: SocketAddr, source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::new(address)
+        }
+    }
+
     /// Makes a call within `time_limit`; returns status and body.
     ///
     /// # Errors
@@ -50,11 +64,19 @@
         call: Call,
         time_limit: Duration,
     ) -> Result<(Parts, Bytes), Error> {
+        let deadline = Instant::now() + time_limit;
         let connection = self
             .connection
             .take()
             .filter(|connection| !connection.sender.is_closed());
-        let result = timeout(time_limit, send(self.address, connection, call, time_limit)).await;
+        let connection = match connection {
+            Some(connection) => connection,
+            None => Connection::open(self.address, self.source, time_limit)
+                .await
+                .map_err(no_response)?,
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        let result = timeout(left, send(self.address, connection, call)).await;
         let (connection, head, body) = match result {
             Ok(result) => result?,
             Err(_) => return Err(no_response("timed out")),
@@ -66,16 +88,9 @@
 
 async fn send(
     address: SocketAddr,
-    connection: Option<Connection>,
+    mut connection: Connection,
     call: Call,
-    time_limit: Duration,
 ) -> Result<(Connection, Parts, Bytes), Error> {
-    let mut connection = match connection {
-        Some(connection) => connection,
-        None => Connection::open(address, time_limit)
-            .await
-            .map_err(no_response)?,
-    };
     connection.sender.ready().await.map_err(no_response)?;
     let request = Request::builder()
         .method(call.method)
--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -68,7 +68,7 @@
         Some(connection) => connection,
         None => {
             let time_left = admitted.time_left(state.now());
-            Connection::open(plan.address, time_left)
+            Connection::open(plan.address, state.settings().target_source, time_left)
                 .await
                 .map_err(|_| unsent)?
         }
--- a/camphorweir-entry/src/front/placement.rs
+++ b/camphorweir-entry/src/front/placement.rs
@@ -224,7 +224,7 @@
 /// Sends an order after checking the target's own report. A failed order is removed from `pending`
 /// after a pause, so that it can be planned again.
 async fn send_order(state: State, pending: Pending, order: Order) {
-    let mut client = Client::new(order.address);
+    let mut client = state.target_client(order.address);
     let result = try_order(&state, &mut client, &order).await;
     log::info!(
         target_name:% = order.id,
--- a/camphorweir-entry/src/front/pool.rs
+++ b/camphorweir-entry/src/front/pool.rs
@@ -8,12 +8,12 @@
     std::{
         collections::HashMap,
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::{
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         task::JoinHandle,
         time::{Instant, timeout},
     },
@@ -47,13 +47,18 @@
 }
 
 impl Connection {
-    /// Opens a connection within `time_limit` or `CONNECT_TIMEOUT`, whichever is shorter.
+    /// Opens a connection, from the local address `source` if given, within `time_limit` or
+    /// `CONNECT_TIMEOUT`, whichever is shorter.
     ///
     /// # Errors
     ///
     /// The I/O error, or a timeout.
-    pub async fn open(address: SocketAddr, time_limit: Duration) -> io::Result<Self> {
-        let connect = TcpStream::connect(address);
+    pub async fn open(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        time_limit: Duration,
+    ) -> io::Result<Self> {
+        let connect = connect_from(source, address);
         let stream = timeout(time_limit.min(CONNECT_TIMEOUT), connect).await??;
         stream.set_nodelay(true)?;
         let handshake = http1::Builder::new()
@@ -73,6 +78,18 @@
     }
 }
 
+async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Idle connections by address.
 #[derive(Clone, Debug, Default)]
 pub struct Pool(Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>);
--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -37,15 +37,15 @@
         // The target's record ended, so the target was already removed.
         return;
     };
-    let alive = is_alive(&target).await;
+    let client = state.target_client(target.address);
+    let alive = is_alive(client, &target).await;
     let now = state.now();
     state.router().tracker.record_probe(&id, alive, now);
     log::info!(target_name:% = id, lives = alive; "unresponsive target probed");
 }
 
 /// Whether the target answers and is still the incarnation that its record describes.
-async fn is_alive(target: &Target) -> bool {
-    let mut client = Client::new(target.address);
+async fn is_alive(mut client: Client, target: &Target) -> bool {
     let response = client.call(control_report_call(), PROBE_TIMEOUT).await;
     match response {
         Ok((200, body)) => control_decode_report(&body).is_ok_and(|report| {
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -1,7 +1,7 @@
 //! Detects stalled streams: the first target of a path knows which hop is unresponsive.
 
 use {
-    crate::front::{client::Client, exchange::SendError, state::State},
+    crate::front::{exchange::SendError, state::State},
     camphorweir_platform::control::{control_decode_stalled, control_report_call},
     camphorweir_relay::{retry::Failure, router::Plan},
     std::{
@@ -102,7 +102,7 @@
     {
         return stalled.clone();
     }
-    let mut client = Client::new(address);
+    let mut client = state.target_client(address);
     let response = client.call(control_report_call(), REPORT_TIMEOUT).await;
     let stalled = match response {
         Ok((200, body)) => control_decode_stalled(&body)
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::front::{
-        clock::Clock, feed::Feed, gossip::Instances, metrics::Metrics, pool::Pool, stall::Reports,
+        client::Client, clock::Clock, feed::Feed, gossip::Instances, metrics::Metrics, pool::Pool,
+        stall::Reports,
     },
     camphorweir_platform::store::Record,
     camphorweir_relay::{
@@ -111,6 +112,11 @@
         &self.0.pool
     }
 
+    /// A client for calls to the target at an address.
+    pub fn target_client(&self, address: SocketAddr) -> Client {
+        Client::from_source(address, self.0.settings.target_source)
+    }
+
     /// Cached reports of targets about stalled streams.
     pub fn stall_reports(&self) -> &Reports {
         &self.0.stall_reports
--- a/camphorweir-relay/src/settings.rs
+++ b/camphorweir-relay/src/settings.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{budget, ids::Zone},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// Settings of an instance.
@@ -18,6 +21,8 @@
     pub ready_address: SocketAddr,
     /// Address of the metadata store.
     pub store_address: SocketAddr,
+    /// Local address of connections to targets; the system's choice if `None`.
+    pub target_source: Option<IpAddr>,
     /// First and last port that is free for traffic between instances.
     pub peer_ports: (u16, u16),
     /// Bandwidth of the instance's link in Mbit/s.
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -418,3 +418,34 @@
     assert!(!router.set_configuration(configuration(5), ms(950)));
     assert_eq!(router.configuration_age(ms(1_000)), Some(ms(50)));
 }
+
+/// Fails all targets at an instance, as when its own links are cut, and lets its probes fail.
+fn cut_off(router: &mut Router, now: Duration) {
+    let targets: Vec<_> = router
+        .fleet
+        .targets()
+        .map(|target| target.id.clone())
+        .collect();
+    for target in &targets {
+        router.tracker.record_failure(target, now, true);
+    }
+    for target in router.tracker.take_due_probes(now + ms(1)) {
+        router.tracker.record_probe(&target, false, now + ms(401));
+    }
+}
+
+#[test]
+fn an_instance_that_reaches_no_target_takes_none_from_its_peers() {
+    let (mut cut, mut sound) = (router(), router());
+    cut_off(&mut cut, ms(1_000));
+    let digest = Digest {
+        entry: "cut".to_owned(),
+        sequence: 1,
+        ..cut.digest(ms(1_500))
+    };
+    sound.apply_digest(digest, ms(1_500));
+    let mut request = admit_request(&mut sound, "/text/a", ms(1_501));
+    let plan = sound.plan(&mut request, ms(1_501)).unwrap();
+    assert_eq!(&*plan.target, "near-0");
+    assert!(!sound.tracker.is_unresponsive(&"near-0".into(), ms(1_501)));
+}
--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -12,10 +12,10 @@
     hyper_util::rt::TokioIo,
     serde_json::Value,
     std::{
-        collections::VecDeque,
+        collections::{BTreeMap, VecDeque},
         future::Future,
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         pin::Pin,
         sync::Arc,
         task::{Context, Poll, ready},
@@ -23,6 +23,7 @@
     },
     tokio::{
         net::TcpListener,
+        sync::watch,
         time::{Sleep, sleep},
     },
 };
@@ -191,13 +192,77 @@
 pub async fn spawn<F>(
     handler: impl Fn(Request) -> F + Clone + Send + 'static,
 ) -> io::Result<SocketAddr>
+where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    spawn_with_cuts(handler, Cuts::default()).await
+}
+
+/// What happens to the connections of a client that is cut off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Open connections and new ones stay silent.
+    Silent,
+    /// Open connections and new ones are closed.
+    Reset,
+    /// New connections are closed; open ones go on.
+    ResetNew,
+}
+
+/// Clients that are cut off, by their address; clones share the list.
+#[derive(Clone, Debug, Default)]
+pub struct Cuts(watch::Sender<BTreeMap<IpAddr, Cut>>);
+
+impl Cuts {
+    /// Cuts off a client, or ends its cut with `None`.
+    pub fn set(&self, client: IpAddr, cut: Option<Cut>) {
+        self.0.send_modify(|cuts| match cut {
+            Some(cut) => drop(cuts.insert(client, cut)),
+            None => drop(cuts.remove(&client)),
+        });
+    }
+
+    fn get(&self, client: IpAddr) -> Option<Cut> {
+        self.0.borrow().get(&client).copied()
+    }
+
+    /// Waits until open connections of a client are cut.
+    async fn wait_for_start(&self, client: IpAddr) {
+        let is_cut = |cut: Option<&Cut>| cut.is_some_and(|cut| *cut != Cut::ResetNew);
+        let mut cuts = self.0.subscribe();
+        // The sender lives as long as the server.
+        let _ = cuts.wait_for(|cuts| is_cut(cuts.get(&client))).await;
+    }
+
+    /// Waits until the connections of a client are not silent.
+    async fn wait_for_end_of_silence(&self, client: IpAddr) {
+        let mut cuts = self.0.subscribe();
+        let is_silent = |cut: Option<&Cut>| cut == Some(&Cut::Silent);
+        let _ = cuts.wait_for(|cuts| !is_silent(cuts.get(&client))).await;
+    }
+}
+
+/// Like [`spawn`]; clients in `cuts` are cut off.
+///
+/// # Errors
+///
+/// When no address can be bound.
+pub async fn spawn_with_cuts<F>(
+    handler: impl Fn(Request) -> F + Clone + Send + 'static,
+    cuts: Cuts,
+) -> io::Result<SocketAddr>
 where
     F: Future<Output = Reply> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        while let Ok((stream, client)) = listener.accept().await {
+            let client = client.ip();
+            if matches!(cuts.get(client), Some(Cut::Reset | Cut::ResetNew)) {
+                continue;
+            }
+            let cuts = cuts.clone();
             let handler = handler.clone();
             let service = service_fn(move |request| {
                 let handler = handler.clone();
@@ -205,8 +270,14 @@
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             tokio::spawn(async move {
-                // A response that is cut ends the connection with an error.
-                let _ = connection.await;
+                tokio::pin!(connection);
+                tokio::select! {
+                    biased;
+                    () = cuts.wait_for_start(client) => {}
+                    // A response that is cut ends the connection with an error.
+                    _ = connection.as_mut() => return,
+                }
+                cuts.wait_for_end_of_silence(client).await;
             });
         }
     });
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        http1::{self, BodyStep, Reply, Request, ScriptedBody},
+        http1::{self, BodyStep, Cut, Cuts, Reply, Request, ScriptedBody},
         metadata::Store,
     },
     hyper::Response,
     serde_json::json,
     std::{
         collections::{BTreeMap, VecDeque},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -84,6 +84,7 @@
     setup: Arc<Setup>,
     store: Store,
     address: SocketAddr,
+    cuts: Cuts,
     state: Arc<Mutex<State>>,
 }
 
@@ -96,7 +97,8 @@
     pub async fn spawn(setup: Setup, store: Store) -> std::io::Result<Self> {
         let slot: Arc<Mutex<Option<Self>>> = Arc::default();
         let shared = slot.clone();
-        let address = http1::spawn(move |request| {
+        let cuts = Cuts::default();
+        let handler = move |request| {
             let target = shared
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -107,12 +109,13 @@
                     None => Reply::status(503),
                 }
             }
-        })
-        .await?;
+        };
+        let address = http1::spawn_with_cuts(handler, cuts.clone()).await?;
         let target = Self {
             setup: Arc::new(setup),
             store,
             address,
+            cuts,
             state: Arc::default(),
         };
         *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(target.clone());
@@ -134,6 +137,11 @@
         &self.setup.id
     }
 
+    /// Cuts off the client with this address, or ends its cut with `None`.
+    pub fn cut(&self, client: IpAddr, cut: Option<Cut>) {
+        self.cuts.set(client, cut);
+    }
+
     /// Queues a fault; each call consumes one.
     pub fn inject(&self, fault: ResponseFault) {
         self.state().faults.push_back(fault);
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -9,6 +9,7 @@
         settings::{Bounds, Settings},
     },
     camphorweir_standin::{
+        http1::Cut,
         metadata::Store,
         platform_target::{Setup, Target},
     },
@@ -17,7 +18,7 @@
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -60,6 +61,8 @@
     pub(crate) callers: SocketAddr,
     ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// Local address of its connections to targets.
+    source: IpAddr,
     /// What its settings file would say now.
     pub(crate) settings: Arc<Mutex<Result<Settings, String>>>,
     stop: Option<oneshot::Sender<()>>,
@@ -153,12 +156,14 @@
 
     async fn entry(&self, index: usize) -> Entry {
         let (callers, ready, metrics) = (free(), free(), free());
+        let source = IpAddr::from([127, 0, 0, 2 + index as u8]);
         let settings = Settings {
             instance: format!("entry-{index}"),
             zone: "z".into(),
             callers_address: callers,
             ready_address: ready,
             store_address: self.doors[index],
+            target_source: Some(source),
             peer_ports: (0, 0),
             link_mbps: 1_000,
             max_sockets: 1_000,
@@ -189,12 +194,20 @@
             callers,
             ready,
             metrics,
+            source,
             settings: file,
             stop: Some(stop),
             task,
         }
     }
 
+    /// Cuts an entry off from all targets, or ends the cut with `None`.
+    pub(crate) fn cut(&self, entry: usize, cut: Option<Cut>) {
+        for target in self.calls.iter().chain(&self.parts) {
+            target.cut(self.entries[entry].source, cut);
+        }
+    }
+
     /// The address of the first entry.
     pub(crate) fn front(&self) -> SocketAddr {
         self.entries[0].callers
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod calls;
+mod cuts;
 mod lists;
 #[path = "../support/port.rs"]
 mod port;
