Report no failing target while the own links are in doubt

Cause: that a target does not answer was taken for a property of the target. It is one of the pair of instance and target. An instance whose own links are cut finds every target silent, says so ten times a second, and one such word makes a target unusable for all, for placement as well: the holder of the lease, not cut, moved the layers of nine targets 0.2 s after the second cut.

Ruled out: overload of the others (1 % of a processor; the refusals name layers, not memory).

Change: as long as no target has answered on a new connection since another did not, the instance reports no failing target and asks three others, in different zones. If they answer, the failure is the target's and is reported as before; if they are silent too, the links are lost, idle connections are dropped, and failures found meanwhile are forgotten once a target answers again.

Before: an_instance_that_reaches_no_target_takes_none_from_its_peers failed. After: 73 of 73 tests of decide pass. The four tests over loopback still fail: a cut instance has no second way to a target, which is another fault.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -1,7 +1,10 @@
 //! Sends a request to a target once, up to the head of the response.
 
 use {
-    crate::front::{pool::Connection, state::State},
+    crate::front::{
+        pool::{CONNECT_TIMEOUT, Connection},
+        state::State,
+    },
     bytes::Bytes,
     camphorweir_platform::{
         head::head_encode,
@@ -14,7 +17,7 @@
     },
     http_body_util::Full,
     hyper::{HeaderMap, Method, Request, Response, body::Incoming},
-    std::net::SocketAddr,
+    std::{io, net::SocketAddr},
 };
 
 /// The parts of a request that are the same for every send.
@@ -64,14 +67,10 @@
         Kind::AtMostOnce => None,
         _ => state.pool().take(plan.address),
     };
+    let is_new = pooled.is_none();
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => {
-            let time_left = admitted.time_left(state.now());
-            Connection::open(plan.address, state.settings().target_source, time_left)
-                .await
-                .map_err(|_| unsent)?
-        }
+        None => open_to_target(state, admitted, plan).await.ok_or(unsent)?,
     };
     // Since the plan was made, the machine may have been suspended or the target may have left.
     let now = state.now();
@@ -96,6 +95,9 @@
         Some(_) => unsent,
         None => (Failure::Broken, None),
     })?;
+    if is_new {
+        state.record_answer();
+    }
     let (parts, body) = response.into_parts();
     let info = response_decode(&parts, &admitted.id);
     if !info.is_for_attempt {
@@ -118,3 +120,19 @@
         connection,
     })
 }
+
+async fn open_to_target(state: &State, admitted: &Admission, plan: &Plan) -> Option<Connection> {
+    let time_left = admitted.time_left(state.now());
+    let source = state.settings().target_source;
+    match Connection::open(plan.address, source, time_left).await {
+        Ok(connection) => Some(connection),
+        Err(error) => {
+            log::debug!(target_name:% = plan.target, reason:% = error; "no connection to target");
+            // A caller with little time left says nothing of the target.
+            if error.kind() != io::ErrorKind::TimedOut || time_left >= CONNECT_TIMEOUT {
+                state.record_silence(&plan.target);
+            }
+            None
+        }
+    }
+}
--- a/camphorweir-entry/src/front/pool.rs
+++ b/camphorweir-entry/src/front/pool.rs
@@ -21,7 +21,7 @@
 
 /// Connect timeout inside a region; a lost first packet costs a second, and trying another target
 /// is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time that a connection stays idle in the pool; a target's keep-alive timeout can shorten
 /// it.
 const MAX_IDLE: Duration = Duration::from_secs(3);
@@ -123,6 +123,12 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        let mut connections = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.clear();
+    }
+
     /// Closes connections that were idle for too long, and removes addresses without any.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -1,4 +1,4 @@
-//! Probes unresponsive targets to learn whether they are alive.
+//! Probes targets to learn whether they are alive, and whether this instance reaches any.
 
 use {
     crate::front::{client::Client, state::State},
@@ -14,7 +14,7 @@
 /// between probes is longer than this.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Probes unresponsive targets; never returns.
+/// Probes targets that are due; never returns.
 pub async fn probe_run(state: State) {
     loop {
         // A suspected target gets no requests and may be the only one with its layers, so it is
@@ -23,7 +23,7 @@
         let _ = timeout(DUE_CHECK_PAUSE, state.probe_wakeup().notified()).await;
         let due = {
             let mut router = state.router();
-            router.tracker.take_due_probes(state.now())
+            router.take_due_probes(state.now())
         };
         for id in due {
             tokio::spawn(probe(state.clone(), id));
@@ -38,22 +38,44 @@
         return;
     };
     let client = state.target_client(target.address);
-    let alive = is_alive(client, &target).await;
+    let result = ask(client, &target).await;
+    match result {
+        Presence::Silent => state.record_silence(&id),
+        Presence::Alive | Presence::Replaced => state.record_answer(),
+    }
     let now = state.now();
-    state.router().tracker.record_probe(&id, alive, now);
-    log::info!(target_name:% = id, lives = alive; "unresponsive target probed");
+    let lives = result == Presence::Alive;
+    state.router().tracker.record_probe(&id, lives, now);
+    log::info!(target_name:% = id, lives = lives; "target probed");
+}
+
+/// What a probe finds at the address of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Presence {
+    /// The target, in the incarnation that its record describes.
+    Alive,
+    /// Another incarnation, or another service.
+    Replaced,
+    /// Nothing that answers.
+    Silent,
 }
 
-/// Whether the target answers and is still the incarnation that its record describes.
-async fn is_alive(mut client: Client, target: &Target) -> bool {
+async fn ask(mut client: Client, target: &Target) -> Presence {
     let response = client.call(control_report_call(), PROBE_TIMEOUT).await;
     match response {
-        Ok((200, body)) => control_decode_report(&body).is_ok_and(|report| {
-            report
-                .started_ms
-                .is_none_or(|started_ms| started_ms == target.started_ms)
-        }),
-        // Another service may have the address by now.
-        Ok(_) | Err(_) => false,
+        Ok((200, body)) => {
+            let report = control_decode_report(&body);
+            let is_same = report.is_ok_and(|report| {
+                report
+                    .started_ms
+                    .is_none_or(|started_ms| started_ms == target.started_ms)
+            });
+            match is_same {
+                true => Presence::Alive,
+                false => Presence::Replaced,
+            }
+        }
+        Ok(_) => Presence::Replaced,
+        Err(_) => Presence::Silent,
     }
 }
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -81,7 +81,10 @@
 pub async fn wait_for_stall(state: &State, id: &str, plan: &Plan) -> SocketAddr {
     loop {
         match fetch_stalled(state, plan.address).await {
-            None => return plan.address,
+            None => {
+                state.record_silence(&plan.target);
+                return plan.address;
+            }
             Some(stalled) => {
                 let mut stalled = stalled.into_iter();
                 if let Some((_, faulty_target)) = stalled.find(|(stream, _)| stream == id) {
@@ -104,6 +107,9 @@
     }
     let mut client = state.target_client(address);
     let response = client.call(control_report_call(), REPORT_TIMEOUT).await;
+    if response.is_ok() {
+        state.record_answer();
+    }
     let stalled = match response {
         Ok((200, body)) => control_decode_stalled(&body)
             .inspect_err(|reason| {
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -1,14 +1,18 @@
 //! State shared by the tasks of the front.
 
 use {
-    crate::front::{
-        client::Client, clock::Clock, feed::Feed, gossip::Instances, metrics::Metrics, pool::Pool,
-        stall::Reports,
+    crate::{
+        front::{
+            client::Client, clock::Clock, feed::Feed, gossip::Instances, metrics::Metrics,
+            pool::Pool, stall::Reports,
+        },
+        units::millis,
     },
     camphorweir_platform::store::Record,
     camphorweir_relay::{
         configuration::Limits,
-        ids::Time,
+        contact,
+        ids::{TargetId, Time},
         roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
@@ -137,10 +141,38 @@
         self.0.holds_lease.load(Ordering::Relaxed)
     }
 
+    /// Records that a target answered on a connection that was opened for this.
+    pub fn record_answer(&self) {
+        let now = self.now();
+        let change = self.router().record_answer(now);
+        self.contact_changed(change);
+    }
+
+    /// Records that a target did not answer on a new connection, or that none could be opened.
+    pub fn record_silence(&self, target: &TargetId) {
+        let now = self.now();
+        let change = self.router().record_silence(target, now);
+        self.contact_changed(change);
+    }
+
+    fn contact_changed(&self, change: Option<contact::Change>) {
+        match change {
+            Some(contact::Change::Lost { silent }) => {
+                // Idle connections may be as silent as new ones.
+                self.pool().clear();
+                log::warn!(silent = silent; "no target can be reached from here");
+            }
+            Some(contact::Change::Regained { after }) => {
+                log::info!(after_ms = millis(after); "targets can be reached again");
+            }
+            None => {}
+        }
+    }
+
     /// Wakes the prober if a target is due for a probe.
     pub fn wake_prober(&self) {
         let now = self.now();
-        if self.router().tracker.has_due_probe(now) {
+        if self.router().has_due_probe(now) {
             self.0.probe_wakeup.notify_one();
         }
     }
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod access;
 pub mod budget;
 pub mod configuration;
+pub mod contact;
 pub mod fleet;
 pub mod head;
 pub mod ids;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -5,6 +5,7 @@
         access::{Snapshot, access_check, access_keys_trusted},
         budget::Budget,
         configuration::{Configuration, Engine, Route},
+        contact::Contact,
         fleet::{Fleet, Target},
         head::Head,
         ids::{RequestId, ServiceName, TargetId, Time, Workspace, Zone, ids_tag},
@@ -126,6 +127,8 @@
     pub fleet: Fleet,
     /// Load and health of targets.
     pub tracker: Tracker,
+    /// Whether this instance reaches targets at all.
+    pub contact: Contact,
     budget: Budget,
     /// Load that peers report.
     pub peers: Peers,
@@ -158,6 +161,7 @@
             snapshot: None,
             fleet: Fleet::default(),
             tracker: Tracker::default(),
+            contact: Contact::default(),
             budget: Budget::new(bounds.retry_budget),
             peers: Peers::default(),
             listed_instances: 0,
@@ -398,7 +402,8 @@
         decision
     }
 
-    /// The digest of load and ejections for peers; the caller fills in the sender's fields.
+    /// The digest of load and ejections for peers; the caller fills in the sender's fields. While
+    /// the own links are in doubt it names no failing target.
     pub fn digest(&self, now: Time) -> Digest {
         let loads = self.tracker.with_streams().map(|(target, state)| Load {
             target: ids_tag(target),
@@ -409,6 +414,7 @@
         let failing = self
             .tracker
             .failing(now)
+            .filter(|_| !self.contact.is_in_doubt())
             .map(|(target, remaining)| Failing {
                 target: ids_tag(target),
                 excluded_ms: u16::try_from(remaining.as_millis()).unwrap_or(u16::MAX),
@@ -511,7 +517,7 @@
     }
 
     /// The next number of a xorshift generator, in `0.0..1.0`.
-    fn next_random(&mut self) -> f64 {
+    pub(crate) fn next_random(&mut self) -> f64 {
         self.rng_state ^= self.rng_state << 13;
         self.rng_state ^= self.rng_state >> 7;
         self.rng_state ^= self.rng_state << 17;
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -57,6 +57,8 @@
 /// A target that may be unresponsive.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
+    /// When the suspicion was raised.
+    raised_at: Time,
     /// Time of the last failed probe, or of the failure that raised the suspicion.
     failed_at: Time,
     /// Whether a probe has failed since the suspicion was raised.
@@ -75,6 +77,7 @@
 
     fn suspect(&mut self, now: Time) {
         self.suspicion.get_or_insert(Suspicion {
+            raised_at: now,
             failed_at: now,
             confirmed: false,
             next_probe: now,
@@ -277,6 +280,31 @@
         }
     }
 
+    /// Drops the suspicions raised since a time at which the own links failed, and the ejections of
+    /// those targets.
+    pub(crate) fn forget_suspicions(&mut self, since: Time) {
+        for state in self.states.values_mut() {
+            let is_recent = |suspicion: Suspicion| suspicion.raised_at >= since;
+            if state.suspicion.is_some_and(is_recent) {
+                state.clear_suspicion();
+                state.ejected_until = Time::ZERO;
+                state.consecutive_failures = 0;
+            }
+        }
+    }
+
+    /// Takes back the failed probes of targets that became suspected since a time from which on the
+    /// own links were in doubt; they are probed once more at once.
+    pub(crate) fn confirm_again(&mut self, since: Time, now: Time) {
+        let suspicions = self.states.values_mut();
+        let suspicions = suspicions.filter_map(|state| state.suspicion.as_mut());
+        for suspicion in suspicions.filter(|suspicion| suspicion.raised_at >= since) {
+            if std::mem::replace(&mut suspicion.confirmed, false) {
+                suspicion.next_probe = now;
+            }
+        }
+    }
+
     /// Records that a target has no memory free, or unloads the requested layers; `suspected` when
     /// another target reports this, which may also mean that the target is dead.
     pub fn record_full(&mut self, target: &TargetId, now: Time, suspected: bool) {
@@ -294,9 +322,14 @@
         state.peer_reported_at.is_some_and(is_recent) || state.is_unresponsive(now)
     }
 
+    /// Whether a target did not answer this instance, and has not answered a probe since.
+    pub(crate) fn is_suspected(&self, target: &TargetId) -> bool {
+        self.state(target).suspicion.is_some()
+    }
+
     /// Whether no path may use a target now, as it is unresponsive or suspected to be.
     pub fn is_excluded(&self, target: &TargetId, now: Time) -> bool {
-        self.state(target).suspicion.is_some() || self.is_unresponsive(target, now)
+        self.is_suspected(target) || self.is_unresponsive(target, now)
     }
 
     /// Resets the health of a target that has restarted.
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod budget;
+mod contact;
 mod fleet;
 mod lease;
 mod path;
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -427,9 +427,11 @@
         .map(|target| target.id.clone())
         .collect();
     for target in &targets {
+        router.record_silence(target, now);
         router.tracker.record_failure(target, now, true);
     }
-    for target in router.tracker.take_due_probes(now + ms(1)) {
+    for target in router.take_due_probes(now + ms(1)) {
+        router.record_silence(&target, now + ms(401));
         router.tracker.record_probe(&target, false, now + ms(401));
     }
 }
