Send requests through a peer while no target can be reached

What callers saw: at instances cut off from all targets 4 of 295 and 0 of 77 first attempts were served, the rest got 503 within 10 ms or waited for connect timeouts until their deadline, while peers, callers and the store were reached.

Cause: an instance had one way to a target, its own links. Losing them was handled as the failure of each target in turn.

Ruled out: leaving the balancer's rotation. It moves new connections only, takes two checks of a second each, and is ignored when more than half of a zone has left; callers on open connections stay.

Change: relay::detour. While the contact is lost a request goes to the listener for peers of another instance, with what is left of its deadline, the number of its possible runs and the version in force, and the answer passes as it comes; streams resume there too. The peer checks route and key itself. One that is cut off as well, shutting down, or has an older configuration turns the request away before reading it, and the next is offered it. Peers of the own zone come first unless most of them are left out. When no peer takes it, the request is refused at once. A new connection that ends without a response counts as silence too.

Before: four tests of cuts:: failed. After: 4 of 4 pass, with links silent, reset, with new connections refused only, and with two of three entries cut; 80 of 80 tests of decide.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -7,7 +7,7 @@
     },
     bytes::Bytes,
     camphorweir_platform::{
-        head::head_encode,
+        head::{head_encode, head_encode_detour},
         response::{Info, response_decode},
     },
     camphorweir_relay::{
@@ -15,9 +15,12 @@
         retry::Failure,
         router::{Admission, Plan},
     },
+    camphorweir_wire::detour::{RUNS_HEADER, TURNED_AWAY_HEADER, VERSION_HEADER},
     http_body_util::Full,
-    hyper::{HeaderMap, Method, Request, Response, body::Incoming},
-    std::{io, net::SocketAddr},
+    hyper::{
+        HeaderMap, Method, Request, Response, body::Incoming, header::HeaderValue, http::request,
+    },
+    std::{io, net::SocketAddr, time::Duration},
 };
 
 /// The parts of a request that are the same for every send.
@@ -29,6 +32,8 @@
     pub path: String,
     /// The caller's headers that are forwarded.
     pub headers: HeaderMap,
+    /// The caller's key as it was sent, which only peers get.
+    pub authorization: Option<HeaderValue>,
     /// The whole body.
     pub body: Bytes,
 }
@@ -65,11 +70,15 @@
     // have an unknown outcome.
     let pooled = match admitted.route.kind {
         Kind::AtMostOnce => None,
+        _ if plan.is_detour() => None,
         _ => state.pool().take(plan.address),
     };
     let is_new = pooled.is_none();
     let mut connection = match pooled {
         Some(connection) => connection,
+        None if plan.is_detour() => open_to_peer(admitted.time_left(state.now()), plan)
+            .await
+            .ok_or(unsent)?,
         None => open_to_target(state, admitted, plan).await.ok_or(unsent)?,
     };
     // Since the plan was made, the machine may have been suspended or the target may have left.
@@ -80,25 +89,36 @@
     let request = Request::builder()
         .method(template.method.clone())
         .uri(template.path.as_str());
-    let request = head_encode(
-        request,
-        &template.headers,
-        admitted,
-        plan,
-        admitted.time_left(now),
-        last_event_id,
-    );
+    let time_left = admitted.time_left(now);
+    let request = match plan.is_detour() {
+        true => detour_encode(state, request, admitted, template, time_left, last_event_id),
+        false => head_encode(
+            request,
+            &template.headers,
+            admitted,
+            plan,
+            time_left,
+            last_event_id,
+        ),
+    };
     let body = Full::new(template.body.clone());
     let request = request.body(body).map_err(|_| unsent)?;
     let result = connection.sender.try_send_request(request).await;
+    if is_new && !plan.is_detour() {
+        match result {
+            Ok(_) => state.record_answer(),
+            // The connection was closed before any response.
+            Err(_) => state.record_silence(&plan.target),
+        }
+    }
     let response = result.map_err(|mut error| match error.take_message() {
         Some(_) => unsent,
         None => (Failure::Broken, None),
     })?;
-    if is_new {
-        state.record_answer();
-    }
     let (parts, body) = response.into_parts();
+    if plan.is_detour() && parts.headers.contains_key(TURNED_AWAY_HEADER) {
+        return Err((Failure::Refused, None));
+    }
     let info = response_decode(&parts, &admitted.id);
     if !info.is_for_attempt {
         log::warn!(
@@ -136,3 +156,33 @@
         }
     }
 }
+
+async fn open_to_peer(time_left: Duration, plan: &Plan) -> Option<Connection> {
+    let opened = Connection::open(plan.address, None, time_left).await;
+    opened
+        .inspect_err(|error| {
+            log::info!(peer:% = plan.target, reason:% = error; "no connection to peer");
+        })
+        .ok()
+}
+
+/// Sets the headers of a request that goes through a peer.
+fn detour_encode(
+    state: &State,
+    request: request::Builder,
+    admitted: &Admission,
+    template: &Template,
+    time_left: Duration,
+    last_event_id: Option<&str>,
+) -> request::Builder {
+    let request = head_encode_detour(
+        request,
+        &template.headers,
+        template.authorization.as_ref(),
+        time_left,
+        last_event_id,
+    );
+    request
+        .header(VERSION_HEADER, state.configuration_version())
+        .header(RUNS_HEADER, admitted.counts.runs)
+}
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -1,4 +1,5 @@
-//! Replicates store data inside a zone: one instance reads the store, the others follow it.
+//! Replicates store data inside a zone: one instance reads the store, the others follow it. Peers
+//! that reach no target send their callers' requests to the same listener.
 //!
 //! A follower that turns to another instance gets only what differs from its own records, so that
 //! a change of the reader costs little in a large zone.
@@ -8,6 +9,8 @@
         front::{
             client::Client,
             listen::serve_internal,
+            request::handle_detour,
+            response::CallerResponse,
             state::State,
             watch::{Reachability, apply_configuration, apply_targets, record_store_recovery},
         },
@@ -18,10 +21,11 @@
     camphorweir_relay::roles::Source,
     camphorweir_wire::{
         codec,
+        detour::{RUNS_HEADER, TURNED_AWAY_HEADER, VERSION_HEADER},
         replication::{self, Change, List},
     },
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::{Method, Request, Response, StatusCode, body::Incoming},
+    http_body_util::{BodyExt, Either, Full, Limited},
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
@@ -181,11 +185,48 @@
         let state = state.clone();
         tokio::spawn(serve_internal(stream, move |request| {
             let state = state.clone();
-            async move { handle_poll(&state, request).await }
+            async move { handle_peer(state, request).await }
         }));
     }
 }
 
+/// Handles a request from a peer: a poll, or a caller's request that the peer can't serve.
+async fn handle_peer(state: State, request: Request<Incoming>) -> CallerResponse {
+    match detour_decode(&request) {
+        None => handle_poll(&state, request).await.map(Either::Left),
+        Some(detour) if !may_serve(&state, detour.version) => turn_away(),
+        Some(detour) => handle_detour(state, request, detour.runs).await,
+    }
+}
+
+/// What a peer says of a request that it can't serve.
+struct Detour {
+    version: u64,
+    runs: u32,
+}
+
+fn detour_decode(request: &Request<Incoming>) -> Option<Detour> {
+    let text = |name: &str| request.headers().get(name)?.to_str().ok();
+    Some(Detour {
+        version: text(VERSION_HEADER)?.parse().ok()?,
+        runs: text(RUNS_HEADER)?.parse().ok()?,
+    })
+}
+
+/// Whether this instance can serve a request for a peer with this version of the configuration.
+fn may_serve(state: &State, version: u64) -> bool {
+    let reaches_targets = !state.router().contact.is_lost();
+    reaches_targets && !state.is_stopping() && state.configuration_version() >= version
+}
+
+fn turn_away() -> CallerResponse {
+    let mut response = Response::new(Either::Left(Full::default()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let value = HeaderValue::from_static("1");
+    response.headers_mut().insert(TURNED_AWAY_HEADER, value);
+    response
+}
+
 /// Whether this instance should read the store and does not get its data in time.
 fn has_lost_store(state: &State) -> bool {
     state.source() == Source::Store && !state.feed().reads_on_time(state.now())
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -13,6 +13,7 @@
     },
     camphorweir_platform::store::{INSTANCES_TOPIC, Record, store_append_call},
     camphorweir_relay::{
+        detour,
         ids::{TargetId, Time, Zone, ids_tag},
         roles::{self, Assignment, Followed, Member, Reads},
         store::Era,
@@ -117,6 +118,17 @@
         self.listed.len() + 1
     }
 
+    /// The listed instances, as peers that can serve requests for this one.
+    pub fn detour_peers(&self) -> Vec<detour::Peer> {
+        let listed = self.listed.iter();
+        let peers = listed.map(|(name, peer)| detour::Peer {
+            name: name.as_str().into(),
+            zone: peer.zone.clone(),
+            address: peer.follow_address,
+        });
+        peers.collect()
+    }
+
     /// The listed instances of a zone.
     pub fn in_zone(&self, zone: &str) -> impl Iterator<Item = Member> {
         let in_zone = self
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -7,12 +7,16 @@
     camphorweir_relay::ids::Time,
     http_body_util::Full,
     hyper::{
-        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+        Request, Response, StatusCode,
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     rustix::net::{Shutdown, shutdown},
     std::{
         convert::Infallible,
+        error::Error,
         future::{Future, pending},
         io,
         sync::Arc,
@@ -133,9 +137,10 @@
 }
 
 /// Serves one connection from the load balancer, a peer or a metrics scraper.
-pub async fn serve_internal<F>(stream: TcpStream, handler: impl Fn(Request<Incoming>) -> F)
+pub async fn serve_internal<F, B>(stream: TcpStream, handler: impl Fn(Request<Incoming>) -> F)
 where
-    F: Future<Output = Response<Full<Bytes>>>,
+    F: Future<Output = Response<B>>,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
 {
     let service = service_fn(|request| {
         let response = handler(request);
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     camphorweir_platform::{
-        head::{head_decode, head_forward_headers},
+        head::{head_authorization, head_decode, head_forward_headers},
         response::response_forward_headers,
     },
     camphorweir_relay::{
@@ -43,6 +43,19 @@
 
 /// Handles a request from a caller.
 pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
+    handle(state, request, None).await
+}
+
+/// Handles a request from a peer that reaches no target, after `runs` possible runs.
+pub async fn handle_detour(state: State, request: Request<Incoming>, runs: u32) -> CallerResponse {
+    handle(state, request, Some(runs)).await
+}
+
+async fn handle(
+    state: State,
+    request: Request<Incoming>,
+    runs_at_peer: Option<u32>,
+) -> CallerResponse {
     let in_flight = state.track_request();
     let (parts, body) = request.into_parts();
     let head = head_decode(&parts);
@@ -65,6 +78,8 @@
             return close_if_stopping(&state, refusal_response(&head.id, &refusal));
         }
     };
+    admitted.is_from_peer = runs_at_peer.is_some();
+    admitted.counts.runs = runs_at_peer.unwrap_or_default();
     let limits = state.limits();
     let body = match read_body(body, limits, admitted.time_left(arrived)).await {
         Ok(body) => body,
@@ -83,6 +98,7 @@
     let template = Template {
         path: path.map_or("/", |path| path.as_str()).to_owned(),
         headers: head_forward_headers(&parts),
+        authorization: head_authorization(&parts),
         method: parts.method,
         body,
     };
@@ -153,9 +169,10 @@
         request:% = admitted.id,
         target_name:% = plan.target,
         path = plan.describe_path(),
-        cost_ms = plan.path.as_ref().map_or(0, |(path, _)| path.cost_ms() as u64),
+        cost_ms = plan.path().map_or(0, |(path, _)| path.cost_ms() as u64),
         reserved = plan.reserved_tokens as u64,
-        list_age_ms = targets_age.map_or(-1, |age| age.as_millis() as i64);
+        list_age_ms = targets_age.map_or(-1, |age| age.as_millis() as i64),
+        through_peer = plan.is_detour();
         "target chosen"
     );
 }
@@ -241,7 +258,10 @@
         let failure = match result {
             Ok(Ok(Reply::Whole(response))) => {
                 let is_success = !response.status().is_server_error();
-                let retry = !is_success && guard.admitted.route.kind == Kind::Idempotent;
+                // A peer has tried again by itself.
+                let retry = !is_success
+                    && !plan.is_detour()
+                    && guard.admitted.route.kind == Kind::Idempotent;
                 match retry {
                     // The target ran the request and failed; another may succeed.
                     true => (Failure::Broken, None, Some(response)),
@@ -313,7 +333,8 @@
     let (mut parts, body) = reply.response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|_| (Failure::Broken, None))?.to_bytes();
-    if !reply.info.closes_connection && admitted.route.kind != Kind::AtMostOnce {
+    let is_reusable = !reply.info.closes_connection && !plan.is_detour();
+    if is_reusable && admitted.route.kind != Kind::AtMostOnce {
         let max_idle = plan.max_connections;
         state.pool().put(
             plan.address,
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -63,7 +63,7 @@
     plan: &Plan,
     send: impl Future<Output = Result<T, SendError>>,
 ) -> Result<T, SendError> {
-    if plan.path.is_none() {
+    if plan.path().is_none() {
         return send.await;
     }
     let stall = async {
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -203,13 +203,16 @@
     /// Applies records of instances; `snapshot` when they are the whole list.
     pub fn apply_instances(&self, records: &[Record], snapshot: bool) {
         let zone = &self.0.settings.zone;
-        let (listed, members) = {
+        let (listed, members, peers) = {
             let mut instances = self.instances();
             let listed = instances.apply(self, records, snapshot);
-            (listed, instances.in_zone(zone).collect::<Vec<_>>())
+            let members = instances.in_zone(zone).collect::<Vec<_>>();
+            (listed, members, instances.detour_peers())
         };
         self.roles().set_members(members.into_iter());
-        self.router().listed_instances = listed;
+        let mut router = self.router();
+        router.listed_instances = listed;
+        router.detours.set_peers(peers);
     }
 
     /// The roles of the zone's instances; the lock must not be held across an await.
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -157,7 +157,7 @@
                 } else {
                     STALL_CHECK_DELAY
                 };
-            if due > now || plan.path.is_none() {
+            if due > now || plan.path().is_none() {
                 // Peers may report in the meantime that a hop fails.
                 let next = due
                     .min(now + SUSPECT_STALL_CHECK_DELAY)
@@ -193,6 +193,7 @@
             record_end(&job.state, &job.request, 200, None);
             if let (Phase::Streaming(upstream), Some(plan)) = (phase, plan)
                 && !upstream.closes_connection
+                && !plan.is_detour()
             {
                 let max_idle = plan.max_connections;
                 job.state.pool().put(
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod configuration;
 pub mod contact;
+pub mod detour;
 pub mod fleet;
 pub mod head;
 pub mod ids;
--- a/camphorweir-relay/src/retry.rs
+++ b/camphorweir-relay/src/retry.rs
@@ -24,6 +24,8 @@
     pub sends: u32,
     /// Sends after which the request has run or may have.
     pub runs: u32,
+    /// Peers that the request was offered to.
+    pub detours: u32,
 }
 
 /// What to do after a failed send.
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -6,6 +6,7 @@
         budget::Budget,
         configuration::{Configuration, Engine, Route},
         contact::Contact,
+        detour::Detours,
         fleet::{Fleet, Target},
         head::Head,
         ids::{RequestId, ServiceName, TargetId, Time, Workspace, Zone, ids_tag},
@@ -65,6 +66,8 @@
     pub tokens: (u32, u32),
     /// Counts of sends and of possible runs so far.
     pub counts: Counts,
+    /// Whether a peer sent it, which reaches no target itself.
+    pub is_from_peer: bool,
     /// Targets that failed or refused this request, and are not tried again.
     pub(crate) excluded: Vec<TargetId>,
 }
@@ -76,16 +79,26 @@
     }
 }
 
+/// What a request is sent to.
+#[derive(Clone, Debug)]
+pub enum Destination {
+    /// A target that runs the whole request.
+    Target,
+    /// The first target of a path through targets that hold layers; with the address of each hop.
+    Path(Path, Vec<SocketAddr>),
+    /// A peer that reaches targets, while this instance reaches none.
+    Peer,
+}
+
 /// Where to send a request.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// Target to send to: the first or only hop.
+    /// Target to send to: the first or only hop; for a detour the name of the peer.
     pub target: TargetId,
-    /// Address of that target.
+    /// Address of that target or peer.
     pub address: SocketAddr,
-    /// Path through targets that hold layers, with the address of each hop; `None` where one target
-    /// runs the whole request.
-    pub path: Option<(Path, Vec<SocketAddr>)>,
+    /// What is at that address.
+    pub destination: Destination,
     /// Tokens for which memory is reserved on every hop.
     pub reserved_tokens: f64,
     /// Limit on this instance's connections to the target.
@@ -95,9 +108,22 @@
 }
 
 impl Plan {
+    /// The path through targets, with the address of each hop; `None` for other destinations.
+    pub fn path(&self) -> Option<(&Path, &[SocketAddr])> {
+        match &self.destination {
+            Destination::Path(path, addresses) => Some((path, addresses)),
+            Destination::Target | Destination::Peer => None,
+        }
+    }
+
+    /// Whether the request goes through a peer.
+    pub fn is_detour(&self) -> bool {
+        matches!(self.destination, Destination::Peer)
+    }
+
     /// Hops with their layers, for the log.
     pub fn describe_path(&self) -> String {
-        let hops = self.path.iter().flat_map(|(path, _)| path.hops());
+        let hops = self.path().into_iter().flat_map(|(path, _)| path.hops());
         let hops = hops.map(|hop| format!("{} {}-{}", hop.target, hop.span.from, hop.span.to));
         hops.collect::<Vec<_>>().join(", ")
     }
@@ -129,6 +155,8 @@
     pub tracker: Tracker,
     /// Whether this instance reaches targets at all.
     pub contact: Contact,
+    /// Peers that serve requests for this instance while it reaches no target.
+    pub detours: Detours,
     budget: Budget,
     /// Load that peers report.
     pub peers: Peers,
@@ -162,6 +190,7 @@
             fleet: Fleet::default(),
             tracker: Tracker::default(),
             contact: Contact::default(),
+            detours: Detours::default(),
             budget: Budget::new(bounds.retry_budget),
             peers: Peers::default(),
             listed_instances: 0,
@@ -264,6 +293,7 @@
             deadline: now + timeout,
             tokens: head.tokens.unwrap_or((0, 0)),
             counts: Counts::default(),
+            is_from_peer: false,
             excluded: Vec::new(),
             route: permit.route,
         })
@@ -278,6 +308,9 @@
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(self.refusal(request, Code::DeadlinePassed));
         }
+        if self.needs_detour() {
+            return self.plan_detour(request, now);
+        }
         let engine = self.engine(&request.service).cloned();
         let engine = engine.filter(|engine| engine.layers > 0);
         let no_plan_code = match (request.counts.sends, &engine) {
@@ -299,7 +332,7 @@
             return Err(refusal);
         };
         self.tracker.start_request(&plan.target);
-        if let Some((path, _)) = &plan.path {
+        if let Some((path, _)) = plan.path() {
             self.tracker.reserve(path, plan.reserved_tokens);
         }
         request.counts.sends += 1;
@@ -312,9 +345,10 @@
             let target = self.fleet.get(id);
             target.is_some_and(|target| !target.draining && target.address == address)
         };
-        match &plan.path {
-            None => is_valid(&plan.target, plan.address),
-            Some((path, addresses)) => {
+        match &plan.destination {
+            Destination::Peer => true,
+            Destination::Target => is_valid(&plan.target, plan.address),
+            Destination::Path(path, addresses) => {
                 let mut hops = path.hops().iter().zip(addresses);
                 hops.all(|(hop, address)| is_valid(&hop.target, *address))
             }
@@ -323,7 +357,7 @@
 
     /// Whether a hop of a plan was removed, is unresponsive, or is suspected to be unresponsive.
     pub fn is_plan_suspect(&self, plan: &Plan, now: Time) -> bool {
-        let hops = plan.path.iter().flat_map(|(path, _)| path.hops());
+        let hops = plan.path().into_iter().flat_map(|(path, _)| path.hops());
         let mut targets = hops.map(|hop| &hop.target);
         targets
             .any(|target| self.tracker.is_excluded(target, now) || self.fleet.get(target).is_none())
@@ -338,18 +372,21 @@
         outcome: Outcome,
         now: Time,
     ) -> Decision {
+        if plan.is_detour() {
+            return self.finish_detour(request, plan, outcome, now);
+        }
         self.tracker.end_request(&plan.target);
-        if let Some((path, _)) = &plan.path {
+        if let Some((path, _)) = plan.path() {
             self.tracker.release(path, plan.reserved_tokens);
         }
         let latency = now.saturating_sub(plan.chosen_at);
         match outcome {
             Outcome::Cancelled => Decision::End(Code::CallerGone),
             Outcome::Answered { is_success } => {
-                let latency = plan.path.is_none().then_some(latency);
+                let latency = plan.path().is_none().then_some(latency);
                 self.tracker
                     .record_success(&plan.target, latency.filter(|_| is_success));
-                for hop in plan.path.iter().flat_map(|(path, _)| path.hops()) {
+                for hop in plan.path().into_iter().flat_map(|(path, _)| path.hops()) {
                     self.tracker.record_success(&hop.target, None);
                 }
                 request.counts.runs += 1;
@@ -361,6 +398,27 @@
         }
     }
 
+    /// Ends a send through a peer, which counts runs and retries against its own budget.
+    fn finish_detour(
+        &mut self,
+        request: &mut Admission,
+        plan: &Plan,
+        outcome: Outcome,
+        now: Time,
+    ) -> Decision {
+        match outcome {
+            Outcome::Cancelled => Decision::End(Code::CallerGone),
+            Outcome::Answered { .. } => {
+                request.counts.runs += 1;
+                Decision::End(Code::TargetFailed)
+            }
+            Outcome::Failed(failure, _) => {
+                self.record_failed_detour(plan, failure == Failure::Refused, now);
+                self.decide_after_failure(request, failure, now)
+            }
+        }
+    }
+
     fn finish_failed_send(
         &mut self,
         request: &mut Admission,
@@ -384,6 +442,15 @@
             }
         }
         request.excluded.push(faulty);
+        self.decide_after_failure(request, failure, now)
+    }
+
+    fn decide_after_failure(
+        &mut self,
+        request: &mut Admission,
+        failure: Failure,
+        now: Time,
+    ) -> Decision {
         request.counts.runs += u32::from(failure == Failure::Broken);
         let decision = retry_decide(
             request.route.kind,
@@ -391,7 +458,12 @@
             &request.counts,
             failure,
         );
-        let was_sent = failure != Failure::Unsent;
+        // A request that came to nothing at a peer has reached no target.
+        let was_sent = match failure {
+            Failure::Unsent => false,
+            Failure::Refused => !self.needs_detour(),
+            Failure::Broken => true,
+        };
         let share = self.retry_share();
         if decision == Decision::Again
             && was_sent
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -6,7 +6,7 @@
         fleet::Target,
         ids::{Time, Zone, ids_tag},
         path::{Demand, Offer, path_choose},
-        router::{Admission, Plan, Router},
+        router::{Admission, Destination, Plan, Router},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -99,7 +99,7 @@
         Some(Plan {
             target: chosen.id.clone(),
             address: chosen.address,
-            path: None,
+            destination: Destination::Target,
             reserved_tokens: 0.0,
             max_connections: self.max_connections(&request.service),
             chosen_at: now,
@@ -173,7 +173,7 @@
             address: *addresses.first()?,
             reserved_tokens: demand.tokens,
             max_connections: self.max_connections(&request.service),
-            path: Some((path, addresses)),
+            destination: Destination::Path(path, addresses),
             chosen_at: now,
         })
     }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod budget;
 mod contact;
+mod detour;
 mod fleet;
 mod lease;
 mod path;
--- a/camphorweir-relay/tests/decide/retry.rs
+++ b/camphorweir-relay/tests/decide/retry.rs
@@ -12,7 +12,11 @@
 const NOT_RESUMABLE: Kind = Kind::Stream { resumable: false };
 
 fn counts(sends: u32, runs: u32) -> Counts {
-    Counts { sends, runs }
+    Counts {
+        sends,
+        runs,
+        ..Counts::default()
+    }
 }
 
 #[test]
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -148,7 +148,7 @@
     let near = zones.clone().filter(|zone| *zone == "near").count();
     assert!(plans[0].1.target.starts_with("near"));
     for (_, plan) in &plans {
-        let (path, _) = plan.path.as_ref().unwrap();
+        let (path, _) = plan.path().unwrap();
         let zone = |index: usize| path.hops()[index].target.split('-').next().unwrap();
         assert_eq!(zone(0), zone(1));
     }
--- a/camphorweir-relay/tests/load/world.rs
+++ b/camphorweir-relay/tests/load/world.rs
@@ -571,7 +571,7 @@
                 }
             };
             self.result.sends += 1;
-            let (path, addresses) = plan.path.as_ref().unwrap();
+            let (path, addresses) = plan.path().unwrap();
             let hops = path.hops().iter();
             let hops = hops.map(|hop| (hop.target.clone(), f64::from(hop.span.len())));
             let hops: Vec<(TargetId, f64)> = hops.collect();
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod claim;
 pub mod code;
 pub mod codec;
+pub mod detour;
 pub mod digest;
 pub mod engine;
 pub mod ids;
