Tell followers of each confirmed read, and count its age from their request

What callers saw: 503 with stale keys from 1.84 s after the store stopped confirming, where 2.5 s of trust were left (front restores::a_configuration_that_the_store_has_lost_stays_in_force).

Cause: a follower's knowledge was up to 3.06 s old: a read of the reader takes 0.8 s and counts from its start (up to 1.6 s when the next one ends), a poll was held for 0.7 s whether or not a read had ended meanwhile, and the ages in its response were taken when it was written but counted by the follower from when it had sent the poll, another 0.7 s.

Ruled out: load (the failures are 7 ms apart on an idle and on a busy machine).

Change: a poll ends when the reader has confirmed the configuration, and ages count from the poll's arrival, which is no earlier than its sending.

--- a/camphorweir-entry/src/front/feed.rs
+++ b/camphorweir-entry/src/front/feed.rs
@@ -125,6 +125,12 @@
     pub fn set_confirmed(&self, at: Time) {
         let mut inner = self.inner();
         inner.confirmed_at = inner.confirmed_at.max(Some(at));
+        self.changed.send_replace(());
+    }
+
+    /// When the configuration was last known to be the newest; `None` before any read.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.inner().confirmed_at
     }
 
     /// Records that the list of targets was read at this time.
@@ -191,7 +197,7 @@
         }
     }
 
-    /// A receiver that is notified of every change.
+    /// A receiver that is notified of every change and confirmation.
     pub fn subscribe(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
     }
@@ -204,11 +210,11 @@
             || ask.next_sequence < inner.next_sequence
     }
 
-    /// The changes that a follower lacks; `None` until both the configuration and the targets were
-    /// read here.
-    pub fn update_for(&self, ask: &Request, now: Time) -> Option<Response> {
+    /// The changes that a follower lacks whose request arrived at `arrived_at`; `None` until both the
+    /// configuration and the targets were read here.
+    pub fn update_for(&self, ask: &Request, arrived_at: Time) -> Option<Response> {
         let inner = self.inner();
-        let age = |at: Time| millis(now.saturating_sub(at));
+        let age = |at: Time| millis(arrived_at.saturating_sub(at));
         let (age_ms, targets_age_ms) = (age(inner.confirmed_at?), age(inner.targets_read_at?));
         let first_sequence = inner.next_sequence - inner.changes.len() as u64;
         let whole = ask.feed_incarnation != inner.incarnation
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -18,7 +18,7 @@
     },
     bytes::Bytes,
     camphorweir_platform::store::{Call, Error, Record},
-    camphorweir_relay::roles::Source,
+    camphorweir_relay::{ids::Time, roles::Source},
     camphorweir_wire::{
         codec,
         detour::{RUNS_HEADER, VERSION_HEADER},
@@ -29,14 +29,15 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        time::{Instant, sleep, timeout},
+        time::{sleep, timeout},
     },
 };
 
 /// Path of the endpoint that followers poll.
 const FOLLOW_PATH: &str = "/follow";
-/// Longest time that a poll waits for a change.
-const MAX_WAIT: Duration = Duration::from_millis(700);
+/// Longest time that a poll waits for a change or a confirmation; a reader confirms the
+/// configuration more often than that.
+const MAX_WAIT: Duration = Duration::from_millis(900);
 /// Time allowed for a response beyond the wait, inside a zone.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(350);
 /// Pause between checks whether to follow a peer, while this instance reads the store itself; also
@@ -140,9 +141,9 @@
     Ok(next)
 }
 
-/// Applies an update from a peer. The ages in it count from when the poll was sent, which is the
-/// earliest time they can refer to.
-fn apply_update(state: &State, update: replication::Response, sent_at: Duration) {
+/// Applies an update from a peer. The ages in it count from when the poll arrived there, which is
+/// no earlier than when it was sent.
+fn apply_update(state: &State, update: replication::Response, sent_at: Time) {
     let confirmed_at = sent_at.saturating_sub(Duration::from_millis(update.age_ms));
     if update.version >= state.configuration_version() {
         state.router().confirm_configuration(confirmed_at);
@@ -241,19 +242,22 @@
     let Ok(ask) = codec::decode::<replication::Request>(&body.to_bytes()) else {
         return status(StatusCode::BAD_REQUEST);
     };
-    let deadline = Instant::now() + Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
+    let arrived_at = state.now();
+    let deadline = arrived_at + Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
     let mut changes = state.feed().subscribe();
+    let confirmed_at = state.feed().confirmed_at();
+    let has_news =
+        || state.feed().has_changes_for(&ask) || state.feed().confirmed_at() > confirmed_at;
     // A reader that has lost the store must not keep its followers waiting: a change may be in
     // force elsewhere.
-    while !has_lost_store(state) && !state.feed().has_changes_for(&ask) && Instant::now() < deadline
-    {
+    while !has_lost_store(state) && !has_news() && state.now() < deadline {
         // Without a change by the deadline, the response carries none.
         let _ = timeout(READER_CHECK_PAUSE, changes.changed()).await;
     }
     if has_lost_store(state) {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    match state.feed().update_for(&ask, state.now()) {
+    match state.feed().update_for(&ask, arrived_at) {
         Some(update) => Response::new(Full::new(codec::encode(&update).into())),
         None => status(StatusCode::SERVICE_UNAVAILABLE),
     }
--- a/camphorweir-wire/src/replication.rs
+++ b/camphorweir-wire/src/replication.rs
@@ -55,11 +55,13 @@
 /// The response: configuration and changes that the follower lacks.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Response {
-    /// Age of the newest confirmed read of the configuration when the response is written, in ms.
+    /// Age of the newest confirmed read of the configuration when the request arrived, in ms; 0 if
+    /// it was confirmed after that.
     pub age_ms: u64,
-    /// Age of the newest read of the targets, in ms.
+    /// Age of the newest read of the targets when the request arrived, in ms.
     pub targets_age_ms: u64,
-    /// Time since the store was last available again, in ms; `None` while it was never away.
+    /// Time from when the store was last available again to when the request arrived, in ms; `None`
+    /// while it was never away.
     pub recovered_ms: Option<u64>,
     /// Version of the configuration in force at the sender.
     pub version: u64,
