Heed targets that leave or ask for time in their answers

Neither header was decoded: a target that said Server-Leaving went on getting requests until its record said so, and Retry-After of a target's 503 was passed on at most.

Change: an answer with Server-Leaving, of whatever status, makes the target draining at once at this instance, until a newer incarnation is listed; an answer that may be of an earlier incarnation changes nothing. Requests that were planned and not sent are planned anew, layered ones too, since each hop is checked. An instance that serves for a peer names the target to it, as the peer passes the answer on. Peers are not told by digests: the rule binds who passed the answer on, and the store or their own next answer tells the others. A 503 with Retry-After closes its target for that time: no plan uses it in any place of a path, no probe and no check of the links goes there, and what was planned is not sent. When that leaves none, callers are told the time to the first that opens, and up to half of it more. Reports on running streams and orders to load layers carry no attempt and go on. A send whose plan no longer holds is a failure of its own kind, which says nothing of the target; it used to make the target suspect.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -12,13 +12,19 @@
     },
     camphorweir_relay::{
         configuration::Kind,
+        ids::TargetId,
         retry::Failure,
         router::{Admission, Plan},
     },
-    camphorweir_wire::detour::{RUNS_HEADER, TURNED_AWAY_HEADER, VERSION_HEADER},
+    camphorweir_wire::detour::{
+        LEAVING_TARGET_HEADER, RUNS_HEADER, TURNED_AWAY_HEADER, VERSION_HEADER,
+    },
     http_body_util::Full,
     hyper::{
-        HeaderMap, Method, Request, Response, body::Incoming, header::HeaderValue, http::request,
+        HeaderMap, Method, Request, Response,
+        body::Incoming,
+        header::HeaderValue,
+        http::{request, response::Parts},
     },
     std::{io, net::SocketAddr, time::Duration},
 };
@@ -56,8 +62,7 @@
 ///
 /// # Errors
 ///
-/// [`SendError`]; only [`Failure::Unsent`] and [`Failure::Refused`] prove that the request did not
-/// run.
+/// [`SendError`]; all but [`Failure::Broken`] prove that the request did not run.
 pub async fn send_request(
     state: &State,
     admitted: &Admission,
@@ -83,8 +88,8 @@
     };
     // Since the plan was made, the machine may have been suspended or the target may have left.
     let now = state.now();
-    if !state.router().is_plan_valid(plan) || admitted.time_left(now).is_zero() {
-        return Err(unsent);
+    if !state.router().is_plan_valid(plan, now) || admitted.time_left(now).is_zero() {
+        return Err((Failure::Outdated, None));
     }
     let request = Request::builder()
         .method(template.method.clone())
@@ -115,11 +120,22 @@
         Some(_) => unsent,
         None => (Failure::Broken, None),
     })?;
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
     if plan.is_detour() && parts.headers.contains_key(TURNED_AWAY_HEADER) {
         return Err((Failure::Refused, None));
     }
     let info = response_decode(&parts, &admitted.id);
+    let leaving = match plan.is_detour() {
+        true => leaving_target(&parts),
+        false => info.is_leaving.then(|| plan.target.clone()),
+    };
+    if let Some(target) = &leaving {
+        state.record_leaving(target, plan.chosen_at);
+        set_leaving_target(&mut parts, target);
+    }
+    if let Some(wait) = info.retry_after.filter(|_| !plan.is_detour()) {
+        state.record_closed(&plan.target, wait);
+    }
     if !info.is_for_attempt {
         log::warn!(
             request:% = admitted.id,
@@ -186,3 +202,16 @@
         .header(VERSION_HEADER, state.configuration_version())
         .header(RUNS_HEADER, admitted.counts.runs)
 }
+
+/// The target that a peer names as about to shut down.
+fn leaving_target(parts: &Parts) -> Option<TargetId> {
+    let value = parts.headers.get(LEAVING_TARGET_HEADER)?;
+    Some(value.to_str().ok()?.into())
+}
+
+/// Names the target that is about to shut down, for a peer that passes the response on.
+fn set_leaving_target(parts: &mut Parts, target: &TargetId) {
+    if let Ok(value) = HeaderValue::from_str(target) {
+        parts.headers.insert(LEAVING_TARGET_HEADER, value);
+    }
+}
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -23,7 +23,7 @@
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
     },
-    camphorweir_wire::{code::Code, outcome::Refusal},
+    camphorweir_wire::{code::Code, detour::LEAVING_TARGET_HEADER, outcome::Refusal},
     http_body_util::{BodyExt, Either, LengthLimitError, Limited},
     hyper::{Request, Response, body::Incoming},
     std::time::Duration,
@@ -107,7 +107,8 @@
         method: parts.method,
         body,
     };
-    let response = match forward(&state, &mut admitted, &template).await {
+    let is_from_peer = admitted.is_from_peer;
+    let mut response = match forward(&state, &mut admitted, &template).await {
         Ok(Forwarded::Whole(response)) => {
             let status = response.status().as_u16();
             record_end(&state, &admitted, status, None);
@@ -137,6 +138,9 @@
             refusal_response(&admitted.id, &refusal)
         }
     };
+    if !is_from_peer {
+        response.headers_mut().remove(LEAVING_TARGET_HEADER);
+    }
     close_if_stopping(&state, response)
 }
 
@@ -313,6 +317,7 @@
 pub fn failure_label(failure: Failure) -> &'static str {
     match failure {
         Failure::Unsent => "unsent",
+        Failure::Outdated => "outdated",
         Failure::Refused => "refused",
         Failure::Broken => "broken",
     }
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -176,6 +176,21 @@
         );
     }
 
+    /// Records that a target said that it is about to shut down, in the response to a request that was
+    /// planned at `planned_at`.
+    pub fn record_leaving(&self, target: &TargetId, planned_at: Time) {
+        if self.router().fleet.record_leaving(target, planned_at) {
+            log::info!(target_name:% = target; "target leaves, as its response says");
+        }
+    }
+
+    /// Records that a target wants no requests from this instance for some time.
+    pub fn record_closed(&self, target: &TargetId, wait: Duration) {
+        let now = self.now();
+        self.router().tracker.record_closed(target, wait, now);
+        log::info!(target_name:% = target, wait_ms = millis(wait); "target wants no requests");
+    }
+
     /// Wakes the prober if a target is due for a probe.
     pub fn wake_prober(&self) {
         let now = self.now();
--- a/camphorweir-relay/src/contact.rs
+++ b/camphorweir-relay/src/contact.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        fleet::{Fleet, Target},
+        fleet::Target,
         ids::{ServiceName, TargetId, Time, Zone},
         router::Router,
     },
@@ -97,24 +97,18 @@
     /// asked before, until all have been. `random` is in `0.0..1.0`.
     ///
     /// Linear in the targets.
-    fn choose_checks(
-        &mut self,
-        fleet: &Fleet,
-        service: &str,
-        random: f64,
-        now: Time,
-    ) -> Vec<TargetId> {
+    fn choose_checks(&mut self, targets: &[&Target], random: f64, now: Time) -> Vec<TargetId> {
         if !self.has_due_checks(now) {
             return Vec::new();
         }
         self.next_checks = now + CHECK_PAUSE;
         let is_new = |target: &&Target| !self.asked.contains(&target.id);
         let is_unknown = |target: &&Target| !self.silent.contains(&target.id);
-        let targets = || fleet.available(service);
-        let mut candidates = by_zone(targets().filter(is_new).filter(is_unknown));
+        let targets = targets.iter().copied();
+        let mut candidates = by_zone(targets.clone().filter(is_new).filter(is_unknown));
         if candidates.is_empty() {
             self.asked.clear();
-            candidates = by_zone(targets());
+            candidates = by_zone(targets);
         }
         let mut chosen = Vec::new();
         while chosen.len() < CHECKS && !candidates.is_empty() {
@@ -194,7 +188,10 @@
         let mut due = self.tracker.take_due_probes(now);
         let random = self.next_random();
         for (service, contact) in &mut self.contacts {
-            due.extend(contact.choose_checks(&self.fleet, service, random, now));
+            let targets = self.fleet.available(service);
+            let is_open = |target: &&Target| !self.tracker.is_closed(&target.id, now);
+            let targets: Vec<&Target> = targets.filter(is_open).collect();
+            due.extend(contact.choose_checks(&targets, random, now));
         }
         due.sort_unstable();
         due.dedup();
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -134,6 +134,17 @@
         change
     }
 
+    /// Records that a target said, in the response to a request that was planned at `planned_at`, that
+    /// it is about to shut down. Returns whether that was not known.
+    ///
+    /// It drains until a newer incarnation is listed. A response that may be of an earlier
+    /// incarnation than the listed one changes nothing.
+    pub fn record_leaving(&mut self, id: &TargetId, planned_at: Time) -> bool {
+        let entry = self.targets.get_mut(id);
+        let entry = entry.filter(|entry| entry.first_seen <= planned_at);
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.target.draining, true))
+    }
+
     /// Removes the targets at an address that started at `started_ms` or earlier.
     fn remove_older_at(&mut self, address: SocketAddr, started_ms: u64) {
         self.targets.retain(|_, entry| {
--- a/camphorweir-relay/src/retry.rs
+++ b/camphorweir-relay/src/retry.rs
@@ -11,6 +11,8 @@
 pub enum Failure {
     /// No byte reached the target.
     Unsent,
+    /// Nothing was sent, as what was planned no longer holds; it says nothing of the target.
+    Outdated,
     /// The target reported that it did not run the request.
     Refused,
     /// The request may have run.
@@ -42,7 +44,9 @@
 /// A request that runs at most once is sent again only after a proof that it did not run.
 pub fn retry_decide(kind: Kind, max_runs: u32, counts: &Counts, failure: Failure) -> Decision {
     let is_allowed = match (failure, kind) {
-        (Failure::Unsent | Failure::Refused, _) => counts.runs < max_runs.max(1),
+        (Failure::Unsent | Failure::Outdated | Failure::Refused, _) => {
+            counts.runs < max_runs.max(1)
+        }
         (Failure::Broken, Kind::AtMostOnce | Kind::Stream { resumable: false }) => false,
         (Failure::Broken, Kind::Idempotent | Kind::Stream { resumable: true }) => {
             counts.runs < max_runs.max(1)
@@ -58,7 +62,7 @@
 pub fn retry_final_code(counts: &Counts, failure: Failure) -> Code {
     match failure {
         _ if counts.runs > 0 => Code::TargetFailed,
-        Failure::Unsent => Code::NoTarget,
+        Failure::Unsent | Failure::Outdated => Code::NoTarget,
         Failure::Refused | Failure::Broken => Code::TargetRefused,
     }
 }
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -35,6 +35,10 @@
 const WAIT_DIVISOR: u32 = 8;
 /// Retry-After once targets refused or failed: a few times the latency of a request.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Callers that wait for a target to take requests again return over this share of the wait more.
+const CLOSED_SPREAD: f64 = 0.5;
+/// Limit on that.
+const MAX_CLOSED_SPREAD: Duration = Duration::from_secs(2);
 /// Timeout of a request whose caller sends none; the route's timeout applies too.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Least time left with which a request is sent; no target could respond in less.
@@ -329,6 +333,9 @@
             if no_plan_code == Code::NoPath && !any_full {
                 refusal.retry_after = Some(MISSING_LAYERS_RETRY_AFTER);
             }
+            if !any_full && let Some(wait) = self.wait_for_closed(&request.service, now) {
+                refusal.retry_after = refusal.retry_after.map(|_| wait);
+            }
             return Err(refusal);
         };
         self.tracker.start_request(&plan.target);
@@ -339,11 +346,13 @@
         Ok(plan)
     }
 
-    /// Whether every target of a plan is still listed at its address and not draining.
-    pub fn is_plan_valid(&self, plan: &Plan) -> bool {
+    /// Whether every target of a plan is still listed at its address, does not drain and takes requests
+    /// from this instance.
+    pub fn is_plan_valid(&self, plan: &Plan, now: Time) -> bool {
         let is_valid = |id: &TargetId, address: SocketAddr| {
             let target = self.fleet.get(id);
-            target.is_some_and(|target| !target.draining && target.address == address)
+            let is_open = !self.tracker.is_closed(id, now);
+            is_open && target.is_some_and(|target| !target.draining && target.address == address)
         };
         match &plan.destination {
             Destination::Peer => true,
@@ -360,7 +369,7 @@
         let hops = plan.path().into_iter().flat_map(|(path, _)| path.hops());
         let mut targets = hops.map(|hop| &hop.target);
         targets
-            .any(|target| self.tracker.is_excluded(target, now) || self.fleet.get(target).is_none())
+            .any(|target| self.tracker.is_suspect(target, now) || self.fleet.get(target).is_none())
     }
 
     /// Ends a send and releases the reservations of the plan; returns what to do after a failed
@@ -440,6 +449,7 @@
             Failure::Unsent | Failure::Broken => {
                 self.tracker.record_failure(&faulty, now, unresponsive)
             }
+            Failure::Outdated => {}
         }
         request.excluded.push(faulty);
         self.decide_after_failure(request, failure, now)
@@ -460,7 +470,7 @@
         );
         // A request that came to nothing at a peer has reached no target.
         let was_sent = match failure {
-            Failure::Unsent => false,
+            Failure::Unsent | Failure::Outdated => false,
             Failure::Refused => !self.needs_detour(&request.service),
             Failure::Broken => true,
         };
@@ -560,6 +570,17 @@
         newly_unresponsive
     }
 
+    /// Retry-After while targets of a service want no requests from this instance: the time until the
+    /// first takes some, spread so that callers don't all return then; `None` if none is closed.
+    fn wait_for_closed(&mut self, service: &str, now: Time) -> Option<Duration> {
+        let targets = self.fleet.available(service);
+        let ends = targets.map(|target| self.tracker.state(&target.id).closed_until());
+        let first = ends.filter(|end| *end > now).min()?;
+        let wait = first - now;
+        let spread = wait.mul_f64(CLOSED_SPREAD).min(MAX_CLOSED_SPREAD);
+        Some(wait + spread.mul_f64(self.next_random()))
+    }
+
     /// The refusal that ends a request with `code`; a request that may have run is not reported as
     /// not run.
     pub fn refusal(&self, request: &Admission, code: Code) -> Refusal {
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -90,7 +90,9 @@
     /// Selects the target that runs a whole request.
     pub(crate) fn plan_target(&self, request: &Admission, now: Time) -> Option<Plan> {
         let engine = self.engine(&request.service);
-        let is_allowed = |target: &&Target| !request.excluded.contains(&target.id);
+        let is_allowed = |target: &&Target| {
+            !request.excluded.contains(&target.id) && !self.tracker.is_closed(&target.id, now)
+        };
         let targets = self.fleet.available(&request.service).filter(is_allowed);
         let chosen = targets.min_by(|a, b| {
             let cost = |target| self.target_cost_ms(target, engine, now);
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -48,6 +48,8 @@
     peer_ejected_until: Time,
     /// End of the backoff after a report that the target has no memory free.
     full_until: Time,
+    /// End of the time for which the target wants no requests from this instance.
+    closed_until: Time,
     /// Set while the target is suspected to be unresponsive.
     suspicion: Option<Suspicion>,
     /// When a peer last reported the target as unresponsive.
@@ -75,6 +77,11 @@
             .is_some_and(|suspicion| now.saturating_sub(suspicion.failed_at) < UNRESPONSIVE_TTL)
     }
 
+    /// End of the time for which the target wants no requests from this instance.
+    pub fn closed_until(&self) -> Time {
+        self.closed_until
+    }
+
     fn suspect(&mut self, now: Time) {
         self.suspicion.get_or_insert(Suspicion {
             raised_at: now,
@@ -102,6 +109,7 @@
             ejected_until: Time::ZERO,
             peer_ejected_until: Time::ZERO,
             full_until: Time::ZERO,
+            closed_until: Time::ZERO,
             suspicion: None,
             peer_reported_at: None,
         }
@@ -243,8 +251,11 @@
 
     /// Whether a probe of some target is due.
     pub fn has_due_probe(&self, now: Time) -> bool {
-        let mut suspicions = self.states.values().filter_map(|state| state.suspicion);
-        suspicions.any(|suspicion| suspicion.next_probe <= now)
+        let mut states = self.states.values();
+        states.any(|state| {
+            let due = |suspicion: Suspicion| suspicion.next_probe.max(state.closed_until) <= now;
+            state.suspicion.is_some_and(due)
+        })
     }
 
     /// Targets whose probe is due; schedules the next probe of each.
@@ -252,7 +263,7 @@
         let mut due = Vec::new();
         for (target, state) in &mut self.states {
             if let Some(suspicion) = &mut state.suspicion
-                && suspicion.next_probe <= now
+                && suspicion.next_probe.max(state.closed_until) <= now
             {
                 suspicion.next_probe = now + PROBE_INTERVAL;
                 due.push(target.clone());
@@ -336,16 +347,32 @@
         state.peer_reported_at.is_some_and(is_recent) || state.is_unresponsive(now)
     }
 
+    /// Records that a target wants no requests from this instance for some time.
+    pub fn record_closed(&mut self, target: &TargetId, wait: Duration, now: Time) {
+        let state = self.state_mut(target);
+        state.closed_until = state.closed_until.max(now + wait);
+    }
+
+    /// Whether a target wants no requests from this instance now.
+    pub fn is_closed(&self, target: &TargetId, now: Time) -> bool {
+        self.state(target).closed_until > now
+    }
+
     /// Whether a target did not answer this instance, and has not answered a probe since.
     pub(crate) fn is_suspected(&self, target: &TargetId) -> bool {
         self.state(target).suspicion.is_some()
     }
 
-    /// Whether no path may use a target now, as it is unresponsive or suspected to be.
-    pub fn is_excluded(&self, target: &TargetId, now: Time) -> bool {
+    /// Whether a target is unresponsive, or suspected to be.
+    pub fn is_suspect(&self, target: &TargetId, now: Time) -> bool {
         self.is_suspected(target) || self.is_unresponsive(target, now)
     }
 
+    /// Whether no request may use a target now: it is unresponsive or suspected to be, or wants none.
+    pub fn is_excluded(&self, target: &TargetId, now: Time) -> bool {
+        self.is_suspect(target, now) || self.is_closed(target, now)
+    }
+
     /// Resets the health of a target that has restarted.
     pub fn reset_health(&mut self, target: &TargetId) {
         if let Some(state) = self.states.get_mut(target) {
@@ -355,6 +382,7 @@
             state.clear_suspicion();
             state.failure_rate = 0.0;
             state.latency_ms = INITIAL_LATENCY_MS;
+            state.closed_until = Time::ZERO;
         }
     }
 }
--- a/camphorweir-relay/tests/decide/detour.rs
+++ b/camphorweir-relay/tests/decide/detour.rs
@@ -128,7 +128,7 @@
     let mut offered = BTreeSet::new();
     for failure in [Failure::Refused, Failure::Unsent] {
         let plan = router.plan(&mut request, ms(500)).unwrap();
-        assert!(plan.is_detour() && router.is_plan_valid(&plan));
+        assert!(plan.is_detour() && router.is_plan_valid(&plan, ms(500)));
         offered.insert(plan.target.clone());
         let outcome = Outcome::Failed(failure, None);
         let decision = router.finish_send(&mut request, &plan, outcome, ms(501));
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -326,11 +326,11 @@
         &*router.plan(&mut second, ms(0)).unwrap().target,
         "ledger-1"
     );
-    assert!(router.is_plan_valid(&plan));
+    assert!(router.is_plan_valid(&plan, ms(0)));
     let mut draining = router.fleet.get(&"ledger-0".into()).cloned().unwrap();
     draining.draining = true;
     router.fleet.upsert(draining, ms(1));
-    assert!(!router.is_plan_valid(&plan));
+    assert!(!router.is_plan_valid(&plan, ms(0)));
 }
 
 #[test]
@@ -451,3 +451,102 @@
     assert_eq!(&*plan.target, "near-0");
     assert!(!sound.tracker.is_unresponsive(&"near-0".into(), ms(1_501)));
 }
+
+#[test]
+fn a_target_that_says_that_it_leaves_gets_nothing_more() {
+    let mut router = router();
+    let mut request = admit_request(&mut router, "/text/a", ms(0));
+    let plan = router.plan(&mut request, ms(0)).unwrap();
+    assert_eq!(&*plan.target, "near-0");
+    assert!(router.fleet.record_leaving(&plan.target, plan.chosen_at));
+    // A request that was planned and not sent, and one that runs its second half there.
+    assert!(!router.is_plan_valid(&plan, ms(1)));
+    for _ in 0..3 {
+        let mut request = admit_request(&mut router, "/text/a", ms(1));
+        let plan = router.plan(&mut request, ms(1)).unwrap();
+        assert_eq!(&*plan.target, "far-0");
+    }
+    // Its word stands against an older and a newer record of the same incarnation.
+    let record = router.fleet.get(&"near-0".into()).unwrap().clone();
+    let record = Target {
+        draining: false,
+        sequence: 9,
+        ..record
+    };
+    router.fleet.upsert(record.clone(), ms(2));
+    assert!(router.fleet.get(&"near-0".into()).unwrap().draining);
+    // A new incarnation is another target, of which an earlier response says nothing.
+    let restarted = Target {
+        started_ms: 2,
+        sequence: 1,
+        ..record
+    };
+    router.fleet.upsert(restarted, ms(3));
+    assert!(!router.fleet.record_leaving(&"near-0".into(), ms(1)));
+    assert!(!router.fleet.get(&"near-0".into()).unwrap().draining);
+}
+
+#[test]
+fn requests_are_refused_at_once_when_every_holder_of_a_layer_leaves() {
+    let mut router = router();
+    for target in ["near-1", "far-1"] {
+        router.fleet.record_leaving(&target.into(), ms(0));
+    }
+    let mut request = admit_request(&mut router, "/text/a", ms(1));
+    let refusal = router.plan(&mut request, ms(1)).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::NoPath, Ran::No));
+    assert_eq!(refusal.retry_after, Some(ms(2_500)));
+    assert!(!router.may_wait_for_memory(&request, &refusal, ms(1)));
+}
+
+#[test]
+fn a_target_that_asks_for_time_gets_nothing_until_it_is_over() {
+    for path in ["/text/a", "/seal/a"] {
+        let mut router = router();
+        let mut request = admit_request(&mut router, path, ms(0));
+        let plan = router.plan(&mut request, ms(0)).unwrap();
+        router
+            .tracker
+            .record_closed(&plan.target, ms(2_000), ms(10));
+        assert!(!router.is_plan_valid(&plan, ms(10)));
+        assert!(router.is_plan_valid(&plan, ms(2_010)));
+        // A request that fails there meanwhile, or a suspicion, asks nothing of it either.
+        router.tracker.record_failure(&plan.target, ms(11), true);
+        assert!(router.take_due_probes(ms(2_009)).is_empty());
+        for _ in 0..3 {
+            let mut request = admit_request(&mut router, path, ms(1_000));
+            let other = router.plan(&mut request, ms(1_000)).unwrap();
+            assert_ne!(other.target, plan.target);
+        }
+        assert_eq!(router.take_due_probes(ms(2_010)), [plan.target]);
+    }
+}
+
+#[test]
+fn callers_are_told_when_the_first_target_takes_requests_again() {
+    let mut router = router();
+    router
+        .tracker
+        .record_closed(&"ledger-0".into(), ms(3_000), ms(0));
+    router
+        .tracker
+        .record_closed(&"ledger-1".into(), ms(1_000), ms(0));
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        let mut request = admit_request(&mut router, "/seal/a", ms(200));
+        let refusal = router.plan(&mut request, ms(200)).unwrap_err();
+        assert_eq!((refusal.code, refusal.ran), (Code::NoTarget, Ran::No));
+        waits.push(refusal.retry_after.unwrap());
+    }
+    let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
+    assert!(*least >= ms(800) && *most <= ms(1_200), "{waits:?}");
+    assert!(*most - *least > ms(100), "{waits:?}");
+    let mut request = admit_request(&mut router, "/seal/a", ms(1_000));
+    assert_eq!(
+        &*router.plan(&mut request, ms(1_000)).unwrap().target,
+        "ledger-1"
+    );
+    // A target that was started anew does not know of the time that its predecessor asked for.
+    router.tracker.reset_health(&"ledger-0".into());
+    assert!(!router.tracker.is_closed(&"ledger-0".into(), ms(1_000)));
+}
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -27,6 +27,8 @@
 pub enum ResponseFault {
     /// Refuses the call with 503 and the header `x-not-executed`.
     Refuse,
+    /// Refuses the call, and wants no other from that client for so many seconds.
+    RefuseFor(u64),
     /// Executes the call and closes the connection without a response.
     Lose,
     /// Executes the call and answers with the attempt id of another request.
@@ -68,6 +70,8 @@
     fencing_tokens: Vec<u64>,
     stalled_hops: Vec<(String, String)>,
     draining: bool,
+    /// Whether all answers say that the target leaves.
+    leaving: bool,
     /// Number of records written.
     record_count: u64,
     /// Number of restarts.
@@ -160,6 +164,11 @@
         self.publish_record();
     }
 
+    /// Says in all answers that the target leaves, and nothing in its record.
+    pub fn leave(&self) {
+        self.state().leaving = true;
+    }
+
     /// Restarts as a new incarnation without layers.
     pub fn restart(&self) {
         {
@@ -167,6 +176,7 @@
             state.layers = None;
             state.order_count = 0;
             state.draining = false;
+            state.leaving = false;
             state.restarts += 1;
             state.faults.clear();
         }
@@ -230,6 +240,7 @@
         match request.path.as_str() {
             "/api/report" => self.handle_report(),
             "/api/order" => self.handle_order(request),
+            _ if self.state().leaving => self.handle_call(request).with_header("server-leaving", 1),
             _ => self.handle_call(request),
         }
     }
@@ -280,11 +291,14 @@
         if expected_instance != self.setup.id {
             return Reply::status(421);
         }
-        if fault == Some(ResponseFault::Refuse) {
-            let mut response = Response::new(ScriptedBody::whole(Vec::new()));
-            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
-            response.headers_mut().insert("x-not-executed", 1.into());
-            return Reply::Response(response);
+        if let Some(ResponseFault::Refuse | ResponseFault::RefuseFor(_)) = fault {
+            let refusal = Reply::status(503).with_header("x-not-executed", 1);
+            return match fault {
+                Some(ResponseFault::RefuseFor(seconds)) => {
+                    refusal.with_header("retry-after", seconds)
+                }
+                _ => refusal,
+            };
         }
         *self.state().executions.entry(id.clone()).or_default() += 1;
         let response_attempt = if fault == Some(ResponseFault::Foreign) {
--- a/camphorweir-standin/tests/front/calls.rs
+++ b/camphorweir-standin/tests/front/calls.rs
@@ -1,10 +1,12 @@
 //! Calls to plain services: what passes, what is repeated, and what a refusal promises.
 
 use {
-    crate::bench::{Bench, KEYS, call, plain},
+    crate::bench::{Bench, KEYS, call, plain, stream, until},
     bytes::Bytes,
-    camphorweir_standin::platform_target::ResponseFault,
+    camphorweir_standin::platform_target::{ResponseFault, Target},
     http_body_util::Full,
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
 };
 
 #[tokio::test]
@@ -165,3 +167,81 @@
         assert!(line.ends_with(end), "{start}: `{line}` in\n{text}");
     }
 }
+
+#[tokio::test]
+async fn a_target_whose_answer_says_that_it_leaves_gets_nothing_more() {
+    let bench = Bench::start(1).await;
+    let before = |targets: &[Target]| -> Vec<usize> {
+        targets
+            .iter()
+            .map(|target| target.requests().len())
+            .collect()
+    };
+    bench.calls[0].leave();
+    bench.parts[0].leave();
+    for index in 0..8 {
+        let answer = call(
+            bench.front(),
+            &plain("/seal/b", &format!("a{index}"), KEYS[0]),
+        )
+        .await;
+        assert_eq!(answer.status, 200);
+        let answer = call(bench.front(), &stream(&format!("s{index}"))).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+    let told = (before(&bench.calls), before(&bench.parts));
+    for index in 8..24 {
+        let id = format!("a{index}");
+        let answer = call(bench.front(), &plain("/seal/b", &id, KEYS[0])).await;
+        assert_eq!((answer.status, bench.calls[0].runs(&id)), (200, 0));
+        call(bench.front(), &stream(&format!("s{index}"))).await;
+    }
+    let after = (before(&bench.calls), before(&bench.parts));
+    assert_eq!((after.0[0], after.1[0]), (told.0[0], told.1[0]));
+    // Started anew, it serves again.
+    bench.calls[0].restart();
+    bench.calls[1].drain();
+    until("a call", || async {
+        let answer = call(bench.front(), &plain("/look/b", "again", KEYS[0])).await;
+        (answer.header("x-response-seal") == bench.calls[0].id()).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_target_that_asks_for_time_gets_two_requests_at_most_meanwhile() {
+    let bench = Bench::start(1).await;
+    for target in &bench.calls {
+        target.inject(ResponseFault::RefuseFor(2));
+    }
+    let answer = call(bench.front(), &plain("/seal/b", "a", KEYS[0])).await;
+    assert_eq!((answer.status, bench.runs("a")), (503, 0));
+    let closed = Instant::now();
+    // Half a second after the refusal the target wants nothing more.
+    sleep(Duration::from_millis(500)).await;
+    let count = |target: &Target| target.requests().len();
+    let before: Vec<usize> = bench.calls.iter().map(count).collect();
+    let mut index = 0;
+    while closed.elapsed() < Duration::from_millis(1_900) {
+        index += 1;
+        let begun = Instant::now();
+        let answer = call(
+            bench.front(),
+            &plain("/seal/b", &format!("b{index}"), KEYS[0]),
+        )
+        .await;
+        assert_eq!(answer.status, 503);
+        assert!(begun.elapsed() < Duration::from_millis(300));
+        let wait: f64 = answer.header("retry-after").parse().unwrap();
+        // The rest of the time, and half of it more so that callers don't return together.
+        let rest = 2.0 - (closed.elapsed().as_secs_f64() - 0.3).max(0.0);
+        assert!(wait > 0.0 && wait <= 1.5 * rest, "{wait} of {rest}");
+        sleep(Duration::from_millis(20)).await;
+    }
+    for (target, before) in bench.calls.iter().zip(before) {
+        assert!(count(target) - before <= 2, "{}", target.id());
+    }
+    sleep(Duration::from_millis(200)).await;
+    let answer = call(bench.front(), &plain("/seal/b", "c", KEYS[0])).await;
+    assert_eq!(answer.status, 200);
+}
