End responses that go on without an end, at limits on bytes

A whole body had a limit of 8 MiB each and none on all together; interim responses before a head and the digits of a chunk size had none, so that such a response held its connection and its processor time until the caller's deadline; an event could take 1 MiB; a report 16 MiB.

What callers saw, in a test of 100 requests at once for each part of a response: 504 after 3 s instead of 502 for interim responses and for a chunk size of zeros; 827,248 KiB of memory for bodies of a declared length, on machines that have 160 MiB.

Change: a connection fails when more than 256 KiB have arrived and neither a head nor a piece of a body came of it. An event has 128 KiB, a report of a target 256 KiB. Bytes that complete no event are no longer progress of a stream, so one that trickles is asked about as a silent one is.

Ruled out: head lines, headers, chunk extensions and trailers; the HTTP library limits these.

--- a/camphorweir-entry/src/front/client.rs
+++ b/camphorweir-entry/src/front/client.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::front::pool::Connection,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     camphorweir_platform::store::{Call, Error},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Request, header, http::response::Parts},
@@ -13,8 +13,11 @@
     tokio::time::{Instant, timeout},
 };
 
-/// Limit on a response body, in bytes; above the size of one page or read of the store.
+/// Limit on a response body of the store or a peer, in bytes; above the size of one page or read of
+/// the store.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Limit on a response body of a target, in bytes; a report lists two hundred streams at most.
+const MAX_REPORT_BYTES: usize = 256 << 10;
 
 /// Calls one server; keeps its connection open as long as calls succeed.
 #[derive(Debug)]
@@ -22,6 +25,7 @@
     address: SocketAddr,
     /// Local address of the connection; the system's choice if `None`.
     source: Option<IpAddr>,
+    max_response_bytes: usize,
     connection: Option<Connection>,
 }
 
@@ -31,14 +35,17 @@
         Self {
             address,
             source: None,
+            max_response_bytes: MAX_RESPONSE_BYTES,
             connection: None,
         }
     }
 
-    /// A client that is not connected yet and will connect from a local address, if one is given.
-    pub fn from_source(address: SocketAddr, source: Option<IpAddr>) -> Self {
+    /// A client for reports of a target and orders to it, which is not connected yet and will connect
+    /// from a local address, if one is given.
+    pub fn to_target(address: SocketAddr, source: Option<IpAddr>) -> Self {
         Self {
             source,
+            max_response_bytes: MAX_REPORT_BYTES,
             ..Self::new(address)
         }
     }
@@ -76,7 +83,7 @@
                 .map_err(no_response)?,
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        let result = timeout(left, send(self.address, connection, call)).await;
+        let result = timeout(left, self.send(connection, call)).await;
         let (connection, head, body) = match result {
             Ok(result) => result?,
             Err(_) => return Err(no_response("timed out")),
@@ -84,27 +91,34 @@
         self.connection = Some(connection);
         Ok((head, body))
     }
-}
 
-async fn send(
-    address: SocketAddr,
-    mut connection: Connection,
-    call: Call,
-) -> Result<(Connection, Parts, Bytes), Error> {
-    connection.sender.ready().await.map_err(no_response)?;
-    let request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(call.body))
-        .map_err(no_response)?;
-    let response = connection.sender.send_request(request).await;
-    let response = response.map_err(no_response)?;
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(no_response)?.to_bytes();
-    Ok((connection, head, body))
+    async fn send(
+        &self,
+        mut connection: Connection,
+        call: Call,
+    ) -> Result<(Connection, Parts, Bytes), Error> {
+        connection.sender.ready().await.map_err(no_response)?;
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(no_response)?;
+        connection.expect_next();
+        let response = connection.sender.send_request(request).await;
+        let response = response.map_err(no_response)?;
+        let (head, body) = response.into_parts();
+        let mut body = Limited::new(body, self.max_response_bytes);
+        let mut collected = BytesMut::new();
+        connection.expect_next();
+        while let Some(frame) = body.frame().await {
+            connection.expect_next();
+            let frame = frame.map_err(no_response)?;
+            collected.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        Ok((connection, head, collected.freeze()))
+    }
 }
 
 fn no_response(reason: impl ToString) -> Error {
--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -108,6 +108,7 @@
     };
     let body = Full::new(template.body.clone());
     let request = request.body(body).map_err(|_| unsent)?;
+    connection.expect_next();
     let result = connection.sender.try_send_request(request).await;
     if is_new && !plan.is_detour() {
         match result {
--- a/camphorweir-entry/src/front/pool.rs
+++ b/camphorweir-entry/src/front/pool.rs
@@ -9,10 +9,16 @@
         collections::HashMap,
         io,
         net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex, PoisonError},
+        pin::Pin,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
         net::{TcpSocket, TcpStream},
         task::JoinHandle,
         time::{Instant, timeout},
@@ -30,6 +36,9 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Limit on the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Limit on what may arrive until the head of a response, or the next piece of its body, is complete,
+/// in bytes: interim responses, chunk sizes, trailers, and what is read ahead.
+const MAX_BYTES_TO_NEXT: usize = 4 * MAX_HEAD_BYTES;
 
 /// An HTTP/1.1 connection; closed when dropped.
 #[derive(Debug)]
@@ -37,6 +46,8 @@
     /// Sends one request at a time.
     pub sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Bytes that may still be received; see [`Metered`].
+    allowance: Arc<AtomicUsize>,
     expires_at: Instant,
 }
 
@@ -61,9 +72,14 @@
         let connect = connect_from(source, address);
         let stream = timeout(time_limit.min(CONNECT_TIMEOUT), connect).await??;
         stream.set_nodelay(true)?;
+        let allowance = Arc::new(AtomicUsize::new(MAX_BYTES_TO_NEXT));
+        let metered = Metered {
+            stream,
+            allowance: allowance.clone(),
+        };
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(metered))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -73,9 +89,78 @@
         Ok(Self {
             sender,
             driver,
+            allowance,
             expires_at: Instant::now() + MAX_IDLE,
         })
     }
+
+    /// Allows the bytes up to the next head, or the next piece of a body. To be called before each of
+    /// them is awaited.
+    pub fn expect_next(&self) {
+        self.allowance.store(MAX_BYTES_TO_NEXT, Ordering::Relaxed);
+    }
+}
+
+/// A stream that fails once more bytes have arrived than are allowed. The HTTP library limits a
+/// head, but neither the number of interim responses before it nor the length of a chunk size.
+struct Metered {
+    stream: TcpStream,
+    allowance: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let count = buffer.filled().len() - before;
+        let allowed = self.allowance.load(Ordering::Relaxed);
+        if count > allowed {
+            let reason = "too many bytes that are no response";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        // An allowance that is renewed at the same moment is meant for bytes that arrive later.
+        let _ = self.allowance.compare_exchange(
+            allowed,
+            allowed - count,
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -30,9 +30,6 @@
     tokio::time::{sleep, timeout},
 };
 
-/// Limit on a complete response body of a target, in bytes; far above what plain services send.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Requests that arrive later than this after shutdown began are refused, as a stream could not
 /// finish before the process has to end; the load balancer has sent new connections elsewhere by
 /// then.
@@ -341,8 +338,16 @@
         return Ok(Reply::Stream(Box::new(reply)));
     }
     let (mut parts, body) = reply.response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|_| (Failure::Broken, None))?.to_bytes();
+    let body = state.collector().collect(body, &reply.connection).await;
+    let body = body.map_err(|error| {
+        log::warn!(
+            request:% = admitted.id,
+            target_name:% = plan.target,
+            reason:% = error;
+            "no whole response from the target"
+        );
+        (Failure::Broken, None)
+    })?;
     let is_reusable = !reply.info.closes_connection && !plan.is_detour();
     if is_reusable && admitted.route.kind != Kind::AtMostOnce {
         let max_idle = plan.max_connections;
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         front::{
-            client::Client, clock::Clock, feed::Feed, gossip::Instances, metrics::Metrics,
-            pool::Pool, stall::Reports,
+            body::Collector, client::Client, clock::Clock, feed::Feed, gossip::Instances,
+            metrics::Metrics, pool::Pool, stall::Reports,
         },
         units::millis,
     },
@@ -43,6 +43,7 @@
     clock: Clock,
     router: Mutex<Router>,
     pool: Pool,
+    collector: Collector,
     stall_reports: Reports,
     feed: Feed,
     metrics: Metrics,
@@ -82,6 +83,7 @@
             clock,
             router: Mutex::new(router),
             pool: Pool::default(),
+            collector: Collector::default(),
             stall_reports: Reports::default(),
             feed: Feed::default(),
             metrics,
@@ -116,9 +118,14 @@
         &self.0.pool
     }
 
+    /// Collects whole responses of targets.
+    pub fn collector(&self) -> &Collector {
+        &self.0.collector
+    }
+
     /// A client for calls to the target at an address.
     pub fn target_client(&self, address: SocketAddr) -> Client {
-        Client::from_source(address, self.0.settings.target_source)
+        Client::to_target(address, self.0.settings.target_source)
     }
 
     /// Cached reports of targets about stalled streams.
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -57,8 +57,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Whether an event has been forwarded.
     event_sent: bool,
-    /// When a response head or data last arrived from the target.
-    last_received: Instant,
+    /// When a response head or a whole event last arrived from the target.
+    last_event_at: Instant,
     /// Wakes the task to check whether the stream is stalled.
     stall_timer: Pin<Box<Sleep>>,
     /// The running stall check, if any; completes with the address of the faulty hop.
@@ -85,6 +85,7 @@
     /// The phase in which events come from a target: `body` arrives on `connection`, after a head
     /// decoded to `info`.
     fn streaming(body: Incoming, connection: Connection, info: &Info) -> Self {
+        connection.expect_next();
         Self::Streaming(Box::new(Upstream {
             body,
             connection,
@@ -112,7 +113,7 @@
             splitter: Splitter::default(),
             last_event_id: None,
             event_sent: false,
-            last_received: Instant::now(),
+            last_event_at: Instant::now(),
             stall_timer: Box::pin(sleep(STALL_CHECK_DELAY)),
             stall_check: None,
         }
@@ -151,7 +152,7 @@
             };
             let now = Instant::now();
             let suspect = job.state.router().is_plan_suspect(plan, job.state.now());
-            let due = self.last_received
+            let due = self.last_event_at
                 + if suspect {
                     SUSPECT_STALL_CHECK_DELAY
                 } else {
@@ -300,7 +301,7 @@
                     match result {
                         Err(refusal) => return self.abort(refusal.code),
                         Ok((plan, reply)) => {
-                            self.last_received = Instant::now();
+                            self.last_event_at = Instant::now();
                             self.plan = Some(plan);
                             let body = reply.response.into_body();
                             self.phase = Phase::streaming(body, reply.connection, &reply.info);
@@ -315,14 +316,18 @@
                         }
                         continue;
                     };
+                    upstream.connection.expect_next();
                     let failed = match polled {
                         Some(Ok(frame)) => {
-                            self.last_received = Instant::now();
-                            self.stall_check = None;
                             let Ok(chunk) = frame.into_data() else {
                                 continue;
                             };
                             let events = self.splitter.push(&chunk);
+                            // Bytes that complete no event are no progress.
+                            if events.count > 0 {
+                                self.last_event_at = Instant::now();
+                                self.stall_check = None;
+                            }
                             if events.last_id.is_some() {
                                 self.last_event_id = events.last_id;
                             }
--- a/camphorweir-relay/src/sse.rs
+++ b/camphorweir-relay/src/sse.rs
@@ -2,8 +2,9 @@
 
 use std::ops::Range;
 
-/// Limit on the bytes of one event; a larger one ends the stream as malformed.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Limit on the bytes of one event; a larger one ends the stream as malformed. An event has a few
+/// tokens, and an instance has a hundred streams and more.
+pub const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod calls;
 mod cuts;
+mod endless;
 mod lists;
 #[path = "../support/port.rs"]
 mod port;
