Let a stream that can't go on elsewhere wait for a target that is silent for a moment

What callers saw: a stream that may not be resumed was ended 0.6 s after its first target fell silent (350 ms without data, then no report within 250 ms), though the target went on after a second.

Cause: a stall was found and the stream given up before anything asked whether it could go on at another target.

Change: a stalled stream is given up at once only if another send is allowed: its route lets it resume, it has runs left and the retry budget has one. Otherwise it waits 1.25 s more from the first question, 1.6 s of silence in all, and ends visibly then. Streams that may be resumed go on elsewhere as before: their next event comes sooner than from a target that is silent for a second.

Ruled out: waiting for all streams. A stream on a dark target would resume after 1.6 s in place of 0.6 s, and callers leave after two.

--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -239,7 +239,6 @@
     admitted: &mut Admission,
     template: &Template,
 ) -> Result<Forwarded, Refusal> {
-    let id = admitted.id.clone();
     loop {
         let now = state.now();
         let planned = state.router().plan(admitted, now);
@@ -259,7 +258,7 @@
             admitted,
         };
         let send = send_once(state, guard.admitted, &plan, template);
-        let send = with_stall_check(state, &id, &plan, send);
+        let send = with_stall_check(state, guard.admitted, &plan, send);
         let result = timeout(time_left, send).await;
         let failure = match result {
             Ok(Ok(Reply::Whole(response))) => {
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -4,7 +4,10 @@
 use {
     crate::front::{exchange::SendError, state::State},
     camphorweir_platform::control::{control_decode_stalled, control_report_call},
-    camphorweir_relay::{retry::Failure, router::Plan},
+    camphorweir_relay::{
+        retry::Failure,
+        router::{Admission, Plan},
+    },
     std::{
         collections::HashMap,
         future::Future,
@@ -26,6 +29,9 @@
 pub const SUSPECT_STALL_CHECK_DELAY: Duration = Duration::from_millis(150);
 /// Pause before the next request to a target that reported no stall.
 const RECHECK_PAUSE: Duration = Duration::from_millis(250);
+/// How long a stream that can't go on elsewhere waits for a hop that seems stalled, after the first
+/// question; a sound target may be silent for a second, and callers leave after two.
+const SILENCE_PATIENCE: Duration = Duration::from_millis(1_250);
 /// Pause between questions to a target without layers that is late.
 const SLOW_TARGET_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a report request; within the zone the response takes a few ms.
@@ -63,7 +69,7 @@
 /// The error of `send`, or [`Failure::Broken`] with the address of the unresponsive hop.
 pub async fn with_stall_check<T>(
     state: &State,
-    id: &str,
+    request: &Admission,
     plan: &Plan,
     send: impl Future<Output = Result<T, SendError>>,
 ) -> Result<T, SendError> {
@@ -73,7 +79,7 @@
     let stall = async {
         sleep(STALL_CHECK_DELAY).await;
         match plan.path() {
-            Some(_) => wait_for_stall(state, id, plan).await,
+            Some(_) => wait_for_stall(state, request, plan).await,
             None => watch_slow_target(state, plan).await,
         }
     };
@@ -95,17 +101,31 @@
     }
 }
 
-/// Waits until a stream is found to be stalled; returns the address of the faulty hop.
-pub async fn wait_for_stall(state: &State, id: &str, plan: &Plan) -> SocketAddr {
+/// Waits until a stream is found to be stalled; returns the address of the faulty hop. A stream that
+/// can't go on elsewhere is left [`SILENCE_PATIENCE`] in addition, as the hop may be silent for a
+/// moment only.
+pub async fn wait_for_stall(state: &State, request: &Admission, plan: &Plan) -> SocketAddr {
+    let asked_at = Instant::now();
     loop {
-        match fetch_stalled(state, plan).await {
-            None => return plan.address,
+        let faulty_target = match fetch_stalled(state, plan).await {
+            None => Some(plan.address),
             Some(stalled) => {
                 let mut stalled = stalled.into_iter();
-                if let Some((_, faulty_target)) = stalled.find(|(stream, _)| stream == id) {
-                    return faulty_target;
-                }
+                let own = stalled.find(|(stream, _)| **stream == *request.id);
+                own.map(|(_, faulty_target)| faulty_target)
+            }
+        };
+        if let Some(faulty_target) = faulty_target {
+            let now = state.now();
+            let may_give_up = state.router().may_give_up(request, now);
+            if may_give_up || asked_at.elapsed() >= SILENCE_PATIENCE {
+                return faulty_target;
             }
+            log::debug!(
+                request:% = request.id,
+                at:% = faulty_target;
+                "stalled stream waits, as it can't go on elsewhere"
+            );
         }
         sleep(RECHECK_PAUSE).await;
     }
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -166,10 +166,10 @@
                 self.stall_timer.as_mut().reset(next);
                 continue;
             }
-            let (state, id, plan) = (job.state.clone(), job.request.id.clone(), plan.clone());
-            self.stall_check = Some(Box::pin(
-                async move { wait_for_stall(&state, &id, &plan).await },
-            ));
+            let (state, request, plan) = (job.state.clone(), job.request.clone(), plan.clone());
+            self.stall_check = Some(Box::pin(async move {
+                wait_for_stall(&state, &request, &plan).await
+            }));
         }
         match &mut self.stall_check {
             Some(stall_check) => stall_check.as_mut().poll(cx),
@@ -257,7 +257,7 @@
             &job.template,
             last_event_id.as_deref(),
         );
-        let send = with_stall_check(&job.state, &job.request.id, &plan, send);
+        let send = with_stall_check(&job.state, &job.request, &plan, send);
         let result = timeout(time_left, send).await;
         let error: SendError = match result {
             Ok(Ok(reply)) if reply.response.status().is_success() => {
--- a/camphorweir-relay/src/budget.rs
+++ b/camphorweir-relay/src/budget.rs
@@ -62,17 +62,22 @@
     /// Takes a retry from the budget; `false` when none is left. `share` is this instance's share
     /// of the allowance of all instances; the share of a peer that is down is not used by others.
     pub fn try_retry(&mut self, service: &ServiceName, now: Time, share: f64) -> bool {
+        let has_retry = self.has_retry(service, now, share);
+        if has_retry && let Some(usage) = self.services.get_mut(service) {
+            usage.retries.push_back(now);
+        }
+        has_retry
+    }
+
+    /// Whether a retry is left in the budget.
+    pub fn has_retry(&mut self, service: &ServiceName, now: Time, share: f64) -> bool {
         let since = now.saturating_sub(self.policy.window);
         let usage = self.services.entry(service.clone()).or_default();
         drop_before(&mut usage.requests, since);
         drop_before(&mut usage.retries, since);
         let allowed =
             self.policy.ratio * usage.requests.len() as f64 + self.policy.base_retries * share;
-        if usage.retries.len() as f64 + 1.0 > allowed * USED_PART {
-            return false;
-        }
-        usage.retries.push_back(now);
-        true
+        usage.retries.len() as f64 + 1.0 <= allowed * USED_PART
     }
 }
 
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -484,6 +484,17 @@
         decision
     }
 
+    /// Whether a request could go elsewhere if the send under way were given up. If not, a target that
+    /// is silent may still go on, and the request has to wait for that.
+    pub fn may_give_up(&mut self, request: &Admission, now: Time) -> bool {
+        let mut counts = request.counts;
+        counts.runs += 1;
+        let route = &request.route;
+        let decision = retry_decide(route.kind, route.max_runs, &counts, Failure::Broken);
+        let share = self.retry_share();
+        decision == Decision::Again && self.budget.has_retry(&request.service, now, share)
+    }
+
     /// The digest of load and ejections for peers; the caller fills in the sender's fields. While
     /// the own links are in doubt it names no failing target.
     pub fn digest(&self, now: Time) -> Digest {
--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -203,6 +203,8 @@
 pub enum Cut {
     /// Open connections and new ones stay silent.
     Silent,
+    /// Open connections and new ones are silent, and go on afterwards.
+    Paused,
     /// Open connections and new ones are closed.
     Reset,
     /// New connections are closed; open ones go on.
@@ -234,11 +236,13 @@
         let _ = cuts.wait_for(|cuts| is_cut(cuts.get(&client))).await;
     }
 
-    /// Waits until the connections of a client are not silent.
-    async fn wait_for_end_of_silence(&self, client: IpAddr) {
+    /// Waits until the connections of a client are not silent; returns whether they go on then.
+    async fn wait_for_end_of_silence(&self, client: IpAddr) -> bool {
+        let goes_on = self.get(client) == Some(Cut::Paused);
         let mut cuts = self.0.subscribe();
-        let is_silent = |cut: Option<&Cut>| cut == Some(&Cut::Silent);
+        let is_silent = |cut: Option<&Cut>| matches!(cut, Some(Cut::Silent | Cut::Paused));
         let _ = cuts.wait_for(|cuts| !is_silent(cuts.get(&client))).await;
+        goes_on
     }
 }
 
@@ -271,13 +275,17 @@
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             tokio::spawn(async move {
                 tokio::pin!(connection);
-                tokio::select! {
-                    biased;
-                    () = cuts.wait_for_start(client) => {}
-                    // A response that is cut ends the connection with an error.
-                    _ = connection.as_mut() => return,
+                loop {
+                    tokio::select! {
+                        biased;
+                        () = cuts.wait_for_start(client) => {}
+                        // A response that is cut ends the connection with an error.
+                        _ = connection.as_mut() => return,
+                    }
+                    if !cuts.wait_for_end_of_silence(client).await {
+                        return;
+                    }
                 }
-                cuts.wait_for_end_of_silence(client).await;
             });
         }
     });
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -267,9 +267,14 @@
         .unwrap()
 }
 
-/// A request for a stream.
+/// A request for a stream that may go on at another target.
 pub(crate) fn stream(id: &str) -> Request<Full<Bytes>> {
-    let mut request = plain("/text/a", id, KEYS[0]);
+    stream_of("/text/a", id)
+}
+
+/// A request for a stream of a route.
+pub(crate) fn stream_of(path: &str, id: &str) -> Request<Full<Bytes>> {
+    let mut request = plain(path, id, KEYS[0]);
     request
         .headers_mut()
         .insert("x-token-usage", "10,24".parse().unwrap());
--- a/camphorweir-standin/tests/front/cuts.rs
+++ b/camphorweir-standin/tests/front/cuts.rs
@@ -1,14 +1,14 @@
 //! Entries that are cut off from all targets while callers, the store and peers reach them.
 
 use {
-    crate::bench::{Answer, Bench, KEYS, call, plain, stream},
+    crate::bench::{Answer, Bench, KEYS, call, plain, stream, stream_of, until},
     camphorweir_standin::{
         http1::Cut,
-        platform_target::{STREAM_EVENTS, event},
+        platform_target::{ResponseFault, STREAM_EVENTS, event},
     },
     futures::future::join_all,
     std::{net::SocketAddr, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 /// An entry that is cut off has to serve its callers again within this time.
@@ -96,3 +96,43 @@
 async fn most_entries_of_a_zone_without_links_to_targets_serve_their_callers() {
     callers_are_served(Cut::Silent, &[0, 2]).await;
 }
+
+/// Targets fall silent this long and go on.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// They are used again within this time.
+const USED_AGAIN: Duration = Duration::from_millis(1_000);
+
+#[tokio::test]
+async fn a_silence_of_a_second_ends_no_request_and_gives_no_target_up() {
+    let bench = Bench::start(1).await;
+    for part in &bench.parts {
+        part.inject(ResponseFault::Slow);
+    }
+    let front = bench.front();
+    let mut request = stream_of("/once/a", "once");
+    let patient = "8000".parse().unwrap();
+    request.headers_mut().insert("x-deadline-ms", patient);
+    let stream = tokio::spawn(async move { call(front, &request).await });
+    until("the stream", || async {
+        (bench.runs("once") == 1).then_some(())
+    })
+    .await;
+    bench.cut(0, Some(Cut::Paused));
+    let seal = tokio::spawn(async move { call(front, &plain("/seal/b", "seal", KEYS[0])).await });
+    sleep(SILENCE).await;
+    bench.cut(0, None);
+    let after = Instant::now();
+    let stream = stream.await.unwrap();
+    let all: String = (1..=STREAM_EVENTS).map(event).collect();
+    assert_eq!((stream.status, stream.whole), (200, true));
+    assert_eq!(stream.body, all);
+    assert_eq!((seal.await.unwrap().status, bench.runs("seal")), (200, 1));
+    assert_eq!(bench.runs("once"), 1);
+    until("requests are served", || async {
+        let answer = call(front, &crate::bench::stream("again")).await;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    let slow = Duration::from_millis(400) * STREAM_EVENTS as u32;
+    assert!(after.elapsed() < USED_AGAIN + 2 * slow);
+}
--- a/camphorweir-standin/tests/support/site.rs
+++ b/camphorweir-standin/tests/support/site.rs
@@ -8,7 +8,7 @@
         json!({
             "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
             "timeoutMs": 8000, "targetLatencyMs": 500, "service": service,
-            "maxAttempts": attempts, "resumable": kind == "streaming",
+            "maxAttempts": attempts, "resumable": prefix == "/text/",
         })
     };
     let tenants = keys
@@ -21,6 +21,7 @@
             route("/seal/", "non_idempotent", "ledger", 1),
             route("/look/", "idempotent", "ledger", 2),
             route("/text/", "streaming", "scribe", 2),
+            route("/once/", "streaming", "scribe", 2),
         ],
         "services": [
             {"name": "ledger", "maxConnections": 100},
