A test of late copies of answers on connections in use again

Operators of similar systems saw a second copy of an answer reach the next caller. The test plays a target that sends its first answer on each connection twice: while the connection is idle, and before the next answer. No caller gets an answer that names another attempt, and at least half get their own (one that met the copy is sent again). Refusals that name no attempt can't be copies, as the connection of a refusal is dropped.

--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod calls;
+mod copies;
 mod cuts;
 mod endless;
 mod lists;
