Offer a request to the next peer when an earlier release can't serve it

Cause: an entry of an earlier release takes a request that goes through it for a poll of its feed and refuses its path or body, without naming the attempt. That was read as a broken exchange, so a seal ended as unknown during an upgrade although nothing had run.

Change: a 404 or 400 from a peer that names no attempt counts as turned away. Entries of this release name the attempt in every answer of their own.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     camphorweir_platform::{
         head::{head_encode, head_encode_detour},
-        response::{Info, response_decode},
+        response::{Info, response_decode, response_names_attempt},
     },
     camphorweir_relay::{
         configuration::Kind,
@@ -21,7 +21,7 @@
     },
     http_body_util::Full,
     hyper::{
-        HeaderMap, Method, Request, Response,
+        HeaderMap, Method, Request, Response, StatusCode,
         body::Incoming,
         header::HeaderValue,
         http::{request, response::Parts},
@@ -122,7 +122,7 @@
         None => (Failure::Broken, None),
     })?;
     let (mut parts, body) = response.into_parts();
-    if plan.is_detour() && parts.headers.contains_key(TURNED_AWAY_HEADER) {
+    if plan.is_detour() && is_turned_away(&parts) {
         return Err((Failure::Refused, None));
     }
     let info = response_decode(&parts, &admitted.id);
@@ -216,3 +216,14 @@
         parts.headers.insert(LEAVING_TARGET_HEADER, value);
     }
 }
+
+/// Whether a peer did not look at a request. An instance of an earlier release serves none for peers:
+/// it refuses the path or the body, and names no attempt.
+fn is_turned_away(parts: &Parts) -> bool {
+    let is_unknown = matches!(
+        parts.status,
+        StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST
+    );
+    let names_attempt = response_names_attempt(&parts.headers);
+    parts.headers.contains_key(TURNED_AWAY_HEADER) || is_unknown && !names_attempt
+}
