--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -22,6 +22,11 @@
 /// Pause after each event of a stream slowed by [`ResponseFault::Slow`].
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause after each byte of a stream that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
+/// Number of those bytes, a minute of them.
+const TRICKLED_BYTES: usize = 1_200;
+
 /// A fault in the response to one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseFault {
@@ -39,6 +44,8 @@
     CutAtOnce,
     /// Stalls a stream for 60 s after this event.
     StallAfter(usize),
+    /// Sends a byte now and then after this event, and no other event.
+    TrickleAfter(usize),
     /// Sends the events of a stream slowly.
     Slow,
     /// Executes the call and answers 500.
@@ -354,6 +361,13 @@
         }
         steps.push(BodyStep::Bytes(bytes));
         steps.push(BodyStep::Pause(pause));
+        if fault == Some(ResponseFault::TrickleAfter(number)) {
+            for _ in 0..TRICKLED_BYTES {
+                steps.push(BodyStep::Bytes(b":".to_vec()));
+                steps.push(BodyStep::Pause(TRICKLE_PAUSE));
+            }
+            return steps;
+        }
         if fault == Some(ResponseFault::StallAfter(number)) {
             steps.push(BodyStep::Pause(Duration::from_secs(60)));
         }
--- a/camphorweir-standin/tests/front/streams.rs
+++ b/camphorweir-standin/tests/front/streams.rs
@@ -67,8 +67,8 @@
     assert_eq!(bench.runs("s1"), 2);
 }
 
-#[tokio::test]
-async fn a_stream_that_stalls_on_a_dead_hop_goes_on_elsewhere() {
+/// Plays a fault at a stream's first target, which reports that the last hop doesn't answer.
+async fn goes_on_elsewhere(fault: ResponseFault) {
     let bench = Bench::start(1).await;
     let last = bench
         .parts
@@ -76,7 +76,7 @@
         .find(|part| part.layers().is_some_and(|(_, to)| to == 10));
     let address = last.unwrap().address();
     for part in &bench.parts {
-        part.inject(ResponseFault::StallAfter(2));
+        part.inject(fault);
         part.report_stalled_hop("s1", address);
     }
     let begun = Instant::now();
@@ -87,6 +87,16 @@
     assert!(begun.elapsed().as_millis() < 2_000);
 }
 
+#[tokio::test]
+async fn a_stream_that_stalls_on_a_dead_hop_goes_on_elsewhere() {
+    goes_on_elsewhere(ResponseFault::StallAfter(2)).await;
+}
+
+#[tokio::test]
+async fn a_stream_that_trickles_goes_on_elsewhere() {
+    goes_on_elsewhere(ResponseFault::TrickleAfter(2)).await;
+}
+
 #[tokio::test]
 async fn a_stream_of_a_caller_that_leaves_ends_at_the_target() {
     let bench = Bench::start(1).await;
