--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -201,6 +201,16 @@
         }
     }
 
+    /// Ends every entry at one moment, as a loss of power does, and starts new ones.
+    pub(crate) async fn replace_entries(&mut self) {
+        let count = self.entries.len();
+        self.entries.clear();
+        for index in 0..count {
+            let entry = self.entry(index).await;
+            self.entries.push(entry);
+        }
+    }
+
     /// Cuts an entry off from all targets, or ends the cut with `None`.
     pub(crate) fn cut(&self, entry: usize, cut: Option<Cut>) {
         for target in self.calls.iter().chain(&self.parts) {
--- a/camphorweir-standin/tests/front/lists.rs
+++ b/camphorweir-standin/tests/front/lists.rs
@@ -12,6 +12,8 @@
 
 /// A configuration is in force within this time.
 const CONFIGURE: Duration = Duration::from_secs(2);
+/// Entries that start anew serve within this time.
+const RECOVERY: Duration = Duration::from_secs(12);
 /// A revoked key stops within this time.
 const REVOKE: Duration = Duration::from_secs(5);
 
@@ -242,3 +244,32 @@
     let answer = call(bench.front(), &plain("/look/b", "a3", KEYS[0])).await;
     assert_eq!(answer.status, 200);
 }
+
+#[tokio::test]
+async fn entries_that_all_lost_power_serve_again_from_the_store_and_the_targets_alone() {
+    let mut bench = Bench::start(3).await;
+    let orders = |bench: &Bench| -> usize {
+        let parts = bench.parts.iter();
+        parts.map(|part| part.fencing_tokens().len()).sum()
+    };
+    bench.configure(7, &KEYS[..1]);
+    sleep(CONFIGURE).await;
+    let before = orders(&bench);
+    bench.replace_entries().await;
+    let begun = Instant::now();
+    for entry in &bench.entries {
+        until("ready", || async { is_ready(entry).await.then_some(()) }).await;
+        until("a stream", || async {
+            let answer = call(entry.callers, &stream("s")).await;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+        let revoked = call(entry.callers, &plain("/seal/b", "a1", KEYS[1])).await;
+        let valid = call(entry.callers, &plain("/seal/b", "a2", KEYS[0])).await;
+        assert_eq!((revoked.status, valid.status), (401, 200));
+    }
+    assert!(begun.elapsed() < RECOVERY, "{:?}", begun.elapsed());
+    // The targets still hold their layers, and say so.
+    sleep(CONFIGURE).await;
+    assert_eq!(orders(&bench), before);
+}
