Split the reports between instances and the list of instances into modules of their own

Change: relay::reports has what instances tell each other of targets, front::instances the other instances and their addresses, and the end of a detour is decided beside its plan. No behaviour is meant to change by that.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -39,6 +39,7 @@
     first_event: DurationHistogram,
     workspace_names: WorkspaceLabels,
     targets: Gauge<u64>,
+    cut_off: Gauge<u64>,
     layers: Gauge<u64>,
     configuration_version: Gauge<u64>,
     configuration_age: Gauge<f64>,
@@ -93,6 +94,10 @@
             ),
             workspace_names: WorkspaceLabels::default(),
             targets: gauge("camphorweir.targets", "Targets, by state"),
+            cut_off: gauge(
+                "camphorweir.services.cut_off",
+                "Services of which no target can be reached from here",
+            ),
             layers: gauge(
                 "camphorweir.layers",
                 "Layers, by zone and number of live copies",
@@ -193,6 +198,8 @@
             (unresponsive - seen_here) as u64,
             &by_state("silent_to_peers"),
         );
+        self.cut_off
+            .record(router.lost_services().count() as u64, &[]);
         for (zone, copies, layers) in router.layer_copies(now) {
             let labels = [
                 KeyValue::new("zone", zone.to_string()),
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -8,6 +8,7 @@
 pub mod feed;
 pub mod follow;
 pub mod gossip;
+pub mod instances;
 pub mod listen;
 pub mod metrics;
 pub mod placement;
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         front::{
-            body::Collector, client::Client, clock::Clock, feed::Feed, gossip::Instances,
+            body::Collector, client::Client, clock::Clock, feed::Feed, instances::Instances,
             metrics::Metrics, pool::Pool, stall::Reports,
         },
         units::millis,
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -263,6 +263,8 @@
             Ok(Ok(reply)) if reply.response.status().is_success() => {
                 return (job, Ok((plan, reply)));
             }
+            // A peer that serves for this instance refuses what it can't place either.
+            Ok(Ok(_)) if plan.is_detour() => (Failure::Refused, None),
             Ok(Ok(_)) => (Failure::Broken, None),
             Ok(Err(error)) => error,
             Err(_) => (Failure::Broken, None),
@@ -273,6 +275,18 @@
             .state
             .router()
             .finish_send(&mut job.request, &plan, outcome, now);
+        job.state.wake_prober();
+        job.state
+            .metrics()
+            .record_send_failure(failure_label(error.0));
+        log::info!(
+            request:% = job.request.id,
+            target_name:% = plan.target,
+            failure:? = error.0,
+            at:? = error.1,
+            next:? = decision;
+            "send of a resumed stream failed"
+        );
         if let Decision::End(code) = decision {
             let refusal = job.state.router().refusal(&job.request, code);
             return (job, Err(refusal));
--- a/camphorweir-relay/src/detour.rs
+++ b/camphorweir-relay/src/detour.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         ids::{Time, Zone},
-        router::{Admission, Destination, Plan, Router},
+        retry::{Decision, Failure},
+        router::{Admission, Destination, Outcome, Plan, Router},
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
@@ -127,12 +128,28 @@
         })
     }
 
-    /// Leaves out the peer of a detour that failed; `was_refused` if the peer turned it away.
-    pub(crate) fn record_failed_detour(&mut self, plan: &Plan, was_refused: bool, now: Time) {
-        let pause = match was_refused {
-            true => REFUSED_PAUSE,
-            false => FAILED_PAUSE,
-        };
-        self.detours.leave_out(&plan.target, now + pause);
+    /// Ends a send through a peer, which counts runs and retries against its own budget.
+    pub(crate) fn finish_detour(
+        &mut self,
+        request: &mut Admission,
+        plan: &Plan,
+        outcome: Outcome,
+        now: Time,
+    ) -> Decision {
+        match outcome {
+            Outcome::Cancelled => Decision::End(Code::CallerGone),
+            Outcome::Answered { .. } => {
+                request.counts.runs += 1;
+                Decision::End(Code::TargetFailed)
+            }
+            Outcome::Failed(failure, _) => {
+                let pause = match failure {
+                    Failure::Refused => REFUSED_PAUSE,
+                    Failure::Unsent | Failure::Outdated | Failure::Broken => FAILED_PAUSE,
+                };
+                self.detours.leave_out(&plan.target, now + pause);
+                self.decide_after_failure(request, failure, now)
+            }
+        }
     }
 }
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod path;
 pub mod peers;
 pub mod placement;
+mod reports;
 pub mod retry;
 pub mod roles;
 pub mod router;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -7,20 +7,16 @@
         configuration::{Configuration, Engine, Route},
         contact::Contacts,
         detour::Detours,
-        fleet::{Fleet, Target},
+        fleet::Fleet,
         head::Head,
-        ids::{RequestId, ServiceName, TargetId, Time, Workspace, Zone, ids_tag},
+        ids::{RequestId, ServiceName, TargetId, Time, Workspace, Zone},
         path::Path,
         peers::Peers,
         retry::{Counts, Decision, Failure, retry_decide, retry_final_code},
         settings::Bounds,
         tracker::Tracker,
     },
-    camphorweir_wire::{
-        code::Code,
-        digest::{Digest, Failing, Load, MEMORY_UNIT_TOKEN_LAYERS, Scope, Summary},
-        outcome::Refusal,
-    },
+    camphorweir_wire::{code::Code, outcome::Refusal},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -407,27 +403,6 @@
         }
     }
 
-    /// Ends a send through a peer, which counts runs and retries against its own budget.
-    fn finish_detour(
-        &mut self,
-        request: &mut Admission,
-        plan: &Plan,
-        outcome: Outcome,
-        now: Time,
-    ) -> Decision {
-        match outcome {
-            Outcome::Cancelled => Decision::End(Code::CallerGone),
-            Outcome::Answered { .. } => {
-                request.counts.runs += 1;
-                Decision::End(Code::TargetFailed)
-            }
-            Outcome::Failed(failure, _) => {
-                self.record_failed_detour(plan, failure == Failure::Refused, now);
-                self.decide_after_failure(request, failure, now)
-            }
-        }
-    }
-
     fn finish_failed_send(
         &mut self,
         request: &mut Admission,
@@ -455,7 +430,8 @@
         self.decide_after_failure(request, failure, now)
     }
 
-    fn decide_after_failure(
+    /// Counts a failed send and decides what follows.
+    pub(crate) fn decide_after_failure(
         &mut self,
         request: &mut Admission,
         failure: Failure,
@@ -495,92 +471,6 @@
         decision == Decision::Again && self.budget.has_retry(&request.service, now, share)
     }
 
-    /// The digest of load and ejections for peers; the caller fills in the sender's fields. While
-    /// the own links are in doubt it names no failing target.
-    pub fn digest(&self, now: Time) -> Digest {
-        let loads = self.tracker.with_streams().map(|(target, state)| Load {
-            target: ids_tag(target),
-            streams: u16::try_from(state.streams).unwrap_or(u16::MAX),
-            first_stage: u16::try_from(state.in_flight).unwrap_or(u16::MAX),
-            memory: (state.token_layers / MEMORY_UNIT_TOKEN_LAYERS).ceil() as u32,
-        });
-        let failing = self
-            .tracker
-            .failing(now)
-            .filter(|(target, _)| !self.is_target_in_doubt(target))
-            .map(|(target, remaining)| Failing {
-                target: ids_tag(target),
-                excluded_ms: u16::try_from(remaining.as_millis()).unwrap_or(u16::MAX),
-                unresponsive: self.tracker.state(target).is_unresponsive(now),
-            });
-        Digest {
-            loads: loads.collect(),
-            failing: failing.collect(),
-            ..Digest::default()
-        }
-    }
-
-    /// Whether the links to a target's service may be at fault.
-    fn is_target_in_doubt(&self, target: &TargetId) -> bool {
-        let target = self.fleet.get(target);
-        target.is_some_and(|target| self.is_in_doubt(&target.service))
-    }
-
-    /// Applies the digest of a peer; returns the targets that are unresponsive here from now on on
-    /// the word of that peer alone.
-    pub fn apply_digest(&mut self, digest: Digest, now: Time) -> Vec<TargetId> {
-        let failing = digest.failing.clone();
-        match self.peers.apply_digest(digest, now) {
-            true => self.record_failing(&failing, now),
-            false => Vec::new(),
-        }
-    }
-
-    /// Applies a summary of the load of many instances; returns the targets that are unresponsive
-    /// here from now on on the word of those instances alone.
-    pub fn apply_summary(&mut self, summary: Summary, now: Time) -> Vec<TargetId> {
-        if !self.peers.apply_summary(summary.clone(), now) {
-            return Vec::new();
-        }
-        if let Scope::TargetsOf(zone) = &summary.scope {
-            self.peers.use_summaries(now);
-            self.clear_recovered(zone, &summary);
-        }
-        self.record_failing(&summary.failing, now)
-    }
-
-    /// Clears what peers reported of the targets that a summary covers and does not list as failing.
-    fn clear_recovered(&mut self, zone: &str, summary: &Summary) {
-        let is_covered = |target: &&Target| {
-            let tag = ids_tag(&target.id);
-            *target.zone == *zone
-                && tag % summary.parts.max(1) == summary.part
-                && !summary.failing.iter().any(|failing| failing.target == tag)
-        };
-        for target in self.fleet.targets().filter(is_covered) {
-            self.tracker.clear_peer_report(&target.id);
-        }
-    }
-
-    fn record_failing(&mut self, failing: &[Failing], now: Time) -> Vec<TargetId> {
-        let mut newly_unresponsive = Vec::new();
-        for failing in failing {
-            if let Some(target) = self.fleet.by_tag(failing.target) {
-                let remaining = Duration::from_millis(failing.excluded_ms.into());
-                let is_new = self.tracker.record_peer_ejection(
-                    &target.id,
-                    now,
-                    remaining,
-                    failing.unresponsive,
-                );
-                if is_new {
-                    newly_unresponsive.push(target.id.clone());
-                }
-            }
-        }
-        newly_unresponsive
-    }
-
     /// Retry-After while targets of a service want no requests from this instance: the time until the
     /// first takes some, spread so that callers don't all return then; `None` if none is closed.
     fn wait_for_closed(&mut self, service: &str, now: Time) -> Option<Duration> {
