Drop a target whose record ended after an outage in time, at every instance

Cause, two faults in one place. A target whose record ends within 2.5 s after the store was lost is kept, as the record may only have lapsed; but the record of this one had been read after the store was back, so it had ended since: at 17.93 s, with the reader back at 17.49 s and the target kept to 20.12 s. And only the reader of a zone dropped what it kept: a follower kept such a target until it became the reader itself.

Change: a target is kept for 1.8 s from the last read that had its record, if that was after the outage, and for 2.5 s after the outage otherwise; every instance checks ten times a second.

--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -161,6 +161,7 @@
         .chain(removals)
         .partition(|change| change.list == List::Targets);
     apply_targets(state, &records(targets), update.is_snapshot);
+    state.router().fleet.record_list_read(targets_read_at);
     let instances = records(instances);
     if update.is_snapshot || !instances.is_empty() {
         state.apply_instances(&instances, update.is_snapshot);
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -11,7 +11,7 @@
             probe::probe_run,
             reload::{SettingsSource, reload_run},
             state::State,
-            watch::{watch_configuration, watch_targets},
+            watch::{watch_configuration, watch_lapses, watch_targets},
         },
         supervise::Supervisor,
     },
@@ -85,6 +85,8 @@
     let shared = state.clone();
     supervisor.spawn("targets", move || watch_targets(shared.clone()));
     let shared = state.clone();
+    supervisor.spawn("lapses", move || watch_lapses(shared.clone()));
+    let shared = state.clone();
     supervisor.spawn("duty", move || placement_run(shared.clone()));
     let shared = state.clone();
     supervisor.spawn("ask", move || probe_run(shared.clone()));
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -32,6 +32,8 @@
 /// Pause between reads of the list of targets; under half of the time after which a draining
 /// target must get no more requests.
 const TARGETS_READ_PAUSE: Duration = Duration::from_millis(850);
+/// Pause between checks for targets whose lapsed records were not renewed.
+const LAPSE_CHECK_PAUSE: Duration = Duration::from_millis(100);
 /// Time allowed for a response beyond the wait asked of the store. The store answers in 4 ms, and
 /// in a quarter of a second when it is slow.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
@@ -187,7 +189,15 @@
             }
         }
         sleep(TARGETS_READ_PAUSE).await;
-        let removed = state.router().fleet.remove_lapsed(state.now());
+    }
+}
+
+/// Removes targets whose records lapsed and were not renewed in time; never returns.
+pub async fn watch_lapses(state: State) {
+    loop {
+        sleep(LAPSE_CHECK_PAUSE).await;
+        let now = state.now();
+        let removed = state.router().fleet.remove_lapsed(now);
         for id in removed {
             log_change(&id, Change::Gone);
         }
@@ -210,6 +220,7 @@
         record_store_recovery(state, state.now());
     }
     apply_targets(state, &read.records, from.is_none());
+    state.router().fleet.record_list_read(started_at);
     state.feed().set_targets_read(started_at);
     Ok(read.next)
 }
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -16,6 +16,10 @@
 /// targets renew their records within two seconds; the rest is the time of one read of the list.
 const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 
+/// Time after a read of the list that still had a target's record for which the target is kept once
+/// the record has ended.
+const LISTED_GRACE: Duration = Duration::from_millis(1800);
+
 /// Time for which the last record of a removed target is remembered; longer than the store's copies
 /// are old.
 const REMOVED_MEMORY: Duration = Duration::from_secs(120);
@@ -65,8 +69,8 @@
     target: Target,
     /// When the target was first seen since its start.
     first_seen: Time,
-    /// When the record lapsed, if that was around an outage of the store.
-    lapsed_at: Option<Time>,
+    /// Until when the target is kept, if its record lapsed around an outage of the store.
+    kept_until: Option<Time>,
 }
 
 impl Entry {
@@ -85,6 +89,8 @@
     removed: HashMap<TargetId, (u64, u64, Time)>,
     /// When the store answered again after the last outage.
     store_recovered_at: Option<Time>,
+    /// Time as of which the list was last read.
+    list_read_at: Option<Time>,
     /// Identifiers by tag; those of removed targets stay until another target has the tag.
     ids_by_tag: HashMap<u32, TargetId>,
 }
@@ -128,7 +134,7 @@
         let entry = Entry {
             target,
             first_seen,
-            lapsed_at: None,
+            kept_until: None,
         };
         self.targets.insert(id, entry);
         change
@@ -152,19 +158,34 @@
         });
     }
 
+    /// Records that the list as it was at this time has been applied.
+    pub fn record_list_read(&mut self, at: Time) {
+        self.list_read_at = self.list_read_at.max(Some(at));
+    }
+
     /// Removes a target whose record ended. Around an outage of the store a target that does not
     /// drain is kept for a while, as its record may only have lapsed.
     pub fn remove(&mut self, id: &TargetId, now: Time) -> Option<Change> {
-        let is_recent = |time: Time| now.saturating_sub(time) < LAPSE_GRACE;
+        let kept_until = self.kept_until().filter(|until| *until > now);
         let entry = self.targets.get_mut(id)?;
-        if self.store_recovered_at.is_some_and(is_recent) && !entry.target.draining {
-            entry.lapsed_at = Some(now);
+        if kept_until.is_some() && !entry.target.draining {
+            entry.kept_until = kept_until;
             return Some(Change::Lapsed);
         }
         self.forget(id, now);
         Some(Change::Gone)
     }
 
+    /// Until when a target is kept whose record is found to have ended; `None` without an outage.
+    fn kept_until(&self) -> Option<Time> {
+        let recovered_at = self.store_recovered_at?;
+        let until = recovered_at + LAPSE_GRACE;
+        // The record was there at the last read; if that was after the outage, the target may as well
+        // have left since, and must get nothing two seconds after it did.
+        let read_at = self.list_read_at.filter(|at| *at >= recovered_at);
+        Some(read_at.map_or(until, |at| until.min(at + LISTED_GRACE)))
+    }
+
     /// Removes a target and remembers its last record.
     fn forget(&mut self, id: &TargetId, now: Time) {
         if let Some(entry) = self.targets.remove(id) {
@@ -184,7 +205,7 @@
         let missing: Vec<TargetId> = self
             .targets
             .iter()
-            .filter(|(id, entry)| !ids.contains(*id) && entry.lapsed_at.is_none())
+            .filter(|(id, entry)| !ids.contains(*id) && entry.kept_until.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         let changes = missing.into_iter();
@@ -195,16 +216,8 @@
 
     /// Removes targets whose lapsed records were not renewed in time.
     pub fn remove_lapsed(&mut self, now: Time) -> Vec<TargetId> {
-        let Some(recovered_at) = self.store_recovered_at else {
-            return Vec::new();
-        };
-        if now.saturating_sub(recovered_at) < LAPSE_GRACE {
-            return Vec::new();
-        }
-        let lapsed = self
-            .targets
-            .iter()
-            .filter(|(_, entry)| entry.lapsed_at.is_some());
+        let is_over = |entry: &Entry| entry.kept_until.is_some_and(|until| until <= now);
+        let lapsed = self.targets.iter().filter(|(_, entry)| is_over(entry));
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &removed {
             self.forget(id, now);
--- a/camphorweir-relay/tests/decide/fleet.rs
+++ b/camphorweir-relay/tests/decide/fleet.rs
@@ -100,3 +100,21 @@
     fleet.record_store_recovery(ms(10));
     assert_eq!(fleet.remove(&id("a"), ms(20)), Some(Change::Gone));
 }
+
+#[test]
+fn a_record_that_was_listed_after_an_outage_and_ends_is_not_kept_for_long() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(target("a", 1, 1), ms(0));
+    fleet.upsert(target("b", 1, 2), ms(0));
+    fleet.record_list_read(ms(500));
+    fleet.record_store_recovery(ms(1_000));
+    // Its record may have lapsed in the outage.
+    assert_eq!(fleet.remove(&id("a"), ms(1_050)), Some(Change::Lapsed));
+    fleet.record_list_read(ms(1_020));
+    // The other's was there after it, and may have ended right after that.
+    assert_eq!(fleet.remove(&id("b"), ms(1_900)), Some(Change::Lapsed));
+    assert_eq!(fleet.remove_lapsed(ms(2_819)), Vec::<TargetId>::new());
+    assert_eq!(fleet.remove_lapsed(ms(2_820)), [id("b")]);
+    assert_eq!(fleet.remove_lapsed(ms(3_499)), Vec::<TargetId>::new());
+    assert_eq!(fleet.remove_lapsed(ms(3_500)), [id("a")]);
+}
--- a/camphorweir-standin/tests/front/lists.rs
+++ b/camphorweir-standin/tests/front/lists.rs
@@ -14,6 +14,8 @@
 const CONFIGURE: Duration = Duration::from_secs(2);
 /// Entries that start anew serve within this time.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// A target that leaves gets nothing more within this time.
+const LEFT: Duration = Duration::from_secs(2);
 /// A revoked key stops within this time.
 const REVOKE: Duration = Duration::from_secs(5);
 
@@ -273,3 +275,23 @@
     sleep(CONFIGURE).await;
     assert_eq!(orders(&bench), before);
 }
+
+#[tokio::test]
+async fn a_target_whose_record_ends_after_an_outage_is_dropped_by_every_entry() {
+    let bench = Bench::start(3).await;
+    bench.store.set_behavior(Behavior::Refusing);
+    sleep(Duration::from_millis(800)).await;
+    bench.store.set_behavior(Behavior::Sound);
+    // Readers have found the store again, and the list as it was.
+    sleep(Duration::from_millis(1_500)).await;
+    let left = &bench.calls[0];
+    bench.store.put("keyed.servers", left.id(), b"");
+    sleep(LEFT).await;
+    for entry in &bench.entries {
+        for index in 0..12 {
+            let id = format!("a{index}");
+            let answer = call(entry.callers, &plain("/seal/b", &id, KEYS[0])).await;
+            assert_eq!((answer.status, left.runs(&id)), (200, 0));
+        }
+    }
+}
