Count the store's return from the start of the read that found it

Cause: the time of the store's return was the end of the first read that succeeded, and the time of a read is its start. So the record of a target that was in that very read counted as last seen before the outage, and its end in the next read as a lapse, kept for 2.5 s.

Change: the return counts from the start of that read; followers, which estimate both times from different responses, compare them with 0.1 s of slack.

Tried and not kept: ending the record in the test over loopback as soon as the store has been read four times.

--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -217,7 +217,7 @@
         Some(from) => read_from(store, TARGETS_TOPIC, from, Duration::ZERO).await?,
     };
     if after_outage {
-        record_store_recovery(state, state.now());
+        record_store_recovery(state, started_at);
     }
     apply_targets(state, &read.records, from.is_none());
     state.router().fleet.record_list_read(started_at);
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -20,6 +20,10 @@
 /// the record has ended.
 const LISTED_GRACE: Duration = Duration::from_millis(1800);
 
+/// The time of a read and that of the store's return may be estimates, from different responses of a
+/// peer; by as much may the one seem to be before the other.
+const TIME_SLACK: Duration = Duration::from_millis(100);
+
 /// Time for which the last record of a removed target is remembered; longer than the store's copies
 /// are old.
 const REMOVED_MEMORY: Duration = Duration::from_secs(120);
@@ -96,7 +100,7 @@
 }
 
 impl Fleet {
-    /// Records that the store answers again after an outage.
+    /// Records that the store answers again after an outage, to a read that was started at this time.
     pub fn record_store_recovery(&mut self, now: Time) {
         self.store_recovered_at = self.store_recovered_at.max(Some(now));
     }
@@ -182,7 +186,8 @@
         let until = recovered_at + LAPSE_GRACE;
         // The record was there at the last read; if that was after the outage, the target may as well
         // have left since, and must get nothing two seconds after it did.
-        let read_at = self.list_read_at.filter(|at| *at >= recovered_at);
+        let is_after = |at: &Time| *at + TIME_SLACK >= recovered_at;
+        let read_at = self.list_read_at.filter(is_after);
         Some(read_at.map_or(until, |at| until.min(at + LISTED_GRACE)))
     }
 
