--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -203,7 +203,9 @@
 
 /// What a peer says of a request that it can't serve.
 struct Detour {
+    /// Version of the configuration in force there.
     version: u64,
+    /// Possible runs of the request so far.
     runs: u32,
 }
 
--- a/camphorweir-relay/src/detour.rs
+++ b/camphorweir-relay/src/detour.rs
@@ -17,7 +17,7 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a peer is left out that could not be reached or broke off: about the time of a restart.
 const FAILED_PAUSE: Duration = Duration::from_millis(3_000);
-/// Retry-After when every peer is left out and none is due sooner.
+/// Least Retry-After of a request that no peer takes.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// An instance that can serve requests for this one.
