--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -21,6 +21,7 @@
     },
     camphorweir_relay::{
         configuration::{Kind, Limits},
+        ids::Fingerprint,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
     },
@@ -165,6 +166,7 @@
         route = admitted.route.name,
         version = admitted.configuration_version,
         tokens:? = admitted.tokens,
+        prompt_parts = describe_parts(&admitted.prompt_parts),
         status = status,
         code = code.map_or(0, Code::number),
         sends = admitted.counts.sends,
@@ -174,6 +176,12 @@
     );
 }
 
+/// The identifiers of prompt parts, for the log.
+fn describe_parts(parts: &[Fingerprint]) -> String {
+    let parts = parts.iter().map(|part| format!("{part:016x}"));
+    parts.collect::<Vec<_>>().join(",")
+}
+
 /// Logs the chosen target and the inputs of the choice.
 pub fn log_plan(state: &State, admitted: &Admission, plan: &Plan) {
     let targets_age = state.feed().targets_age(state.now());
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -1,12 +1,17 @@
 //! Streamed responses: forwards server-sent events, and resumes at another target after a failure.
 
 use {
-    crate::front::{
-        exchange::{SendError, TargetResponse, Template, send_request},
-        pool::Connection,
-        request::{failure_label, log_plan, record_end},
-        stall::{STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check},
-        state::{InFlightGuard, State},
+    crate::{
+        front::{
+            exchange::{SendError, TargetResponse, Template, send_request},
+            pool::Connection,
+            request::{failure_label, log_plan, record_end},
+            stall::{
+                STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check,
+            },
+            state::{InFlightGuard, State},
+        },
+        units::millis,
     },
     bytes::Bytes,
     camphorweir_platform::response::Info,
@@ -57,6 +62,10 @@
     deadline: Pin<Box<Sleep>>,
     /// Whether an event has been forwarded.
     event_sent: bool,
+    /// When the response head of the current target arrived.
+    answered_at: Instant,
+    /// Number of events from the current target.
+    target_events: usize,
     /// When a response head or a whole event last arrived from the target.
     last_event_at: Instant,
     /// Wakes the task to check whether the stream is stalled.
@@ -113,6 +122,8 @@
             splitter: Splitter::default(),
             last_event_id: None,
             event_sent: false,
+            answered_at: Instant::now(),
+            target_events: 0,
             last_event_at: Instant::now(),
             stall_timer: Box::pin(sleep(STALL_CHECK_DELAY)),
             stall_check: None,
@@ -210,6 +221,7 @@
 
     /// Resumes the stream at another target after a failure, if its route allows that.
     fn try_resume(&mut self, faulty_target: Option<SocketAddr>) -> Result<(), Code> {
+        let target = self.plan.as_ref().map(|plan| plan.target.clone());
         let decision = self.finish_send(Outcome::Failed(Failure::Broken, faulty_target));
         if let Some(job) = &self.job {
             job.state
@@ -218,7 +230,10 @@
             job.state.wake_prober();
             log::info!(
                 request:% = job.request.id,
+                target_name = target.as_deref().unwrap_or_default(),
                 at:? = faulty_target,
+                answered_ms = millis(self.answered_at.elapsed()),
+                events = self.target_events,
                 after = self.last_event_id.as_deref().unwrap_or_default(),
                 next:? = decision;
                 "stream from target failed"
@@ -316,6 +331,8 @@
                         Err(refusal) => return self.abort(refusal.code),
                         Ok((plan, reply)) => {
                             self.last_event_at = Instant::now();
+                            self.answered_at = Instant::now();
+                            self.target_events = 0;
                             self.plan = Some(plan);
                             let body = reply.response.into_body();
                             self.phase = Phase::streaming(body, reply.connection, &reply.info);
@@ -337,6 +354,7 @@
                                 continue;
                             };
                             let events = self.splitter.push(&chunk);
+                            self.target_events += events.count;
                             // Bytes that complete no event are no progress.
                             if events.count > 0 {
                                 self.last_event_at = Instant::now();
--- a/camphorweir-relay/src/head.rs
+++ b/camphorweir-relay/src/head.rs
@@ -1,6 +1,9 @@
 //! The part of a request's head that routing needs.
 
-use {crate::ids::RequestId, std::time::Duration};
+use {
+    crate::ids::{Fingerprint, RequestId},
+    std::time::Duration,
+};
 
 /// The decoded head of a request.
 #[derive(Clone, Debug, Default)]
@@ -17,4 +20,6 @@
     pub timeout: Option<Duration>,
     /// Tokens of the prompt, and the limit on tokens of the answer.
     pub tokens: Option<(u32, u32)>,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<Fingerprint>,
 }
--- a/camphorweir-relay/src/ids.rs
+++ b/camphorweir-relay/src/ids.rs
@@ -10,7 +10,8 @@
 pub type TargetId = Arc<str>;
 /// Identifier of one attempt of a caller, as received.
 pub type RequestId = Arc<str>;
-/// Hash of a request's content: the same for every attempt of the same caller with it.
+/// Hash of a request's content, the same for every attempt of the same caller with it; or the identifier
+/// of a part of a prompt.
 pub type Fingerprint = u64;
 /// Name of a workspace.
 pub type Workspace = Arc<str>;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -51,6 +51,8 @@
     pub id: RequestId,
     /// Fingerprint of its content; 0 until the body is read.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: Arc<[Fingerprint]>,
     /// Route of the request in the configuration at its arrival.
     pub route: Arc<Route>,
     /// Version of the configuration at its arrival.
@@ -292,6 +294,7 @@
         Ok(Admission {
             id: head.id.clone(),
             fingerprint: 0,
+            prompt_parts: head.prompt_parts.as_slice().into(),
             priority: priority.unwrap_or(permit.route.priority),
             configuration_version: version,
             service,
