--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -24,6 +24,8 @@
 /// Pause after each event of a stream slowed by [`ResponseFault::Slow`].
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time from the head of a response until the target crashes under it.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Time from a crash of a target until it runs again.
 const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Pause after each byte of a stream that trickles.
@@ -89,6 +91,8 @@
     restarts: u64,
     /// A call with this body crashes the target.
     crashing_body: Option<Bytes>,
+    /// A stream with this part in its prompt crashes the target as it begins to be answered.
+    crashing_part: Option<String>,
     /// When the target crashed.
     crashes: Vec<Instant>,
     /// Address published instead of the listener's, such as that of a proxy.
@@ -173,6 +177,22 @@
         self.state().crashing_body = Some(body.into());
     }
 
+    /// Lets every later stream with this part in its prompt crash the target, which runs again after a
+    /// while.
+    pub fn crash_on_part(&self, part: &str) {
+        self.state().crashing_part = Some(part.to_owned());
+    }
+
+    /// Whether a request has the part that crashes the target; the last part never does.
+    fn has_crashing_part(&self, request: &Request) -> bool {
+        let crashing = self.state().crashing_part.clone();
+        let parts = request.header("x-prompt-prefix").rsplit_once(',');
+        let mut parts = parts.into_iter().flat_map(|(parts, _)| parts.split(','));
+        crashing.is_some_and(|crashing| {
+            parts.any(|part| part.split_once(':').is_some_and(|(id, _)| id == crashing))
+        })
+    }
+
     /// When the target crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state().crashes.clone()
@@ -344,6 +364,14 @@
             self.crash();
             return Reply::Hang;
         }
+        let crashes = self.has_crashing_part(request);
+        if crashes {
+            let target = self.clone();
+            tokio::spawn(async move {
+                sleep(CRASH_DELAY).await;
+                target.crash();
+            });
+        }
         let response_attempt = if fault == Some(ResponseFault::Foreign) {
             "another"
         } else {
@@ -352,6 +380,9 @@
         let streaming = request.headers.contains_key("x-token-usage");
         let body = match (fault, streaming) {
             (Some(ResponseFault::Lose), _) => return Reply::Close,
+            (_, true) if crashes => {
+                ScriptedBody::stream(begun_body(), self.state().stream_guard.clone())
+            }
             (fault, true) => ScriptedBody::stream(
                 stream_body(request, fault),
                 self.state().stream_guard.clone(),
@@ -375,6 +406,14 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
+/// A stream that breaks off with its target in the middle of its first event.
+fn begun_body() -> Vec<BodyStep> {
+    vec![
+        BodyStep::Bytes(b"id: ".to_vec()),
+        BodyStep::Pause(RESTART_TIME),
+    ]
+}
+
 fn stream_body(request: &Request, fault: Option<ResponseFault>) -> Vec<BodyStep> {
     let after: usize = request.header("last-event-id").parse().unwrap_or_default();
     let mut steps = Vec::new();
