Quarantine parts of prompts under which targets ended, and judge what broke off by how far its answer had come

Cause: a request was known by its whole content only, which differed each time; and each loss counted, so what was resumed together with the request at fault had three crashes in turn after a quarter of a second. The class: evidence was kept for one kind of key, and by coincidence in place of cause.

Evidence: 28 quarantined contents in the window, one of them at fault; all eight ends in it have a stream with a head and no event. Ruled out: datagrams lost or restarts (no quarantined content is sent later).

Change: content and shared parts are keys of the same account (crashes, suspects). A stream that was answered for 0.3 s after its head is sound and clears its keys at once; what had begun and had no event counts in full, what waited or had just begun to send counts half. Three crashes in turn quarantine, five what succeeded shortly before; a part needs two contents. Two keepers in each zone add up, and tell their zone; before, each instance that learned of a change told all others. Messages and records gain fields by name, old cases are read (formats).

--- a/camphorweir-entry/src/front/instances.rs
+++ b/camphorweir-entry/src/front/instances.rs
@@ -121,6 +121,18 @@
         unlisted.chain(listed).collect()
     }
 
+    /// Names of the known instances of each zone, without this one; `own_zone` has those that send digests.
+    pub fn names_by_zone(&self, own_zone: &Zone) -> BTreeMap<Zone, BTreeSet<String>> {
+        let mut zones: BTreeMap<Zone, BTreeSet<String>> = BTreeMap::new();
+        for (name, peer) in &self.listed {
+            let names = zones.entry(peer.zone.clone()).or_default();
+            names.insert(name.clone());
+        }
+        let unlisted = self.unlisted.keys().cloned();
+        zones.entry(own_zone.clone()).or_default().extend(unlisted);
+        zones
+    }
+
     /// Digest addresses in other zones that get summaries.
     pub fn cross_zone_addresses(&self, own_zone: &str) -> BTreeSet<SocketAddr> {
         let mut by_zone: BTreeMap<&str, Vec<_>> = BTreeMap::new();
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -22,6 +22,7 @@
     camphorweir_relay::{
         configuration::{Kind, Limits},
         ids::Fingerprint,
+        progress::Progress,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
     },
@@ -292,6 +293,7 @@
             }
             Ok(Ok(Reply::Stream(reply))) => {
                 guard.plan = None;
+                guard.admitted.progress = Progress::Begun(state.now());
                 return Ok(Forwarded::Stream(Box::new(plan), reply));
             }
             Ok(Err((failure, faulty_target))) => (failure, faulty_target, None),
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -206,12 +206,13 @@
         self.log_quarantined(&quarantined, target);
     }
 
-    /// Logs and counts the requests that are quarantined from now on; `source` says who found out.
+    /// Logs and counts what is quarantined from now on; `source` says who found out.
     pub fn log_quarantined(&self, quarantined: &[Quarantine], source: &str) {
         for quarantine in quarantined {
             self.metrics().record_quarantine();
             log::warn!(
                 fingerprint:% = format_args!("{:016x}", quarantine.fingerprint),
+                is_prompt_part = quarantine.is_part,
                 crashes = quarantine.crashes,
                 source = source;
                 "targets ended under a request; it is quarantined"
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -16,6 +16,7 @@
     bytes::Bytes,
     camphorweir_platform::response::Info,
     camphorweir_relay::{
+        progress::Progress,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
         sse::{MAX_EVENT_BYTES, Splitter},
@@ -62,8 +63,6 @@
     deadline: Pin<Box<Sleep>>,
     /// Whether an event has been forwarded.
     event_sent: bool,
-    /// When the response head of the current target arrived.
-    answered_at: Instant,
     /// Number of events from the current target.
     target_events: usize,
     /// When a response head or a whole event last arrived from the target.
@@ -122,7 +121,6 @@
             splitter: Splitter::default(),
             last_event_id: None,
             event_sent: false,
-            answered_at: Instant::now(),
             target_events: 0,
             last_event_at: Instant::now(),
             stall_timer: Box::pin(sleep(STALL_CHECK_DELAY)),
@@ -154,6 +152,20 @@
         }
     }
 
+    /// Records an event from the current target.
+    fn record_progress(&mut self) {
+        let Some(job) = &mut self.job else {
+            return;
+        };
+        let now = job.state.now();
+        let progress = job.request.progress.after_event(now);
+        let has_settled = progress != job.request.progress && progress == Progress::Settled;
+        job.request.progress = progress;
+        if has_settled {
+            job.state.router().record_sound(&job.request, now);
+        }
+    }
+
     /// Checks whether the stream is stalled; ready with the address of the faulty hop.
     fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<SocketAddr> {
         while self.stall_check.is_none() {
@@ -222,8 +234,13 @@
     /// Resumes the stream at another target after a failure, if its route allows that.
     fn try_resume(&mut self, faulty_target: Option<SocketAddr>) -> Result<(), Code> {
         let target = self.plan.as_ref().map(|plan| plan.target.clone());
+        let begun_at = self
+            .job
+            .as_ref()
+            .and_then(|job| job.request.progress.begun_at());
         let decision = self.finish_send(Outcome::Failed(Failure::Broken, faulty_target));
         if let Some(job) = &self.job {
+            let now = job.state.now();
             job.state
                 .metrics()
                 .record_send_failure(failure_label(Failure::Broken));
@@ -232,7 +249,7 @@
                 request:% = job.request.id,
                 target_name = target.as_deref().unwrap_or_default(),
                 at:? = faulty_target,
-                answered_ms = millis(self.answered_at.elapsed()),
+                answered_ms = begun_at.map_or(-1, |at| millis(now.saturating_sub(at)) as i64),
                 events = self.target_events,
                 after = self.last_event_id.as_deref().unwrap_or_default(),
                 next:? = decision;
@@ -276,6 +293,7 @@
         let result = timeout(time_left, send).await;
         let error: SendError = match result {
             Ok(Ok(reply)) if reply.response.status().is_success() => {
+                job.request.progress = Progress::Begun(job.state.now());
                 return (job, Ok((plan, reply)));
             }
             // A peer that serves for this instance refuses what it can't place either.
@@ -331,7 +349,6 @@
                         Err(refusal) => return self.abort(refusal.code),
                         Ok((plan, reply)) => {
                             self.last_event_at = Instant::now();
-                            self.answered_at = Instant::now();
                             self.target_events = 0;
                             self.plan = Some(plan);
                             let body = reply.response.into_body();
@@ -359,6 +376,7 @@
                             if events.count > 0 {
                                 self.last_event_at = Instant::now();
                                 self.stall_check = None;
+                                self.record_progress();
                             }
                             if events.last_id.is_some() {
                                 self.last_event_id = events.last_id;
--- a/camphorweir-entry/src/front/suspects.rs
+++ b/camphorweir-entry/src/front/suspects.rs
@@ -1,10 +1,11 @@
-//! Exchanges with other instances which requests ended targets, and keeps the quarantined ones in the
-//! store, where instances find them that start.
+//! Exchanges with other instances under what targets ended, and keeps what is quarantined in the store,
+//! where instances find it that start.
 
 use {
     crate::{
         clock::wall,
         front::{
+            gossip::MAX_DATAGRAM_BYTES,
             state::State,
             store::Store,
             watch::{RETRY_BACKOFF, read_newest},
@@ -13,18 +14,14 @@
         units::millis,
     },
     camphorweir_platform::store::{QUARANTINES_TOPIC, Record, store_append_call},
-    camphorweir_relay::{ids::Fingerprint, suspects::suspects_keepers},
+    camphorweir_relay::{ids::Fingerprint, keepers::keepers_recipients},
     camphorweir_wire::{
         codec,
         crash::{Quarantine, Suspect},
         digest::Datagram,
     },
     rand::seq::IteratorRandom,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
 
@@ -32,35 +29,45 @@
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a write to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Number of requests in one datagram: each takes up to 320 bytes.
-const SUSPECTS_PER_DATAGRAM: usize = 4;
+/// Bytes of a datagram beside the suspects in it.
+const HEADER_BYTES: usize = 32;
 
 /// Reports what has changed of suspects to the instances that have to know it.
 pub fn report(state: &State, socket: &UdpSocket) {
-    let (for_all, for_keepers) = state.router().suspects.news(state.now());
-    if for_all.is_empty() && for_keepers.is_empty() {
+    let news = state.router().suspects.news(state.now());
+    if news.is_empty() {
         return;
     }
-    let addresses = state.instances().digest_addresses();
-    for address in addresses.values() {
-        send(socket, &for_all, *address);
-    }
-    let own = state.settings().instance.clone();
-    let instances: BTreeSet<String> = addresses.keys().cloned().chain([own]).collect();
-    let mut by_keeper: BTreeMap<String, Vec<Suspect>> = BTreeMap::new();
-    for suspect in for_keepers {
-        for keeper in suspects_keepers(suspect.fingerprint, &instances) {
-            by_keeper.entry(keeper).or_default().push(suspect.clone());
+    let settings = state.settings();
+    let (addresses, mut zones) = {
+        let instances = state.instances();
+        let zones = instances.names_by_zone(&settings.zone);
+        (instances.digest_addresses(), zones)
+    };
+    let own_zone = zones.entry(settings.zone.clone()).or_default();
+    own_zone.insert(settings.instance.clone());
+    let mut by_recipient: BTreeMap<&String, Vec<Suspect>> = BTreeMap::new();
+    for (suspect, scope) in news {
+        let recipients = keepers_recipients(
+            suspect.fingerprint,
+            scope,
+            &settings.instance,
+            &settings.zone,
+            &zones,
+        );
+        for recipient in recipients {
+            let suspects = by_recipient.entry(recipient).or_default();
+            suspects.push(suspect.clone());
         }
     }
-    for (keeper, suspects) in by_keeper {
-        if let Some(address) = addresses.get(&keeper) {
+    for (recipient, suspects) in by_recipient {
+        if let Some(address) = addresses.get(recipient) {
             send(socket, &suspects, *address);
         }
     }
 }
 
-/// Reports all quarantined requests to one other instance, which makes up for reports that were lost.
+/// Reports all that is quarantined to one other instance, which makes up for reports that were lost.
 pub fn repeat(state: &State, socket: &UdpSocket) {
     let quarantined = state.router().suspects.quarantined(state.now());
     if quarantined.is_empty() {
@@ -73,13 +80,31 @@
 }
 
 fn send(socket: &UdpSocket, suspects: &[Suspect], address: SocketAddr) {
-    for suspects in suspects.chunks(SUSPECTS_PER_DATAGRAM) {
-        let bytes = codec::encode_named(&Datagram::Suspects(suspects.to_vec()));
+    for suspects in datagrams(suspects) {
+        let bytes = codec::encode_named(&Datagram::Suspects(suspects));
         // A full socket buffer drops this datagram; later ones carry the same.
         let _ = socket.try_send_to(&bytes, address);
     }
 }
 
+/// Distributes suspects over datagrams within [`MAX_DATAGRAM_BYTES`].
+fn datagrams(suspects: &[Suspect]) -> Vec<Vec<Suspect>> {
+    let mut datagrams: Vec<Vec<Suspect>> = Vec::new();
+    let mut room = 0;
+    for suspect in suspects {
+        let bytes = codec::encode_named(suspect).len();
+        match datagrams.last_mut().filter(|_| bytes <= room) {
+            Some(datagram) => datagram.push(suspect.clone()),
+            None => {
+                datagrams.push(vec![suspect.clone()]);
+                room = MAX_DATAGRAM_BYTES - HEADER_BYTES;
+            }
+        }
+        room = room.saturating_sub(bytes);
+    }
+    datagrams
+}
+
 /// Applies what another instance reports.
 pub fn receive_suspects(state: &State, suspects: &[Suspect], address: SocketAddr) {
     let now = state.now();
@@ -107,6 +132,17 @@
         }
         let now = state.now();
         let mut quarantined = state.router().suspects.own_quarantines(now);
+        let is_quarantined = |key: &Fingerprint| {
+            quarantined
+                .iter()
+                .any(|suspect| suspect.fingerprint == *key)
+        };
+        let keys = written.keys().copied();
+        let lifted: Vec<Fingerprint> = keys.filter(|key| !is_quarantined(key)).collect();
+        for fingerprint in lifted {
+            written.remove(&fingerprint);
+            remove(&mut store, &format!("{fingerprint:016x}")).await;
+        }
         quarantined
             .retain(|suspect| written.get(&suspect.fingerprint) != Some(&suspect.crashes.len()));
         for suspect in quarantined {
@@ -161,6 +197,7 @@
     let record = Quarantine {
         crashes: suspect.crashes.clone(),
         stored_ms: millis(wall()),
+        part: suspect.part,
     };
     let key = format!("{:016x}", suspect.fingerprint);
     let call = store_append_call(QUARANTINES_TOPIC, &key, &codec::encode_named(&record));
@@ -190,6 +227,8 @@
                 fingerprint,
                 crashes: quarantine.crashes,
                 cleared: Vec::new(),
+                part: quarantine.part,
+                succeeded_ms: None,
             })
         }
         Err(error) => {
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -12,6 +12,7 @@
         ids::{Fingerprint, RequestId, ServiceName, TargetId, Time, Workspace, Zone},
         path::Path,
         peers::Peers,
+        progress::Progress,
         retry::{Counts, Decision, Failure, retry_decide, retry_final_code},
         settings::Bounds,
         suspects::Suspects,
@@ -71,6 +72,8 @@
     pub tokens: (u32, u32),
     /// Counts of sends and of possible runs so far.
     pub counts: Counts,
+    /// How far the answer to the last send has come.
+    pub progress: Progress,
     /// Whether a peer sent it, which reaches no target itself.
     pub is_from_peer: bool,
     /// Targets that failed or refused this request, and are not tried again.
@@ -303,6 +306,7 @@
             deadline: now + timeout,
             tokens: head.tokens.unwrap_or((0, 0)),
             counts: Counts::default(),
+            progress: Progress::default(),
             is_from_peer: false,
             excluded: Vec::new(),
             route: permit.route,
@@ -351,6 +355,7 @@
             self.suspects.start(request.fingerprint, &plan.target);
         }
         request.counts.sends += 1;
+        request.progress = Progress::Waiting;
         Ok(plan)
     }
 
@@ -407,7 +412,9 @@
                 for hop in plan.path().into_iter().flat_map(|(path, _)| path.hops()) {
                     self.tracker.record_success(&hop.target, None);
                 }
-                self.suspects.record_success(request.fingerprint, now);
+                if request.progress != Progress::Settled {
+                    self.record_sound(request, now);
+                }
                 request.counts.runs += 1;
                 Decision::End(Code::TargetFailed)
             }
@@ -441,7 +448,7 @@
             Failure::Outdated => {}
         }
         if failure == Failure::Broken {
-            self.record_loss(request.fingerprint, &faulty, plan.chosen_at, now);
+            self.record_loss(request, plan, &faulty, now);
         }
         request.excluded.push(faulty);
         self.decide_after_failure(request, failure, now)
--- a/camphorweir-relay/src/suspects.rs
+++ b/camphorweir-relay/src/suspects.rs
@@ -1,132 +1,79 @@
-//! Requests that were running when targets ended, by the fingerprint of their content; one under
-//! which three targets ended in turn is quarantined.
+//! Contents of requests, and parts of prompts, under which targets ended; one under which several targets
+//! ended in turn is quarantined.
 //!
 //! Each instance counts what it sees itself, and reports it to the few instances that keep account of
-//! the fingerprint. Crashes are told apart by target and incarnation, so that one that several
-//! instances saw counts once, whatever the order of the reports.
+//! the fingerprint.
 
 use {
     crate::{
+        crashes::{Crash, MAX_QUARANTINE_TIME, PROOF_TIME, Record},
         fleet::Target,
-        ids::{Fingerprint, TargetId, Time, ids_hash, ids_tag},
+        ids::{Fingerprint, TargetId, Time, ids_hash},
+        keepers::Scope,
     },
-    camphorweir_wire::crash::{self as wire, Suspect},
+    camphorweir_wire::crash::Suspect,
     std::{
-        cmp::Reverse,
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
     },
 };
 
-/// Number of crashes in turn at which a request is quarantined. One that only ran beside the request at
-/// fault may break off with it twice, as both are sent on to the few other targets.
-const QUARANTINE_CRASHES: usize = 3;
-/// Number of crashes from which on all instances know of a request, so that a success at any of them
+/// Number of crashes from which on all instances know of a fingerprint, so that a success at any of them
 /// clears it.
 const SHARED_CRASHES: usize = 2;
-/// How long a request is quarantined after that many crashes; twice as long after each further one. Then
-/// it may run again: nobody can tell that its targets did not end for another reason.
-const QUARANTINE_TIME: Duration = Duration::from_secs(120);
-/// Limit on that time.
-const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(3600);
-/// How long after its last crash a request is remembered.
+/// The same where the requests may not have begun to be answered: all that wait at a target break off with
+/// it, so these are many.
+const SHARED_WAITING_CRASHES: usize = 4;
+/// How long after its last crash a fingerprint is remembered.
 const TTL: Duration = MAX_QUARANTINE_TIME;
 /// How long after a request broke off its target may be found to have ended: it starts again within
 /// this time, and shows then that it has.
 const LOSS_TTL: Duration = Duration::from_secs(6);
 /// Pause between checks whether a target has ended under a request.
 const CHECK_PAUSE: Duration = Duration::from_millis(500);
-/// How long a change is reported to the instances that keep account of it, as reports may be lost.
+/// How long a change is reported, as reports may be lost.
 const REPORT_TIME: Duration = Duration::from_millis(500);
-/// Limit on the requests that are remembered.
+/// Limit on the fingerprints that are remembered.
 const MAX_RECORDS: usize = 4096;
-/// Limit on the crashes that are remembered of one request.
-const MAX_CRASHES: usize = 8;
-/// Number of instances that keep account of a fingerprint: one, and one more in case it is down.
-const KEEPERS: usize = 2;
-/// Odd multiplier that mixes the bits of the numbers by which keepers are chosen.
-const RANK_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Limit on the fingerprints that are reported at a time.
+const MAX_NEWS: usize = 128;
 
-/// A request that broke off.
+/// A request that broke off, as far as its target may have ended under it.
+#[derive(Clone, Copy, Debug)]
+pub struct Broken<'a> {
+    /// Fingerprint of its content.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that others may share.
+    pub prompt_parts: &'a [Fingerprint],
+    /// When the target began to answer it, or else when it was sent.
+    pub since: Time,
+    /// Whether the target may not have begun to answer it.
+    pub is_waiting: bool,
+}
+
+/// A content or part of a request that broke off.
 #[derive(Clone, Debug)]
 struct Loss {
     fingerprint: Fingerprint,
+    is_part: bool,
     /// Target where it ran.
     target: TargetId,
     address: SocketAddr,
     /// Unix time of the target's start in ms.
     started_ms: u64,
-    sent_at: Time,
-    /// When it broke off.
-    at: Time,
+    crash: Crash,
     /// When it is to be checked whether the target has ended.
     next_check: Time,
 }
 
-/// A target that ended while a request ran there.
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    sent_at: Time,
-    /// When the request broke off.
-    at: Time,
-}
-
-/// What is known of one fingerprint.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// The targets that ended while the request ran, by the tags of their incarnations.
-    crashes: BTreeMap<u32, Crash>,
-    /// Those of them that the request has been cleared of; crashes that came before a success.
-    cleared: BTreeSet<u32>,
-    changed_at: Time,
-    /// Whether this instance was the first to count as many crashes as quarantine takes.
-    is_first: bool,
-}
-
-impl Record {
-    fn is_quarantined(&self) -> bool {
-        self.count() >= QUARANTINE_CRASHES
-    }
-
-    /// Crashes in turn that the request has not been cleared of: it was sent after the one before. Targets
-    /// that end while the same request runs on all of them may have lost power together.
-    fn count(&self) -> usize {
-        let crashes = self.crashes.iter();
-        let counted = crashes.filter(|(target, _)| !self.cleared.contains(target));
-        let mut counted: Vec<&Crash> = counted.map(|(_, crash)| crash).collect();
-        counted.sort_unstable_by_key(|crash| crash.at);
-        let mut last: Option<Time> = None;
-        let in_turn = counted.into_iter().filter(|crash| {
-            let is_in_turn = last.is_none_or(|last| crash.sent_at >= last);
-            if is_in_turn {
-                last = Some(crash.at);
-            }
-            is_in_turn
-        });
-        in_turn.count()
-    }
-
-    /// When the request last broke off with a crash.
-    fn last_crash(&self) -> Time {
-        let crashes = self.crashes.values().map(|crash| crash.at);
-        crashes.max().unwrap_or_default()
-    }
-
-    /// Until when the request is quarantined, if it is.
-    fn quarantined_until(&self) -> Option<Time> {
-        let further = self.count().checked_sub(QUARANTINE_CRASHES)?;
-        let factor = 2u32.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
-        let time = QUARANTINE_TIME.saturating_mul(factor);
-        Some(self.last_crash() + time.min(MAX_QUARANTINE_TIME))
-    }
-}
-
-/// A request that is quarantined from now on, for the log and the store.
+/// A content or part that is quarantined from now on, for the log and the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Quarantine {
-    /// Fingerprint of the request.
+    /// Its fingerprint.
     pub fingerprint: Fingerprint,
+    /// Whether it is a part of prompts.
+    pub is_part: bool,
     /// Number of crashes.
     pub crashes: usize,
 }
@@ -136,31 +83,39 @@
 pub struct Suspects {
     records: BTreeMap<Fingerprint, Record>,
     losses: Vec<Loss>,
+    /// When a request with each fingerprint last succeeded here.
+    successes: HashMap<Fingerprint, Time>,
     /// Suspects that this instance has sent to targets and that have not ended.
     running: Vec<(Fingerprint, TargetId)>,
 }
 
 impl Suspects {
-    /// Records that a request that was sent to a target at `sent_at` broke off; the target may have ended
-    /// under it.
-    pub fn record_loss(
-        &mut self,
-        fingerprint: Fingerprint,
-        target: &Target,
-        sent_at: Time,
-        now: Time,
-    ) {
+    /// Records that a request broke off at a target, which may have ended under it.
+    pub fn record_loss(&mut self, broken: &Broken<'_>, target: &Target, now: Time) {
+        self.drop_old_losses(now);
+        let parts: BTreeSet<Fingerprint> = broken.prompt_parts.iter().copied().collect();
+        let keys = parts.into_iter().map(|part| (part, true));
+        for (fingerprint, is_part) in keys.chain([(broken.fingerprint, false)]) {
+            self.losses.push(Loss {
+                fingerprint,
+                is_part,
+                target: target.id.clone(),
+                address: target.address,
+                started_ms: target.started_ms,
+                crash: Crash {
+                    since: broken.since,
+                    at: now,
+                    is_waiting: broken.is_waiting,
+                    content: content_tag(broken.fingerprint),
+                },
+                next_check: now,
+            });
+        }
+    }
+
+    fn drop_old_losses(&mut self, now: Time) {
         self.losses
-            .retain(|loss| now.saturating_sub(loss.at) < LOSS_TTL);
-        self.losses.push(Loss {
-            fingerprint,
-            target: target.id.clone(),
-            address: target.address,
-            started_ms: target.started_ms,
-            sent_at,
-            at: now,
-            next_check: now,
-        });
+            .retain(|loss| now.saturating_sub(loss.crash.at) < LOSS_TTL);
     }
 
     /// Whether it is to be checked of some target whether it has ended.
@@ -170,8 +125,7 @@
 
     /// Targets of which it is to be checked whether they have ended; schedules the next check.
     pub fn take_due_checks(&mut self, now: Time) -> BTreeSet<TargetId> {
-        self.losses
-            .retain(|loss| now.saturating_sub(loss.at) < LOSS_TTL);
+        self.drop_old_losses(now);
         let mut due = BTreeSet::new();
         for loss in self.losses.iter_mut().filter(|loss| loss.next_check <= now) {
             loss.next_check = now + CHECK_PAUSE;
@@ -185,13 +139,13 @@
         self.losses.retain(|loss| loss.target != *target);
     }
 
-    /// Records that a target has ended; returns the requests that are quarantined from now on.
+    /// Records that a target has ended; returns what is quarantined from now on.
     pub fn record_end(&mut self, target: &TargetId, now: Time) -> Vec<Quarantine> {
         self.take_losses(|loss| loss.target == *target, now)
     }
 
-    /// Records that a target is listed; returns the requests that are quarantined from now on, because
-    /// it has taken the place of one that broke them off.
+    /// Records that a target is listed; returns what is quarantined from now on, because the target has
+    /// taken the place of one that broke it off.
     pub fn record_start(
         &mut self,
         target: &TargetId,
@@ -207,88 +161,71 @@
 
     /// Counts a crash for each loss that `has_ended` is true of.
     fn take_losses(&mut self, has_ended: impl Fn(&Loss) -> bool, now: Time) -> Vec<Quarantine> {
-        let is_recent = |loss: &Loss| now.saturating_sub(loss.at) < LOSS_TTL;
-        let (ended, others): (Vec<Loss>, Vec<Loss>) = std::mem::take(&mut self.losses)
-            .into_iter()
-            .filter(is_recent)
-            .partition(has_ended);
+        self.drop_old_losses(now);
+        let losses = std::mem::take(&mut self.losses).into_iter();
+        let (ended, others): (Vec<Loss>, Vec<Loss>) = losses.partition(has_ended);
         self.losses = others;
-        let counted = ended.into_iter().filter_map(|loss| {
-            let target = ids_hash(format!("{}/{}", loss.target, loss.started_ms).as_bytes());
-            let (sent_at, at) = (loss.sent_at, loss.at);
-            self.count_crashes(
-                loss.fingerprint,
-                &[(target, Crash { sent_at, at })],
-                &[],
-                now,
-            )
-        });
-        let counted: Vec<Quarantine> = counted.collect();
-        for quarantine in &counted {
-            if let Some(record) = self.records.get_mut(&quarantine.fingerprint) {
+        let mut quarantines = Vec::new();
+        for loss in ended {
+            let incarnation = format!("{}/{}", loss.target, loss.started_ms);
+            let crash = (ids_hash(incarnation.as_bytes()), loss.crash);
+            let succeeded_at = self.successes.get(&loss.fingerprint).copied();
+            let record = self.record_mut(loss.fingerprint, loss.is_part, now);
+            let was_quarantined = record.is_quarantined();
+            if record.add([crash].into_iter(), [].into_iter(), succeeded_at) {
+                (record.changed_at, record.is_own_change) = (now, true);
+            }
+            if record.is_quarantined() && !was_quarantined {
                 record.is_first = true;
+                quarantines.push(quarantine(loss.fingerprint, record));
             }
         }
-        counted
-    }
-
-    /// Adds crashes, and those that the request was cleared of; returns the quarantine that follows.
-    fn count_crashes(
-        &mut self,
-        fingerprint: Fingerprint,
-        crashes: &[(u32, Crash)],
-        cleared: &[u32],
-        now: Time,
-    ) -> Option<Quarantine> {
-        self.make_room(fingerprint, now);
-        let record = self.records.entry(fingerprint).or_default();
-        let was_quarantined = record.is_quarantined();
-        let before = (record.crashes.len(), record.cleared.len());
-        for (target, crash) in crashes {
-            record.crashes.entry(*target).or_insert(*crash);
-        }
-        record.cleared.extend(cleared);
-        while record.crashes.len() > MAX_CRASHES {
-            record.crashes.pop_first();
-        }
-        if before != (record.crashes.len(), record.cleared.len()) {
-            record.changed_at = now;
-        }
-        let crashes = record.count();
-        let is_new = record.is_quarantined() && !was_quarantined;
-        is_new.then_some(Quarantine {
-            fingerprint,
-            crashes,
-        })
+        quarantines
     }
 
-    /// Drops what is too old, and the oldest record where there is no room for another.
-    fn make_room(&mut self, fingerprint: Fingerprint, now: Time) {
+    /// The record of a fingerprint, made if there is none. Drops what is too old, and the oldest record
+    /// where there is no room for another.
+    fn record_mut(&mut self, fingerprint: Fingerprint, is_part: bool, now: Time) -> &mut Record {
         self.records
             .retain(|_, record| now.saturating_sub(record.last_crash()) < TTL);
-        if self.records.len() < MAX_RECORDS || self.records.contains_key(&fingerprint) {
-            return;
-        }
-        let oldest = self.records.iter();
-        let oldest =
-            oldest.min_by_key(|(_, record)| (record.is_quarantined(), record.last_crash()));
-        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-            self.records.remove(&oldest);
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
+            let records = self.records.iter();
+            let oldest =
+                records.min_by_key(|(_, record)| (record.is_quarantined(), record.last_crash()));
+            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                self.records.remove(&oldest);
+            }
         }
+        let record = self.records.entry(fingerprint);
+        record.or_insert_with(|| Record::new(is_part))
     }
 
-    /// Records that a request succeeded, which clears it.
-    pub fn record_success(&mut self, fingerprint: Fingerprint, now: Time) {
-        self.losses.retain(|loss| loss.fingerprint != fingerprint);
-        if let Some(record) = self.records.get_mut(&fingerprint)
-            && record.count() > 0
-        {
-            record.cleared.extend(record.crashes.keys());
-            record.changed_at = now;
+    /// Records that a request succeeded, which clears its content and its parts.
+    pub fn record_success(
+        &mut self,
+        fingerprint: Fingerprint,
+        prompt_parts: &[Fingerprint],
+        now: Time,
+    ) {
+        if self.successes.len() >= MAX_RECORDS {
+            let is_recent = |at: Time| now.saturating_sub(at) < PROOF_TIME;
+            self.successes.retain(|_, at| is_recent(*at));
+        }
+        let keys = prompt_parts.iter().chain([&fingerprint]);
+        for key in keys {
+            if self.successes.len() < MAX_RECORDS {
+                self.successes.insert(*key, now);
+            }
+            self.losses.retain(|loss| loss.fingerprint != *key);
+            if let Some(record) = self.records.get_mut(key)
+                && record.clear(now)
+            {
+                (record.changed_at, record.is_own_change) = (now, true);
+            }
         }
     }
 
-    /// Remaining time in which a request is quarantined; `None` if it is not.
+    /// Remaining time in which what has a fingerprint is quarantined; `None` if it is not.
     pub fn quarantine_left(&self, fingerprint: Fingerprint, now: Time) -> Option<Duration> {
         let until = self.records.get(&fingerprint)?.quarantined_until()?;
         (until > now).then(|| until - now)
@@ -297,7 +234,7 @@
     /// Whether a target may have ended under a request.
     fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.count() > 0)
+        record.is_some_and(Record::is_suspect)
             || self
                 .losses
                 .iter()
@@ -331,55 +268,71 @@
         others.map(|(_, target)| target.clone()).collect()
     }
 
-    /// Applies the report of another instance; returns the requests that are quarantined from now on.
+    /// Applies the report of another instance; returns what is quarantined from now on.
     pub fn apply_report(&mut self, suspects: &[Suspect], now: Time) -> Vec<Quarantine> {
         let mut quarantines = Vec::new();
         for suspect in suspects {
             let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
             let crashes = suspect.crashes.iter();
             let crashes = crashes.map(|crash| {
-                let sent_at = at(crash.age_ms.saturating_add(crash.ran_ms));
-                let at = at(crash.age_ms);
-                (crash.target, Crash { sent_at, at })
+                let decoded = Crash {
+                    since: at(crash.age_ms.saturating_add(crash.ran_ms)),
+                    at: at(crash.age_ms),
+                    is_waiting: crash.waited,
+                    content: crash.content,
+                };
+                (crash.target, decoded)
             });
             let crashes: Vec<(u32, Crash)> = crashes.collect();
-            let new = self.count_crashes(suspect.fingerprint, &crashes, &suspect.cleared, now);
-            if let Some(record) = self.records.get_mut(&suspect.fingerprint)
-                && new.is_some()
-            {
-                record.is_first = suspect.crashes.len() < QUARANTINE_CRASHES;
+            let cleared = suspect.cleared.iter().copied();
+            let mut reported = Record::new(suspect.part);
+            let succeeded_at = suspect.succeeded_ms.map(at);
+            reported.add(crashes.iter().copied(), cleared.clone(), succeeded_at);
+            let own = self.successes.get(&suspect.fingerprint).copied();
+            let succeeded_at = succeeded_at.max(own);
+            let record = self.record_mut(suspect.fingerprint, suspect.part, now);
+            let was_quarantined = record.is_quarantined();
+            if record.add(crashes.into_iter(), cleared, succeeded_at) {
+                (record.changed_at, record.is_own_change) = (now, false);
+            }
+            if record.is_quarantined() && !was_quarantined {
+                record.is_first = !reported.is_quarantined();
+                quarantines.push(quarantine(suspect.fingerprint, record));
             }
-            quarantines.extend(new);
         }
         quarantines
     }
 
-    /// What has changed lately: of requests that all instances have to know, and of those that their
-    /// keepers have to know.
-    pub fn news(&self, now: Time) -> (Vec<Suspect>, Vec<Suspect>) {
+    /// What has changed lately, and who has to know it; what was quarantined first, as no more than
+    /// [`MAX_NEWS`] are told at a time.
+    pub fn news(&self, now: Time) -> Vec<(Suspect, Scope)> {
         let is_new = |record: &Record| now.saturating_sub(record.changed_at) < REPORT_TIME;
         let news = self.records.iter().filter(|(_, record)| is_new(record));
-        let (for_all, for_keepers): (Vec<_>, Vec<_>) =
-            news.partition(|(_, record)| record.crashes.len() >= SHARED_CRASHES);
-        let encode = |records: Vec<(&Fingerprint, &Record)>| {
-            let records = records.into_iter();
-            records
-                .map(|(fingerprint, record)| encode(*fingerprint, record, now))
-                .collect()
-        };
-        (encode(for_all), encode(for_keepers))
+        let mut news: Vec<(&Fingerprint, &Record)> = news.collect();
+        let weight = |record: &Record| (record.is_quarantined(), record.begun(), record.len());
+        news.sort_by_key(|(_, record)| std::cmp::Reverse(weight(record)));
+        news.truncate(MAX_NEWS);
+        let news = news.into_iter().map(|(fingerprint, record)| {
+            let scope = Scope {
+                is_own: record.is_own_change,
+                is_shared: record.begun() >= SHARED_CRASHES
+                    || record.len() >= SHARED_WAITING_CRASHES,
+            };
+            (record.encode(*fingerprint, now), scope)
+        });
+        news.collect()
     }
 
-    /// All requests that are quarantined.
+    /// All that is quarantined.
     pub fn quarantined(&self, now: Time) -> Vec<Suspect> {
         let records = self.records.iter();
         records
             .filter(|(_, record)| record.is_quarantined())
-            .map(|(fingerprint, record)| encode(*fingerprint, record, now))
+            .map(|(fingerprint, record)| record.encode(*fingerprint, now))
             .collect()
     }
 
-    /// The quarantined requests that this instance has to write to the store.
+    /// What is quarantined and this instance has to write to the store.
     pub fn own_quarantines(&self, now: Time) -> Vec<Suspect> {
         let own = |suspect: &Suspect| {
             let record = self.records.get(&suspect.fingerprint);
@@ -391,31 +344,15 @@
     }
 }
 
-fn encode(fingerprint: Fingerprint, record: &Record, now: Time) -> Suspect {
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    let crashes = record.crashes.iter();
-    let crashes = crashes.map(|(target, crash)| wire::Crash {
-        target: *target,
-        age_ms: millis(now.saturating_sub(crash.at)),
-        ran_ms: millis(crash.at.saturating_sub(crash.sent_at)),
-    });
-    Suspect {
+fn quarantine(fingerprint: Fingerprint, record: &Record) -> Quarantine {
+    Quarantine {
         fingerprint,
-        crashes: crashes.collect(),
-        cleared: record.cleared.iter().copied().collect(),
+        is_part: record.is_part,
+        crashes: record.len(),
     }
 }
 
-/// The instances that keep account of a fingerprint, by rendezvous hashing: instances that know the
-/// same others choose the same.
-///
-/// Linear in the instances.
-pub fn suspects_keepers(fingerprint: Fingerprint, instances: &BTreeSet<String>) -> Vec<String> {
-    let rank = |name: &&String| {
-        let mix = |number: u64| (number ^ (number >> 32)).wrapping_mul(RANK_FACTOR);
-        Reverse(mix(mix(u64::from(ids_tag(name)) ^ mix(fingerprint))))
-    };
-    let mut ranked: Vec<&String> = instances.iter().collect();
-    ranked.sort_by_cached_key(rank);
-    ranked.into_iter().take(KEEPERS).cloned().collect()
+/// A short tag of a content, never 0.
+fn content_tag(fingerprint: Fingerprint) -> u32 {
+    ((fingerprint ^ (fingerprint >> 32)) as u32).max(1)
 }
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -11,7 +11,7 @@
 
 /// Revision of the messages between entries and of their records in the store, for operators to see
 /// which releases run; nothing depends on it. It rises with each release that changes one of them.
-pub const FORMATS: u32 = 1;
+pub const FORMATS: u32 = 2;
 /// Unit of [`Load::memory`]: tokens times layers.
 pub const MEMORY_UNIT_TOKEN_LAYERS: f64 = 1024.0;
 
@@ -76,7 +76,7 @@
     Digest(Digest),
     /// The load of many entries.
     Summary(Summary),
-    /// Requests under which targets ended.
+    /// Contents and parts of prompts under which targets ended.
     Suspects(Vec<Suspect>),
 }
 
--- a/camphorweir-wire/tests/formats/earlier.rs
+++ b/camphorweir-wire/tests/formats/earlier.rs
@@ -128,3 +128,23 @@
     pub(crate) changes: Vec<Change>,
     pub(crate) removed: Vec<Fingerprint>,
 }
+
+/// The datagram of 63c8192 that this release writes otherwise.
+#[derive(Debug, Deserialize)]
+pub(crate) enum SuspectsOf63c8192 {
+    Suspects(Vec<SuspectOf63c8192>),
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct SuspectOf63c8192 {
+    pub(crate) fingerprint: u64,
+    pub(crate) crashes: Vec<CrashOf63c8192>,
+    pub(crate) cleared: Vec<u32>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct CrashOf63c8192 {
+    pub(crate) ran_ms: u64,
+}
--- a/camphorweir-wire/tests/formats/main.rs
+++ b/camphorweir-wire/tests/formats/main.rs
@@ -9,6 +9,7 @@
 use {
     camphorweir_wire::{
         codec,
+        crash::{Crash, Quarantine, Suspect},
         digest::{Addresses, Datagram, Digest},
         replication::{Request, Response},
     },
@@ -19,6 +20,8 @@
 
 /// Messages as e39a49a writes them.
 const E39A49A: &str = include_str!("e39a49a.txt");
+/// Messages as 63c8192 writes them.
+const R63C8192: &str = include_str!("63c8192.txt");
 /// Messages as this release writes them.
 const CURRENT: &str = include_str!("current.txt");
 
@@ -106,6 +109,59 @@
     assert_eq!(response, expected);
 }
 
+#[test]
+fn messages_of_the_last_release_are_read() {
+    let cases = cases(R63C8192);
+    let addresses = codec::decode::<Addresses>(&cases["addresses"]).unwrap();
+    let expected = Addresses {
+        formats: 1,
+        ..samples::addresses()
+    };
+    assert_eq!(addresses, expected);
+    // It knows contents only, and not how far an answer had come.
+    let earlier = |crash: Crash| Crash {
+        waited: false,
+        content: 0,
+        ..crash
+    };
+    let suspects = codec::decode::<Datagram>(&cases["suspects"]).unwrap();
+    let sample = samples::suspect();
+    let expected = Suspect {
+        crashes: sample.crashes.into_iter().map(earlier).collect(),
+        part: false,
+        succeeded_ms: None,
+        ..sample
+    };
+    assert_eq!(suspects, Datagram::Suspects(vec![expected]));
+    let quarantine = codec::decode::<Quarantine>(&cases["quarantine"]).unwrap();
+    let sample = samples::quarantine();
+    let expected = Quarantine {
+        crashes: sample.crashes.into_iter().map(earlier).collect(),
+        part: false,
+        ..sample
+    };
+    assert_eq!(quarantine, expected);
+    let written = written();
+    let unchanged = cases
+        .keys()
+        .filter(|name| !["addresses", "suspects", "quarantine"].contains(name));
+    for name in unchanged {
+        assert_eq!(written[name], cases[name], "{name}");
+    }
+}
+
+#[test]
+fn the_last_release_reads_suspects_by_its_own_rules() {
+    let bytes = &written()["suspects"];
+    let datagram = from_slice::<earlier::SuspectsOf63c8192>(bytes).unwrap();
+    let earlier::SuspectsOf63c8192::Suspects(suspects) = datagram;
+    let sample = samples::suspect();
+    assert_eq!(suspects[0].fingerprint, sample.fingerprint);
+    assert_eq!(suspects[0].cleared, sample.cleared);
+    assert_eq!(suspects[0].crashes.len(), sample.crashes.len());
+    assert_eq!(suspects[0].crashes[0].ran_ms, sample.crashes[0].ran_ms);
+}
+
 #[test]
 fn an_earlier_release_reads_these_messages_by_its_own_rules() {
     let (written, cases) = (written(), cases(E39A49A));
--- a/camphorweir-wire/tests/formats/samples.rs
+++ b/camphorweir-wire/tests/formats/samples.rs
@@ -25,11 +25,15 @@
         target: 1,
         age_ms: 3_000,
         ran_ms: 50,
+        waited: true,
+        content: 0xfeed,
     },
     Crash {
         target: u32::MAX,
         age_ms: 70_000,
         ran_ms: 1,
+        waited: false,
+        content: u32::MAX,
     },
 ];
 const FINGERPRINT: Fingerprint = Fingerprint {
@@ -142,6 +146,8 @@
         fingerprint: u64::MAX,
         crashes: CRASHES.to_vec(),
         cleared: vec![1],
+        part: true,
+        succeeded_ms: Some(4_000),
     }
 }
 
@@ -149,5 +155,6 @@
     Quarantine {
         crashes: CRASHES.to_vec(),
         stored_ms: 1_790_000_000_000,
+        part: true,
     }
 }
