Let a call wait for word of its key's owner after a pause of the entry

Cause: the one place that gives this refusal needs a start without outcome, an owner not heard of for 3 s, and a log read within 5 s. An entry that stood still for 3 to 5 s and wakes with a call is in that state: the heartbeats and the record of the outcome wait in its sockets. The class: judging by what is known before reading what has arrived. Ruled out: a first call of a key, which has no other owner; a log that can't be read, which has a code of its own.

Change: such a call waits for a second, looking every 250 ms as it does for an owner that is heard of; then it is refused as before.

--- a/camphorweir-policy/src/never_repeat.rs
+++ b/camphorweir-policy/src/never_repeat.rs
@@ -33,6 +33,9 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval at which the key of a call that waits for another start is evaluated again.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a call waits for word of an owner that has not been heard of. After a pause of this process the
+/// heartbeats and records that arrived meanwhile are still to be read.
+const OWNER_PATIENCE: Duration = Duration::from_secs(1);
 /// How long after the caller's deadline an answer is still awaited, to record the outcome.
 const OUTCOME_GRACE: Duration = Duration::from_secs(60);
 /// Largest answer body that is recorded, in bytes.
@@ -244,7 +247,10 @@
             self.members.owner_liveness(&start.owner, self.now.mono)
         };
         match liveness {
-            Liveness::Alive => {
+            Liveness::Unreachable if self.has_waited(id, OWNER_PATIENCE) => {
+                self.refuse_in_progress(id);
+            }
+            Liveness::Alive | Liveness::Unreachable => {
                 self.query_owner(key, start);
                 let timer = Timer::EvaluateKey(id);
                 self.timers.set(self.now.mono + OWNER_POLL_INTERVAL, timer);
@@ -253,10 +259,15 @@
                 self.append_claim(key, start.nonce, claim::Body::Unknown, true);
                 self.refuse_unknown(id, "the entry that ran the request is gone");
             }
-            Liveness::Unreachable => self.refuse_in_progress(id),
         }
     }
 
+    /// Whether a request arrived at least this long ago.
+    fn has_waited(&self, id: RequestId, time: Duration) -> bool {
+        let request = self.requests.get(&id);
+        request.is_none_or(|request| self.now.mono >= request.head.arrived + time)
+    }
+
     /// Asks the owner of a start about it; the answer shows whether the owner has been restarted.
     fn query_owner(&mut self, key: &Key, start: &LiveStart) {
         if start.owner != self.owner() {
--- a/camphorweir-policy/tests/always/scenario.rs
+++ b/camphorweir-policy/tests/always/scenario.rs
@@ -131,6 +131,30 @@
     );
 }
 
+#[test]
+fn a_call_at_an_entry_that_stood_still_waits_for_what_has_arrived_meanwhile() {
+    let mut world = world();
+    let key = world.new_key();
+    let first = world.never_repeat(0, key, 7);
+    while runs(&world) == 0 {
+        world.run(MS / 4);
+    }
+    world.entries[1].frozen = true;
+    world.run(4 * SECOND);
+    assert!(answered(&world, first));
+    // A call comes before the heartbeats and records that wait.
+    world.entries[1].frozen = false;
+    let again = world.never_repeat(1, key, 7);
+    world.resume_reading_first(1);
+    world.run(SECOND);
+    assert!(
+        answered(&world, again),
+        "{:?}",
+        world.oracle.calls[&again].end
+    );
+    assert_eq!(runs(&world), 1);
+}
+
 #[test]
 fn a_key_that_ran_under_a_dead_entry_does_not_run_again() {
     let mut world = world();
