Know a restart that a probe finds before the store lists it

Cause: a probe found a later incarnation at a target's address, and the list named the earlier one for up to a second more. What broke off in between was put down to the earlier incarnation, whose end was counted already. The class: a fact that was seen first-hand waits for the same fact from the store.

Change: such a probe updates the incarnation (fleet); the target is used again once its own record lists it, as before, since its record may have another identifier.

Ruled out: reports between entries, which all arrived.

--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -49,10 +49,14 @@
     log::info!(target_name:% = id, result:? = result; "target checked after a request broke off");
 }
 
-/// Records what a probe says of requests that broke off at its target.
+/// Records what a probe says of requests that broke off at its target, and of the target's incarnation.
 fn record_end(state: &State, id: &TargetId, result: Presence) {
     match result {
         Presence::Alive => state.router().suspects.record_alive(id),
+        Presence::Restarted { started_ms } => {
+            state.record_end(id);
+            state.record_restart(id, started_ms);
+        }
         Presence::Replaced | Presence::Ended => state.record_end(id),
         Presence::Silent => {}
     }
@@ -69,7 +73,9 @@
     record_end(&state, &id, result);
     match result {
         Presence::Silent | Presence::Ended => state.record_silence(&id),
-        Presence::Alive | Presence::Replaced => state.record_answer(&id),
+        Presence::Alive | Presence::Restarted { .. } | Presence::Replaced => {
+            state.record_answer(&id)
+        }
     }
     let now = state.now();
     let lives = result == Presence::Alive;
@@ -82,7 +88,12 @@
 enum Presence {
     /// The target, in the incarnation that its record describes.
     Alive,
-    /// Another incarnation, or another service.
+    /// A later incarnation, of this target or of what took its address.
+    Restarted {
+        /// Unix time of its start in ms.
+        started_ms: u64,
+    },
+    /// Something else.
     Replaced,
     /// Nothing: a connection is refused.
     Ended,
@@ -99,15 +110,15 @@
     let response = client.call(control_report_call(), PROBE_TIMEOUT).await;
     match response {
         Ok((200, body)) => {
-            let report = control_decode_report(&body);
-            let is_same = report.is_ok_and(|report| {
-                report
-                    .started_ms
-                    .is_none_or(|started_ms| started_ms == target.started_ms)
-            });
-            match is_same {
-                true => Presence::Alive,
-                false => Presence::Replaced,
+            let Ok(report) = control_decode_report(&body) else {
+                return Presence::Replaced;
+            };
+            match report.started_ms {
+                Some(started_ms) if started_ms > target.started_ms => {
+                    Presence::Restarted { started_ms }
+                }
+                Some(started_ms) if started_ms < target.started_ms => Presence::Replaced,
+                _ => Presence::Alive,
             }
         }
         Ok(_) => Presence::Replaced,
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -206,6 +206,14 @@
         self.log_quarantined(&quarantined, target);
     }
 
+    /// Records that a later incarnation runs at a target's address, before the store lists it.
+    pub fn record_restart(&self, target: &TargetId, started_ms: u64) {
+        let now = self.now();
+        if self.router().fleet.record_restart(target, started_ms, now) {
+            log::info!(target_name:% = target, started_ms = started_ms; "target has started anew");
+        }
+    }
+
     /// Logs and counts what is quarantined from now on; `source` says who found out.
     pub fn log_quarantined(&self, quarantined: &[Quarantine], source: &str) {
         for quarantine in quarantined {
--- a/camphorweir-relay/src/fleet.rs
+++ b/camphorweir-relay/src/fleet.rs
@@ -77,6 +77,8 @@
     target: Target,
     /// When the target was first seen since its start.
     first_seen: Time,
+    /// Whether the target's record was read since its start.
+    is_listed: bool,
     /// Until when the target is kept, if its record lapsed around an outage of the store.
     kept_until: Option<Time>,
 }
@@ -148,7 +150,7 @@
         }
         let change = match self.targets.get(&target.id) {
             Some(entry) if entry.version() > version => return None,
-            Some(entry) if entry.target.started_ms == target.started_ms => {
+            Some(entry) if entry.is_listed && entry.target.started_ms == target.started_ms => {
                 target.draining |= entry.target.draining;
                 first_seen = entry.first_seen;
                 match (entry.target.draining, target.draining) {
@@ -169,6 +171,7 @@
         let entry = Entry {
             target,
             first_seen,
+            is_listed: true,
             kept_until: None,
         };
         self.targets.insert(id, entry);
@@ -186,6 +189,21 @@
         entry.is_some_and(|entry| !std::mem::replace(&mut entry.target.draining, true))
     }
 
+    /// Records that a later incarnation was found at a target's address, which holds no layers; its record
+    /// may list it under another identifier. Returns whether it was not known.
+    pub fn record_restart(&mut self, id: &TargetId, started_ms: u64, now: Time) -> bool {
+        let entry = self.targets.get_mut(id);
+        let Some(entry) = entry.filter(|entry| entry.target.started_ms < started_ms) else {
+            return false;
+        };
+        entry.target.started_ms = started_ms;
+        entry.target.sequence = 0;
+        entry.target.span = Span::default();
+        entry.first_seen = now;
+        entry.is_listed = false;
+        true
+    }
+
     /// Removes the targets at an address that started at `started_ms` or earlier.
     fn remove_older_at(&mut self, address: SocketAddr, started_ms: u64) {
         self.targets.retain(|_, entry| {
--- a/camphorweir-relay/tests/decide/fleet.rs
+++ b/camphorweir-relay/tests/decide/fleet.rs
@@ -47,6 +47,28 @@
     assert_eq!(fleet.get(&id("a")).map(|target| target.started_ms), Some(2));
 }
 
+#[test]
+fn a_restart_that_a_probe_finds_is_known_before_it_is_listed() {
+    let mut fleet = Fleet::default();
+    let mut first = target("a", 1, 1);
+    first.span = Span { from: 0, to: 5 };
+    fleet.upsert(first.clone(), ms(0));
+    assert!(fleet.record_restart(&id("a"), 2, ms(1)));
+    assert!(!fleet.record_restart(&id("a"), 2, ms(2)));
+    assert!(!fleet.record_restart(&id("a"), 1, ms(2)));
+    assert!(!fleet.record_restart(&id("b"), 2, ms(2)));
+    let found = fleet.get(&id("a")).unwrap();
+    assert_eq!((found.started_ms, found.span.is_empty()), (2, true));
+    // A record from before changes nothing, and its own lists it as new.
+    assert_eq!(fleet.upsert(first, ms(3)), None);
+    assert_eq!(fleet.upsert(target("a", 2, 1), ms(4)), Some(Change::Up));
+    assert_eq!(fleet.upsert(target("a", 2, 1), ms(5)), None);
+    // It may as well be listed under another identifier.
+    assert!(fleet.record_restart(&id("a"), 3, ms(6)));
+    assert_eq!(fleet.upsert(target("c", 3, 1), ms(7)), Some(Change::Up));
+    assert!(fleet.get(&id("a")).is_none());
+}
+
 #[test]
 fn an_address_that_is_used_again_belongs_to_the_newer_target() {
     let mut fleet = Fleet::default();
