Move targets back to the best flow known after a repair

Cause: a repair moves the slowest targets to the missing layers, and nothing moves them back. A fast target that returned was given what had fewest copies, which the repair had left behind, and not the place of its kind.

Change: 'flow' is the number of streams of mean size that a zone's targets have room for, exact for an arrangement, over the time of one. Each zone is compared with what its targets would give if all were placed anew. Empty targets take their places there, where every layer then has a copy; once a zone has settled (0.5 s after a change, 5 s after a loss) and has less than 0.92 of that flow, targets move to theirs as long as those that stay hold every layer and 0.8 of the flow. Targets with the same hardware are interchangeable, so few move. Orders say why in the log, with both flows; camphorweir_zone_flow shows them. A target that passes streams on has 12 s more.

Tests: the flow against every set of layers (proptest), a zone of each site without each of its targets, two lost in turn, calm zones get no orders, moves keep their promise (proptest); all pass.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -43,6 +43,7 @@
     targets: Gauge<u64>,
     cut_off: Gauge<u64>,
     layers: Gauge<u64>,
+    zone_flow: Gauge<f64>,
     configuration_version: Gauge<u64>,
     configuration_age: Gauge<f64>,
     in_flight: Gauge<u64>,
@@ -113,6 +114,10 @@
                 "camphorweir.layers",
                 "Layers, by zone and number of live copies",
             ),
+            zone_flow: meter
+                .f64_gauge("camphorweir.zone.flow")
+                .with_description("Streams a second that a zone can serve, now and arranged anew")
+                .build(),
             configuration_version: gauge("camphorweir.configuration", "The version in force"),
             configuration_age: meter
                 .f64_gauge("camphorweir.configuration.age")
@@ -232,6 +237,16 @@
             ];
             self.layers.record(layers as u64, &labels);
         }
+        for (zone, balance) in router.zone_balances(now) {
+            let flows = [("now", balance.now), ("reference", balance.reference)];
+            for (kind, flow) in flows {
+                let labels = [
+                    KeyValue::new("zone", zone.to_string()),
+                    KeyValue::new("kind", kind),
+                ];
+                self.zone_flow.record(flow, &labels);
+            }
+        }
         if let Some(configuration) = router.configuration() {
             self.configuration_version
                 .record(configuration.version, &[]);
--- a/camphorweir-entry/src/front/placement.rs
+++ b/camphorweir-entry/src/front/placement.rs
@@ -7,11 +7,12 @@
         store::{Error, store_decode_grant, store_join_call, store_leave_call},
     },
     camphorweir_relay::{
+        changes::Changes,
         configuration::{Configuration, Engine},
         fleet::Target,
         ids::{ServiceName, TargetId, Time},
         lease::Lease,
-        placement::{Candidate, placement_plan},
+        placement::{Candidate, Reason, placement_plan},
         span::Span,
         store::Era,
     },
@@ -49,6 +50,9 @@
 /// Time for the record to be written and read.
 const LOAD_SLACK: Duration = Duration::from_secs(4);
 
+/// Time for the streams that pass through a target to end before it loads other layers.
+const DRAIN_SLACK: Duration = Duration::from_secs(12);
+
 /// Orders that don't show in the target's record yet: incarnation of the target, ordered layers,
 /// and when to stop waiting.
 type Pending = Arc<Mutex<HashMap<TargetId, (u64, Span, Time)>>>;
@@ -58,6 +62,7 @@
     let mut store = Store::new(&state);
     let mut lease = Lease::new(MEMBERSHIP_TERM - LEASE_MARGIN);
     let pending = Pending::default();
+    let mut changes = Changes::default();
     let mut next_renewal = Instant::now();
     // When a renewal was last due while this instance was a member of the group.
     let mut member_at: Option<Instant> = None;
@@ -77,7 +82,7 @@
         let fencing_token = lease.fencing_token(state.now());
         state.set_holds_lease(fencing_token.is_some());
         if let Some(fencing_token) = fencing_token {
-            place_layers(&state, &pending, fencing_token);
+            place_layers(&state, &pending, &mut changes, fencing_token);
         }
         sleep_until(Instant::now() + ROUND_PAUSE).await;
     }
@@ -146,7 +151,7 @@
 }
 
 /// Orders targets to load layers where the placement plan asks for it.
-fn place_layers(state: &State, pending: &Pending, fencing_token: u64) {
+fn place_layers(state: &State, pending: &Pending, changes: &mut Changes, fencing_token: u64) {
     let now = state.now();
     let router = state.router();
     let Some(configuration) = router.configuration().cloned() else {
@@ -164,26 +169,40 @@
         let targets: Vec<Target> = responsive.cloned().collect();
         let mut pending_orders = pending.lock().unwrap_or_else(PoisonError::into_inner);
         pending_orders.retain(|_, (_, _, until)| *until > now);
+        changes.record(targets.iter(), now);
         let candidates: Vec<Candidate> = targets
             .iter()
             .filter_map(|target| {
                 let time_since_first_seen = router.fleet.time_since_first_seen(&target.id, now);
-                candidate(target, engine, &pending_orders, time_since_first_seen)
+                let is_zone_settled = changes.is_settled(name, &target.zone, now);
+                candidate(
+                    target,
+                    engine,
+                    &pending_orders,
+                    time_since_first_seen,
+                    is_zone_settled,
+                )
             })
             .collect();
-        for (id, span) in placement_plan(&candidates, engine) {
+        for planned in placement_plan(&candidates, engine) {
+            let (id, span) = (planned.target, planned.span);
             let Some(target) = targets.iter().find(|target| target.id == id) else {
                 continue;
             };
             let layer_fraction = f64::from(span.len()) / f64::from(engine.layers);
-            let load_time =
-                engine.load_time.mul_f64(layer_fraction * LOAD_TIME_FACTOR) + LOAD_SLACK;
+            let drain_time = match target.span.is_empty() {
+                true => Duration::ZERO,
+                false => DRAIN_SLACK,
+            };
+            let load_time = engine.load_time.mul_f64(layer_fraction * LOAD_TIME_FACTOR);
+            let load_time = load_time + LOAD_SLACK + drain_time;
             pending_orders.insert(id.clone(), (target.started_ms, span, now + load_time));
             let order = Order {
                 id,
                 address: target.address,
                 current: target.span,
                 span,
+                reason: planned.reason,
                 fencing_token,
                 era: state.era(),
             };
@@ -207,19 +226,18 @@
     engine: &Engine,
     pending_orders: &HashMap<TargetId, (u64, Span, Time)>,
     time_since_first_seen: Duration,
+    is_zone_settled: bool,
 ) -> Option<Candidate> {
-    let hardware = *engine.hardware.get(target.hardware.as_ref()?)?;
     let ordered_span = pending_orders.get(&target.id);
     let ordered_span = ordered_span.filter(|(started_ms, _, _)| *started_ms == target.started_ms);
     let ordered_span = ordered_span.map(|(_, span, _)| *span);
     let ordered_span = ordered_span.filter(|span| *span != target.span);
     Some(Candidate {
-        target: target.id.clone(),
-        zone: target.zone.clone(),
-        hardware,
         span: ordered_span.unwrap_or(target.span),
         is_order_pending: ordered_span.is_some(),
         time_since_first_seen,
+        is_zone_settled,
+        ..Candidate::of(target, engine)?
     })
 }
 
@@ -229,6 +247,7 @@
     /// Layers that the target held when the order was planned.
     current: Span,
     span: Span,
+    reason: Reason,
     fencing_token: u64,
     /// Era of the store in which the lease was granted.
     era: Era,
@@ -245,6 +264,7 @@
         held_to = order.current.to,
         from = order.span.from,
         to = order.span.to,
+        reason = describe(order.reason),
         fence = order.fencing_token,
         result = result.as_ref().map_or_else(Clone::clone, |status| status.to_string());
         "result of an order to load layers"
@@ -256,6 +276,16 @@
     }
 }
 
+/// Why an order is given, for the log; with the flow of the zone and that of a new arrangement, in streams
+/// a second.
+fn describe(reason: Reason) -> String {
+    match reason {
+        Reason::Empty => "empty".to_owned(),
+        Reason::Gap => "gap".to_owned(),
+        Reason::Flow(balance) => format!("flow {:.1} of {:.1}", balance.now, balance.reference),
+    }
+}
+
 async fn try_order(state: &State, client: &mut Client, order: &Order) -> Result<u16, String> {
     let describe = |error: Error| error.to_string();
     let response = client.call(control_report_call(), TARGET_TIMEOUT).await;
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -4,12 +4,15 @@
 #![forbid(unsafe_code)]
 
 pub mod access;
+pub mod balance;
 pub mod budget;
+pub mod changes;
 pub mod configuration;
 pub mod contact;
 mod crashes;
 pub mod detour;
 pub mod fleet;
+pub mod flow;
 pub mod head;
 pub mod ids;
 mod isolation;
--- a/camphorweir-relay/src/placement.rs
+++ b/camphorweir-relay/src/placement.rs
@@ -6,7 +6,10 @@
 
 use {
     crate::{
+        balance::{Balance, balance_displaced, balance_moves},
         configuration::{Engine, Hardware},
+        fleet::Target,
+        flow::{Holder, flow_compute},
         ids::{Layer, TargetId, Zone},
         span::Span,
     },
@@ -44,11 +47,35 @@
     pub is_order_pending: bool,
     /// Time since the target was first seen after its start.
     pub time_since_first_seen: Duration,
+    /// Whether the targets of its zone, and their layers, have not changed for a while.
+    pub is_zone_settled: bool,
 }
 
-/// Orders to load layers, for empty targets and for targets whose layers have other copies while
-/// another layer has none.
-pub fn placement_plan(candidates: &[Candidate], engine: &Engine) -> Vec<(TargetId, Span)> {
+/// Why a target is ordered to load layers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reason {
+    /// It holds none.
+    Empty,
+    /// Its layers have other copies, and another layer has none.
+    Gap,
+    /// The zone serves less than it could.
+    Flow(Balance),
+}
+
+/// An order to load layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The target.
+    pub target: TargetId,
+    /// The layers that it is to hold.
+    pub span: Span,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Orders to load layers: for empty targets, for targets whose layers have other copies while another layer
+/// has none, and in zones that have settled for targets that raise the flow elsewhere.
+pub fn placement_plan(candidates: &[Candidate], engine: &Engine) -> Vec<Order> {
     let mut zones: BTreeMap<&Zone, Vec<&Candidate>> = BTreeMap::new();
     for candidate in candidates {
         zones.entry(&candidate.zone).or_default().push(candidate);
@@ -59,7 +86,7 @@
         .collect()
 }
 
-fn plan_zone(candidates: &[&Candidate], engine: &Engine) -> Vec<(TargetId, Span)> {
+fn plan_zone(candidates: &[&Candidate], engine: &Engine) -> Vec<Order> {
     let holds_nothing = candidates.iter().all(|candidate| candidate.span.is_empty());
     if holds_nothing
         && candidates
@@ -68,20 +95,92 @@
     {
         return Vec::new();
     }
+    let plan = plan_cover(candidates, engine);
+    if plan.spans.is_empty() && plan.covers_all {
+        return balance_zone(candidates, engine);
+    }
+    if plan.covers_all && plan.is_without_moves() {
+        let places = displaced(candidates, engine);
+        if let Some(plan) = plan.with_places(candidates, &places, engine) {
+            return plan.into_orders();
+        }
+    }
+    plan.into_orders()
+}
+
+/// Orders that bring the flow of a zone back to what a new arrangement would give, once it has settled.
+fn balance_zone(candidates: &[&Candidate], engine: &Engine) -> Vec<Order> {
+    if !candidates.iter().all(|candidate| candidate.is_zone_settled) {
+        return Vec::new();
+    }
+    let balance = placement_balance(candidates, engine);
+    if balance.is_good() {
+        return Vec::new();
+    }
+    let moves = balance_moves(candidates, &displaced(candidates, engine), engine);
+    let orders = moves.into_iter().map(|(target, span)| Order {
+        target,
+        span,
+        reason: Reason::Flow(balance),
+    });
+    orders.collect()
+}
+
+/// The spans of a zone's targets if all were placed anew.
+fn reference<'a>(candidates: &[&'a Candidate], engine: &Engine) -> Vec<(&'a Candidate, Span)> {
+    let empty: Vec<Candidate> = candidates
+        .iter()
+        .map(|candidate| Candidate {
+            span: Span::default(),
+            ..(*candidate).clone()
+        })
+        .collect();
+    let empty: Vec<&Candidate> = empty.iter().collect();
+    let spans = plan_cover(&empty, engine).spans.into_iter();
+    let spans: BTreeMap<TargetId, Span> = spans.map(|(target, span, _)| (target, span)).collect();
+    let placed = candidates.iter().filter_map(|candidate| {
+        let span = *spans.get(&candidate.target)?;
+        Some((*candidate, span))
+    });
+    placed.collect()
+}
+
+/// The targets of a zone that do not have a place of a new arrangement, each with one that nobody has.
+fn displaced<'a>(candidates: &[&'a Candidate], engine: &Engine) -> Vec<(&'a Candidate, Span)> {
+    balance_displaced(candidates, &reference(candidates, engine))
+}
+
+/// The flow of a zone as it is, and as it would be if all targets were placed anew.
+pub fn placement_balance(candidates: &[&Candidate], engine: &Engine) -> Balance {
+    let now: Vec<Holder> = candidates
+        .iter()
+        .map(|candidate| candidate.holder())
+        .collect();
+    let anew = reference(candidates, engine).into_iter();
+    let anew = anew.map(|(candidate, span)| Holder {
+        span,
+        hardware: candidate.hardware,
+    });
+    let anew: Vec<Holder> = anew.collect();
+    Balance {
+        now: flow_compute(&now, engine),
+        reference: flow_compute(&anew, engine),
+    }
+}
+
+/// The first plan with a copy of every layer; where there is none, empty targets are still filled, and the
+/// others keep their layers.
+fn plan_cover(candidates: &[&Candidate], engine: &Engine) -> Plan {
     let tokens = MEMORY_SHARES
         .iter()
         .map(|share| share * wanted_tokens(engine));
     let mut plans = tokens.map(|tokens| plan_with_memory(candidates, engine, tokens));
-    // The first plan with a copy of every layer; where there is none, empty targets are still
-    // filled, and the others keep their layers.
     let covering = plans.find(|plan| plan.covers_all);
-    let plan = covering.unwrap_or_else(|| {
+    covering.unwrap_or_else(|| {
         let mut plan = plan_with_memory(candidates, engine, 0.0);
         plan.spans.retain(|(_, _, is_move)| !is_move);
         plan
-    });
-    let spans = plan.spans.into_iter();
-    spans.map(|(target, span, _)| (target, span)).collect()
+    })
 }
 
 struct Plan {
@@ -91,6 +190,52 @@
     covers_all: bool,
 }
 
+impl Plan {
+    /// Whether no target that holds layers is to load others.
+    fn is_without_moves(&self) -> bool {
+        self.spans.iter().all(|(_, _, is_move)| !is_move)
+    }
+
+    /// The plan with the given places for its targets, if every layer has a copy then too.
+    fn with_places(
+        &self,
+        candidates: &[&Candidate],
+        places: &[(&Candidate, Span)],
+        engine: &Engine,
+    ) -> Option<Self> {
+        let place = |target: &TargetId| {
+            let mut places = places.iter();
+            let place = places.find(|(candidate, _)| candidate.target == *target);
+            place.map(|(_, span)| *span)
+        };
+        let spans = self.spans.iter();
+        let spans = spans.map(|(target, span, is_move)| {
+            (target.clone(), place(target).unwrap_or(*span), *is_move)
+        });
+        let spans: Vec<(TargetId, Span, bool)> = spans.collect();
+        let mut coverage = Coverage::new(engine.layers);
+        for candidate in candidates {
+            let mut planned = spans.iter();
+            let planned = planned.find(|(target, _, _)| *target == candidate.target);
+            let span = planned.map_or(candidate.span, |(_, span, _)| *span);
+            coverage.add(span, &candidate.hardware, engine);
+        }
+        (!coverage.has_gap()).then_some(Self {
+            spans,
+            covers_all: true,
+        })
+    }
+
+    fn into_orders(self) -> Vec<Order> {
+        let orders = self.spans.into_iter().map(|(target, span, is_move)| Order {
+            target,
+            span,
+            reason: if is_move { Reason::Gap } else { Reason::Empty },
+        });
+        orders.collect()
+    }
+}
+
 /// Plans a zone so that each target keeps memory for this many tokens.
 fn plan_with_memory(candidates: &[&Candidate], engine: &Engine, tokens: f64) -> Plan {
     let mut coverage = Coverage::new(engine.layers);
@@ -158,6 +303,26 @@
 }
 
 impl Candidate {
+    /// A target without orders in a zone that has settled; `None` if its hardware is unknown.
+    pub fn of(target: &Target, engine: &Engine) -> Option<Self> {
+        Some(Self {
+            target: target.id.clone(),
+            zone: target.zone.clone(),
+            hardware: *engine.hardware.get(target.hardware.as_ref()?)?,
+            span: target.span,
+            is_order_pending: false,
+            time_since_first_seen: Duration::MAX,
+            is_zone_settled: true,
+        })
+    }
+
+    pub(crate) fn holder(&self) -> Holder {
+        Holder {
+            span: self.span,
+            hardware: self.hardware,
+        }
+    }
+
     /// Whether the target holds layers and has no order in progress.
     fn is_movable(&self) -> bool {
         !self.span.is_empty() && !self.is_order_pending
@@ -165,13 +330,13 @@
 }
 
 /// Tokens that each target should have memory for beside its layers.
-fn wanted_tokens(engine: &Engine) -> f64 {
+pub(crate) fn wanted_tokens(engine: &Engine) -> f64 {
     let (prompt, answer) = engine.mean_tokens;
     REQUESTS_PER_TARGET * (prompt + answer)
 }
 
 /// The most layers that leave memory for this many tokens.
-fn layers_with_memory(engine: &Engine, hardware: &Hardware, tokens: f64) -> Layer {
+pub(crate) fn layers_with_memory(engine: &Engine, hardware: &Hardware, tokens: f64) -> Layer {
     let max = engine.max_layers(hardware);
     let fits =
         |layers: &Layer| engine.free_token_layers(hardware, *layers) >= tokens * f64::from(*layers);
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod budget;
+mod changes;
 mod contact;
 mod detour;
 mod fleet;
--- a/camphorweir-relay/tests/load/world.rs
+++ b/camphorweir-relay/tests/load/world.rs
@@ -296,9 +296,11 @@
             span: machine.span,
             is_order_pending: false,
             time_since_first_seen: Duration::from_secs(5),
+            is_zone_settled: false,
         });
         let candidates: Vec<Candidate> = candidates.collect();
-        for (id, span) in placement_plan(&candidates, &self.engine) {
+        for order in placement_plan(&candidates, &self.engine) {
+            let (id, span) = (order.target, order.span);
             let capacity = self.engine.free_token_layers(&hardware(&id), span.len());
             let machine = self.machines.get_mut(&id).unwrap();
             (machine.span, machine.capacity) = (span, capacity);
--- a/camphorweir-relay/tests/place.rs
+++ b/camphorweir-relay/tests/place.rs
@@ -2,11 +2,14 @@
 
 use {
     camphorweir_relay::{
+        balance::Balance,
         configuration::{Engine, Hardware},
+        flow::{Holder, flow_compute},
         ids::TargetId,
-        placement::{Candidate, placement_plan},
+        placement::{Candidate, Order, Reason, placement_balance, placement_plan},
         span::Span,
     },
+    proptest::prelude::*,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -38,6 +41,7 @@
         layer_mb: 1750.0,
         kv_token_bytes: 590_000.0,
         mean_tokens: (774.0, 210.0),
+        step_ms: 1.02,
         hardware: kinds.into(),
         ..Engine::default()
     }
@@ -55,13 +59,15 @@
             span: Span::default(),
             is_order_pending: false,
             time_since_first_seen: Duration::from_secs(5),
+            is_zone_settled: false,
         })
         .collect()
 }
 
 /// Loads the planned layers, as targets do.
-fn apply(candidates: &mut [Candidate], plan: Vec<(TargetId, Span)>) {
-    let plan: BTreeMap<TargetId, Span> = plan.into_iter().collect();
+fn apply(candidates: &mut [Candidate], plan: Vec<Order>) {
+    let plan = plan.into_iter().map(|order| (order.target, order.span));
+    let plan: BTreeMap<TargetId, Span> = plan.collect();
     for candidate in candidates {
         if let Some(span) = plan.get(&candidate.target) {
             candidate.span = *span;
@@ -161,3 +167,178 @@
     }
     assert_eq!(placement_plan(&candidates, &engine), []);
 }
+
+/// The flow of a zone, and that of a new arrangement.
+fn balance(candidates: &[Candidate], engine: &Engine) -> Balance {
+    let candidates: Vec<&Candidate> = candidates.iter().collect();
+    placement_balance(&candidates, engine)
+}
+
+fn set_settled(candidates: &mut [Candidate], is_settled: bool) {
+    for candidate in candidates {
+        candidate.is_zone_settled = is_settled;
+    }
+}
+
+fn placed(engine: &Engine, zone: Zone) -> Vec<Candidate> {
+    let mut candidates = candidates(engine, zone);
+    let plan = placement_plan(&candidates, engine);
+    apply(&mut candidates, plan);
+    candidates
+}
+
+/// Loads what is ordered, round by round, until nothing is; checks that the targets that stay hold a copy
+/// of every layer. Returns the number of orders.
+fn settle(candidates: &mut [Candidate], engine: &Engine, case: &str) -> usize {
+    let mut count = 0;
+    for _ in 0..20 {
+        set_settled(candidates, true);
+        let plan = placement_plan(candidates, engine);
+        if plan.is_empty() {
+            return count;
+        }
+        let is_moved = |candidate: &&Candidate| {
+            let mut orders = plan.iter();
+            orders.any(|order| order.target == candidate.target && !candidate.span.is_empty())
+        };
+        let staying = candidates.iter().filter(|candidate| !is_moved(candidate));
+        let staying: Vec<Candidate> = staying.cloned().collect();
+        let is_repair = plan.iter().any(|order| order.reason == Reason::Gap);
+        if !is_repair && copies(candidates, 80).iter().all(|copies| *copies > 0) {
+            assert!(
+                copies(&staying, 80).iter().all(|copies| *copies > 0),
+                "{case}"
+            );
+        }
+        count += plan.len();
+        apply(candidates, plan);
+    }
+    panic!("{case}: orders without end");
+}
+
+#[test]
+fn a_zone_returns_to_the_flow_of_before_once_a_lost_target_is_back() {
+    let engine = engine();
+    for zone in [(1, 6, 6), (1, 10, 4), (2, 4, 4), (3, 14, 16)] {
+        let before = placed(&engine, zone);
+        let flow = balance(&before, &engine).now;
+        for index in 0..before.len() {
+            let mut candidates = before.clone();
+            let case = format!("{zone:?} without {}", candidates[index].target);
+            let mut lost = candidates.remove(index);
+            let repair = placement_plan(&candidates, &engine);
+            apply(&mut candidates, repair);
+            lost.span = Span::default();
+            lost.target = "back".into();
+            candidates.push(lost);
+            let orders = settle(&mut candidates, &engine, &case);
+            let after = balance(&candidates, &engine);
+            assert!(after.now >= 0.92 * flow, "{case}: {after:?}, before {flow}");
+            assert!(orders <= 1 + 12, "{case}: {orders} orders");
+        }
+    }
+}
+
+#[test]
+fn two_targets_that_were_lost_one_after_the_other_leave_no_lasting_loss() {
+    let engine = engine();
+    let before = placed(&engine, (2, 10, 8));
+    let flow = balance(&before, &engine).now;
+    let mut candidates = before;
+    let mut lost = Vec::new();
+    for name in ["a100-0", "a100-1"] {
+        let index = candidates
+            .iter()
+            .position(|candidate| &*candidate.target == name);
+        lost.push(candidates.remove(index.unwrap()));
+        let repair = placement_plan(&candidates, &engine);
+        apply(&mut candidates, repair);
+    }
+    for (number, mut target) in lost.into_iter().enumerate() {
+        target.span = Span::default();
+        target.target = format!("back-{number}").into();
+        candidates.push(target);
+        let plan = placement_plan(&candidates, &engine);
+        apply(&mut candidates, plan);
+    }
+    settle(&mut candidates, &engine, "two lost");
+    let after = balance(&candidates, &engine);
+    assert!(after.now >= 0.92 * flow, "{after:?}, before {flow}");
+}
+
+#[test]
+fn a_settled_zone_that_lost_nothing_gets_no_orders() {
+    let engine = engine();
+    for zone in ZONES {
+        let mut candidates = placed(&engine, *zone);
+        set_settled(&mut candidates, true);
+        assert_eq!(placement_plan(&candidates, &engine), [], "{zone:?}");
+    }
+}
+
+#[test]
+fn targets_move_for_the_flow_only_once_the_zone_has_settled() {
+    let engine = engine();
+    let mut candidates = placed(&engine, (1, 6, 6));
+    let index = candidates
+        .iter()
+        .position(|candidate| &*candidate.target == "a100-0");
+    let mut lost = candidates.remove(index.unwrap());
+    let repair = placement_plan(&candidates, &engine);
+    apply(&mut candidates, repair);
+    lost.span = Span::default();
+    candidates.push(lost);
+    let fill = placement_plan(&candidates, &engine);
+    assert_eq!(fill.len(), 1);
+    apply(&mut candidates, fill);
+    assert_eq!(placement_plan(&candidates, &engine), []);
+    set_settled(&mut candidates, true);
+    let moves = placement_plan(&candidates, &engine);
+    assert!(!moves.is_empty());
+    let is_for_flow = |order: &Order| matches!(order.reason, Reason::Flow(_));
+    assert!(moves.iter().all(is_for_flow), "{moves:?}");
+}
+
+proptest! {
+    #[test]
+    fn moves_keep_a_copy_of_every_layer_and_most_of_the_flow(
+        spans in prop::collection::vec((0_u16..80, 0_usize..3, any::<bool>()), 4..40),
+    ) {
+        let engine = engine();
+        let kinds = ["a100", "v100", "l4"];
+        let candidates = spans.iter().enumerate().map(|(index, (from, kind, is_pending))| {
+            let hardware = engine.hardware[kinds[*kind]];
+            let len = engine.max_layers(&hardware).min(30);
+            let from = (*from).min(80 - len);
+            Candidate {
+                target: format!("t{index}").into(),
+                zone: "z".into(),
+                hardware,
+                span: Span { from, to: from + len },
+                is_order_pending: *is_pending,
+                time_since_first_seen: Duration::from_secs(5),
+                is_zone_settled: true,
+            }
+        });
+        let candidates: Vec<Candidate> = candidates.collect();
+        let orders = placement_plan(&candidates, &engine);
+        let moves: Vec<&Order> = orders
+            .iter()
+            .filter(|order| matches!(order.reason, Reason::Flow(_)))
+            .collect();
+        let loaded = candidates.iter().filter(|candidate| !candidate.is_order_pending);
+        let is_staying = |candidate: &&Candidate| {
+            moves.iter().all(|order| order.target != candidate.target)
+        };
+        let holder = |candidate: &Candidate| Holder {
+            span: candidate.span,
+            hardware: candidate.hardware,
+        };
+        let before: Vec<Holder> = loaded.clone().map(holder).collect();
+        let staying: Vec<Holder> = loaded.filter(is_staying).map(holder).collect();
+        if !moves.is_empty() {
+            let (before, kept) = (flow_compute(&before, &engine), flow_compute(&staying, &engine));
+            prop_assert!(kept > 0.0 && kept >= 0.8 * before, "{kept} of {before}");
+        }
+    }
+}
