--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -6,7 +6,7 @@
         metadata::Store,
     },
     bytes::Bytes,
-    hyper::Response,
+    hyper::{Response, Version},
     serde_json::json,
     std::{
         collections::{BTreeMap, VecDeque},
@@ -48,6 +48,10 @@
     CutIn(usize),
     /// Cuts a new or resumed stream in the middle of the first event sent.
     CutAtOnce,
+    /// Sends an answer without a length that ends with its connection.
+    Unframed,
+    /// The same, and ends the connection in the middle of this event; a resumed stream is whole.
+    UnframedCutIn(usize),
     /// Stalls a stream for 60 s after this event.
     StallAfter(usize),
     /// Sends a byte now and then after this event, and no other event.
@@ -172,6 +176,11 @@
         self.state().faults.push_back(fault);
     }
 
+    /// Drops the faults that no call has consumed.
+    pub fn clear_faults(&self) {
+        self.state().faults.clear();
+    }
+
     /// Lets every later call with this body crash the target, which runs again after a while.
     pub fn crash_on(&self, body: &'static str) {
         self.state().crashing_body = Some(body.into());
@@ -383,6 +392,12 @@
             (_, true) if crashes => {
                 ScriptedBody::stream(begun_body(), self.state().stream_guard.clone())
             }
+            (Some(ResponseFault::Unframed), false) => ScriptedBody::stream(
+                vec![BodyStep::Bytes(
+                    format!("{} by {}", request.path, self.setup.id).into(),
+                )],
+                self.state().stream_guard.clone(),
+            ),
             (fault, true) => ScriptedBody::stream(
                 stream_body(request, fault),
                 self.state().stream_guard.clone(),
@@ -397,6 +412,10 @@
         if fault == Some(ResponseFault::Fail) {
             response = response.status(500);
         }
+        if let Some(ResponseFault::Unframed | ResponseFault::UnframedCutIn(_)) = fault {
+            // An earlier version of the protocol knows no chunks.
+            response = response.version(Version::HTTP_10);
+        }
         response.body(body).map_or(Reply::Close, Reply::Response)
     }
 }
@@ -424,7 +443,9 @@
     for number in after + 1..=STREAM_EVENTS {
         let bytes = event(number).into_bytes();
         let cut = match fault {
-            Some(ResponseFault::CutIn(cut_event)) => after == 0 && number == cut_event,
+            Some(ResponseFault::CutIn(cut_event) | ResponseFault::UnframedCutIn(cut_event)) => {
+                after == 0 && number == cut_event
+            }
             Some(ResponseFault::CutAtOnce) => true,
             _ => false,
         };
--- a/camphorweir-standin/tests/front/calls.rs
+++ b/camphorweir-standin/tests/front/calls.rs
@@ -245,3 +245,16 @@
     let answer = call(bench.front(), &plain("/seal/b", "c", KEYS[0])).await;
     assert_eq!(answer.status, 200);
 }
+
+#[tokio::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let bench = Bench::start(1).await;
+    for target in &bench.calls {
+        target.inject(ResponseFault::Unframed);
+    }
+    for id in ["u1", "u2", "u3"] {
+        let answer = call(bench.front(), &plain("/look/b", id, KEYS[0])).await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert!(answer.body.starts_with(b"/look/b by ledger-"));
+    }
+}
--- a/camphorweir-standin/tests/front/streams.rs
+++ b/camphorweir-standin/tests/front/streams.rs
@@ -54,6 +54,26 @@
     assert_eq!(bench.runs("s1"), 2);
 }
 
+#[tokio::test]
+async fn a_stream_without_a_length_ends_with_its_connection_and_goes_on_if_that_is_in_an_event() {
+    let bench = Bench::start(1).await;
+    for (id, fault, runs) in [
+        ("s1", ResponseFault::Unframed, 1),
+        ("s2", ResponseFault::UnframedCutIn(4), 2),
+    ] {
+        for part in &bench.parts {
+            part.inject(fault);
+        }
+        let answer = call(bench.front(), &stream(id)).await;
+        assert_eq!((answer.status, answer.whole), (200, true), "{fault:?}");
+        assert_eq!(answer.body, all(), "{fault:?}");
+        assert_eq!(bench.runs(id), runs, "{fault:?}");
+        for part in &bench.parts {
+            part.clear_faults();
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_can_not_go_on_ends_visibly_broken() {
     let bench = Bench::start(1).await;
