Decode and log the limits that targets name

The hypotheses need to know which target named which limit, and when each instance learned of it; no line told. Change: `platform` decodes Server-Limit of responses and of status checks, `relay::limit` keeps what is known of each target's incarnation, and a change is logged with its source. Nothing is decided by it yet.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -134,6 +134,9 @@
         state.record_leaving(target, plan.chosen_at);
         set_leaving_target(&mut parts, target);
     }
+    if !plan.is_detour() {
+        state.record_limit(&plan.target, info.limit, now);
+    }
     if let Some(wait) = info.retry_after.filter(|_| !plan.is_detour()) {
         state.record_closed(&plan.target, wait);
     }
--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -3,8 +3,12 @@
 
 use {
     crate::front::{client::Client, state::State},
-    camphorweir_platform::control::{control_decode_report, control_report_call},
+    camphorweir_platform::{
+        control::{control_decode_report, control_report_call},
+        response::response_decode_limit,
+    },
     camphorweir_relay::{fleet::Target, ids::TargetId},
+    hyper::StatusCode,
     std::{io, time::Duration},
     tokio::time::timeout,
 };
@@ -44,7 +48,7 @@
         return;
     };
     let client = state.target_client(target.address);
-    let result = ask(client, &target).await;
+    let result = ask(&state, client, &target).await;
     record_end(&state, &id, result);
     log::info!(target_name:% = id, result:? = result; "target checked after a request broke off");
 }
@@ -69,7 +73,7 @@
         return;
     };
     let client = state.target_client(target.address);
-    let result = ask(client, &target).await;
+    let result = ask(&state, client, &target).await;
     record_end(&state, &id, result);
     match result {
         Presence::Silent | Presence::Ended => state.record_silence(&id),
@@ -101,15 +105,20 @@
     Silent,
 }
 
-async fn ask(mut client: Client, target: &Target) -> Presence {
+async fn ask(state: &State, mut client: Client, target: &Target) -> Presence {
     match client.connect(PROBE_TIMEOUT).await {
         Ok(()) => {}
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Presence::Ended,
         Err(_) => return Presence::Silent,
     }
-    let response = client.call(control_report_call(), PROBE_TIMEOUT).await;
+    let sent_at = state.now();
+    let response = client.exchange(control_report_call(), PROBE_TIMEOUT).await;
+    if let Ok((head, _)) = &response {
+        let named = response_decode_limit(&head.headers);
+        state.record_limit(&target.id, named, sent_at);
+    }
     match response {
-        Ok((200, body)) => {
+        Ok((head, body)) if head.status == StatusCode::OK => {
             let Ok(report) = control_decode_report(&body) else {
                 return Presence::Replaced;
             };
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -13,6 +13,7 @@
         configuration::Limits,
         contact,
         ids::{TargetId, Time},
+        limit::{Change, Named},
         roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
@@ -199,6 +200,19 @@
         log::info!(target_name:% = target, wait_ms = millis(wait); "target wants no requests");
     }
 
+    /// Records what a target's answer says of its limit, to a request that was sent at `sent_at`.
+    pub fn record_limit(&self, target: &TargetId, named: Named, sent_at: Time) {
+        let now = self.now();
+        let mut router = self.router();
+        let Router { fleet, limits, .. } = &mut *router;
+        let Some(target) = fleet.get(target) else {
+            return;
+        };
+        if let Some(change) = limits.record_answer(target, named, sent_at, now) {
+            log_limit(&target.id, change, "answer");
+        }
+    }
+
     /// Records that a target refuses connections, or another runs in its place: it has ended.
     pub fn record_end(&self, target: &TargetId) {
         let now = self.now();
@@ -444,3 +458,15 @@
         self.0.in_flight.load(Ordering::Relaxed)
     }
 }
+
+/// Logs a change of a target's limit that this instance learned of from `source`.
+pub fn log_limit(target: &TargetId, change: Change, source: &str) {
+    match change {
+        Change::Set(rate) => {
+            log::info!(target_name:% = target, per_second = rate, source = source; "target limits requests");
+        }
+        Change::Withdrawn => {
+            log::info!(target_name:% = target, source = source; "target limits requests no longer");
+        }
+    }
+}
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod isolation;
 pub mod keepers;
 pub mod lease;
+pub mod limit;
 pub mod lists;
 pub mod path;
 pub mod peers;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -10,6 +10,7 @@
         fleet::Fleet,
         head::Head,
         ids::{Fingerprint, RequestId, ServiceName, TargetId, Time, Workspace, Zone},
+        limit::Limits,
         path::Path,
         peers::Peers,
         progress::Progress,
@@ -161,6 +162,8 @@
     pub fleet: Fleet,
     /// Load and health of targets.
     pub tracker: Tracker,
+    /// Limits that targets name.
+    pub limits: Limits,
     /// Whether this instance reaches the targets of each service at all.
     pub(crate) contacts: Contacts,
     /// Peers that serve requests for this instance while it reaches no target.
@@ -199,6 +202,7 @@
             snapshot: None,
             fleet: Fleet::default(),
             tracker: Tracker::default(),
+            limits: Limits::default(),
             contacts: Contacts::default(),
             detours: Detours::default(),
             suspects: Suspects::default(),
--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -91,9 +91,16 @@
     }
 
     /// Adds a header to a response; a reply without one stays as it is.
-    pub fn with_header(mut self, name: &'static str, value: u64) -> Self {
-        if let Self::Response(response) = &mut self {
-            response.headers_mut().insert(name, value.into());
+    pub fn with_header(self, name: &'static str, value: u64) -> Self {
+        self.with_text_header(name, &value.to_string())
+    }
+
+    /// The reply with one more header, whose value must be valid.
+    pub fn with_text_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Self::Response(response) = &mut self
+            && let Ok(value) = value.parse()
+        {
+            response.headers_mut().append(name, value);
         }
         self
     }
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -89,6 +89,10 @@
     draining: bool,
     /// Whether all answers say that the target leaves.
     leaving: bool,
+    /// What all answers name as the target's limit of requests a second.
+    limits: Vec<String>,
+    /// When each call arrived.
+    arrivals: Vec<Instant>,
     /// Number of records written.
     record_count: u64,
     /// Number of restarts.
@@ -237,6 +241,17 @@
         self.state().leaving = true;
     }
 
+    /// Names these as the limit of requests a second in all answers, whatever arrives; an empty list names
+    /// none.
+    pub fn name_limits(&self, limits: &[&str]) {
+        self.state().limits = limits.iter().map(|limit| (*limit).to_owned()).collect();
+    }
+
+    /// When each call arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state().arrivals.clone()
+    }
+
     /// Restarts as a new incarnation without layers.
     pub fn restart(&self) {
         {
@@ -245,6 +260,7 @@
             state.order_count = 0;
             state.draining = false;
             state.leaving = false;
+            state.limits.clear();
             state.restarts += 1;
             state.faults.clear();
         }
@@ -305,12 +321,16 @@
     }
 
     fn answer(&self, request: &Request) -> Reply {
-        match request.path.as_str() {
+        let reply = match request.path.as_str() {
             "/api/report" => self.handle_report(),
             "/api/order" => self.handle_order(request),
             _ if self.state().leaving => self.handle_call(request).with_header("server-leaving", 1),
             _ => self.handle_call(request),
-        }
+        };
+        let limits = self.state().limits.clone();
+        limits.iter().fold(reply, |reply, limit| {
+            reply.with_text_header("server-limit", limit)
+        })
     }
 
     fn handle_report(&self) -> Reply {
@@ -353,6 +373,7 @@
         let fault = {
             let mut state = self.state();
             state.requests.push(request.clone());
+            state.arrivals.push(Instant::now());
             state.faults.pop_front()
         };
         let expected_instance = request.header("x-expect-instance");
--- a/camphorweir-wire/src/lib.rs
+++ b/camphorweir-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod ids;
 pub mod lease;
+pub mod limit;
 pub mod list;
 pub mod log;
 mod map_serde;
