Failing tests of targets that name a limit

Three entries, plain targets and layered ones that name 10 requests a second whatever arrives; the first entry gets half of the requests. The stand-in target names limits on demand.

--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod cuts;
 mod endless;
 mod leaving;
+mod limits;
 mod lists;
 #[path = "../support/port.rs"]
 mod port;
