Give out permits to send to targets that name a limit

Cause: nothing on the platform's path read Server-Limit, and no instance knows what the others send to a target. The class is a bound on all instances that each would have to keep by itself. Change: one instance gives out all permits of a target, the first live one of the target's zone in an order that all know (relay::permit). It tells the next in order what it gave; whoever takes over counts that, and waits until one that is only cut off has stopped. A permit holds for 80 ms and is counted over a span that is longer by as much. An instance that hears of no other gives none. What instances learn of limits travels by rumour (front::permits). Without a permit a target is no first hop; what passes through from other targets is not counted. Where no target takes more, the caller is refused at once, and told when. Each odd value, a limit that changes or ends, and a new incarnation have a defined meaning with a test. Ruled out: shares of the limit for each instance (a tenth of a request a second for each of 195 can't be used), sums of what was sent (late by the time of the gossip, so they overshoot), the store (calls are dear, and it may be away).

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::front::{
+        permits::permits_acquire,
         pool::{CONNECT_TIMEOUT, Connection},
         state::State,
     },
@@ -71,6 +72,8 @@
     last_event_id: Option<&str>,
 ) -> Result<TargetResponse, SendError> {
     let unsent = (Failure::Unsent, None);
+    let permit = permits_acquire(state, admitted, plan).await;
+    let permit = permit.ok_or((Failure::Limited, None))?;
     // The target may be closing a pooled connection; a request that must run only once would then
     // have an unknown outcome.
     let pooled = match admitted.route.kind {
@@ -91,6 +94,9 @@
     if !state.router().is_plan_valid(plan, now) || admitted.time_left(now).is_zero() {
         return Err((Failure::Outdated, None));
     }
+    if !permit.is_valid(now) {
+        return Err((Failure::Limited, None));
+    }
     let request = Request::builder()
         .method(template.method.clone())
         .uri(template.path.as_str());
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         front::{
+            permits::{apply_news, permits_run, receive_account, receive_ask, receive_grant},
             state::State,
             store::Store,
             suspects::{self, receive_suspects, store_run},
@@ -116,6 +117,7 @@
         send_datagrams(&state, &socket, follow_address),
         receive_datagrams(&state, &socket),
         store_run(&state),
+        permits_run(&state, &socket),
     );
 }
 
@@ -411,10 +413,18 @@
             sleep(DIGEST_PAUSE).await;
             continue;
         };
-        match codec::decode(&buffer[..count]) {
+        let decoded = codec::decode(&buffer[..count]);
+        if decoded.is_ok() {
+            state.permits().record_heard(state.now());
+        }
+        match decoded {
             Ok(Datagram::Digest(digest)) => receive_digest(state, digest, address),
             Ok(Datagram::Summary(summary)) => receive_summary(state, summary, address),
             Ok(Datagram::Suspects(suspects)) => receive_suspects(state, &suspects, address),
+            Ok(Datagram::Limits(news)) => apply_news(state, &news, "peer"),
+            Ok(Datagram::Ask(ask)) => receive_ask(state, ask, address),
+            Ok(Datagram::Grant(grant)) => receive_grant(state, grant),
+            Ok(Datagram::Account(account)) => receive_account(state, &account),
             Err(error) => unread.record(state, address, &error.to_string()),
         }
     }
--- a/camphorweir-entry/src/front/instances.rs
+++ b/camphorweir-entry/src/front/instances.rs
@@ -6,11 +6,12 @@
     camphorweir_relay::{
         detour,
         ids::{Zone, ids_tag},
+        permit::Candidate,
         roles::Member,
     },
     camphorweir_wire::{
         codec,
-        digest::{Addresses, FORMATS},
+        digest::{Addresses, FORMATS, PERMIT_FORMATS},
         replication::List,
     },
     std::{
@@ -113,6 +114,24 @@
         counts
     }
 
+    /// The instances that give and ask for permits; `own` and its zone are those of this one, which has no
+    /// address.
+    pub fn permitted(&self, own: &str, own_zone: &Zone) -> Vec<Candidate<Option<SocketAddr>>> {
+        let listed = self.listed.iter();
+        let listed = listed.filter(|(_, peer)| peer.formats >= PERMIT_FORMATS);
+        let listed = listed.map(|(name, peer)| Candidate {
+            name: name.clone(),
+            zone: peer.zone.clone(),
+            address: Some(peer.digest_address),
+        });
+        let own = Candidate {
+            name: own.to_owned(),
+            zone: own_zone.clone(),
+            address: None,
+        };
+        listed.chain([own]).collect()
+    }
+
     /// Name and digest address of each known instance of all zones.
     pub fn digest_addresses(&self) -> BTreeMap<String, SocketAddr> {
         let listed = self.listed.iter();
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -36,6 +36,7 @@
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     quarantines: Counter<u64>,
+    permits: Counter<u64>,
     unread: Counter<u64>,
     duration: DurationHistogram,
     first_event: DurationHistogram,
@@ -94,6 +95,10 @@
                 "camphorweir.quarantines",
                 "Requests quarantined as targets ended under them",
             ),
+            permits: counter(
+                "camphorweir.limit.permits",
+                "Answers to questions for permits to send to targets with limits, by outcome",
+            ),
             unread: counter(
                 "camphorweir.peer.messages.unread",
                 "Messages of peers that can't be read, by kind",
@@ -194,6 +199,11 @@
         self.unread.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an answer to a question for a permit.
+    pub fn record_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that is quarantined from now on.
     pub fn record_quarantine(&self) {
         self.quarantines.add(1, &[]);
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -11,6 +11,7 @@
 pub mod instances;
 pub mod listen;
 pub mod metrics;
+pub mod permits;
 pub mod placement;
 pub mod pool;
 pub mod probe;
--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -2,12 +2,12 @@
 //! ended under a request that broke off.
 
 use {
-    crate::front::{client::Client, state::State},
+    crate::front::{client::Client, permits::permits_ask, state::State},
     camphorweir_platform::{
         control::{control_decode_report, control_report_call},
         response::response_decode_limit,
     },
-    camphorweir_relay::{fleet::Target, ids::TargetId},
+    camphorweir_relay::{fleet::Target, ids::TargetId, permit::Answer},
     hyper::StatusCode,
     std::{io, time::Duration},
     tokio::time::timeout,
@@ -66,12 +66,28 @@
     }
 }
 
+/// Asks a target that takes no requests whether that still holds.
+pub async fn check_limit(state: State, target: Target) {
+    let client = state.target_client(target.address);
+    let result = ask(&state, client, &target).await;
+    log::info!(target_name:% = target.id, result:? = result; "target checked for its limit");
+}
+
+/// Whether a target can be probed now: it has no limit, or there is a permit.
+async fn may_probe(state: &State, target: &Target) -> bool {
+    let (answer, _) = permits_ask(state, target, Duration::ZERO).await;
+    !matches!(answer, Answer::Denied(_))
+}
+
 async fn probe(state: State, id: TargetId) {
     let target = state.router().fleet.get(&id).cloned();
     let Some(target) = target else {
         // The target's record ended, so the target was already removed.
         return;
     };
+    if !may_probe(&state, &target).await {
+        return;
+    }
     let client = state.target_client(target.address);
     let result = ask(&state, client, &target).await;
     record_end(&state, &id, result);
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -333,6 +333,7 @@
     match failure {
         Failure::Unsent => "unsent",
         Failure::Outdated => "outdated",
+        Failure::Limited => "limited",
         Failure::Refused => "refused",
         Failure::Broken => "broken",
     }
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{
             body::Collector, client::Client, clock::Clock, feed::Feed, instances::Instances,
-            metrics::Metrics, pool::Pool, stall::Reports,
+            metrics::Metrics, permits::Permits, pool::Pool, stall::Reports,
         },
         units::millis,
     },
@@ -48,6 +48,7 @@
     collector: Collector,
     stall_reports: Reports,
     feed: Feed,
+    permits: Permits,
     metrics: Metrics,
     holds_lease: AtomicBool,
     probe_wakeup: Notify,
@@ -82,6 +83,7 @@
         let roles = Roles::new(settings.instance.clone(), settings.link_mbps, clock.now());
         Self(Arc::new(Inner {
             settings,
+            permits: Permits::new(clock.now()),
             clock,
             router: Mutex::new(router),
             pool: Pool::default(),
@@ -135,6 +137,11 @@
         &self.0.stall_reports
     }
 
+    /// Permits to send to targets that name limits.
+    pub fn permits(&self) -> &Permits {
+        &self.0.permits
+    }
+
     /// Metrics of the instance.
     pub fn metrics(&self) -> &Metrics {
         &self.0.metrics
@@ -204,11 +211,18 @@
     pub fn record_limit(&self, target: &TargetId, named: Named, sent_at: Time) {
         let now = self.now();
         let mut router = self.router();
-        let Router { fleet, limits, .. } = &mut *router;
+        let Router {
+            fleet,
+            limits,
+            tracker,
+            ..
+        } = &mut *router;
         let Some(target) = fleet.get(target) else {
             return;
         };
         if let Some(change) = limits.record_answer(target, named, sent_at, now) {
+            tracker.clear_limited(&target.id);
+            self.permits().record_change(now);
             log_limit(&target.id, change, "answer");
         }
     }
--- a/camphorweir-relay/src/detour.rs
+++ b/camphorweir-relay/src/detour.rs
@@ -145,7 +145,9 @@
             Outcome::Failed(failure, _) => {
                 let pause = match failure {
                     Failure::Refused => REFUSED_PAUSE,
-                    Failure::Unsent | Failure::Outdated | Failure::Broken => FAILED_PAUSE,
+                    Failure::Unsent | Failure::Outdated | Failure::Limited | Failure::Broken => {
+                        FAILED_PAUSE
+                    }
                 };
                 self.detours.leave_out(&plan.target, now + pause);
                 self.decide_after_failure(request, failure, now)
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod lists;
 pub mod path;
 pub mod peers;
+pub mod permit;
 pub mod placement;
 pub mod progress;
 mod reports;
--- a/camphorweir-relay/src/retry.rs
+++ b/camphorweir-relay/src/retry.rs
@@ -13,6 +13,8 @@
     Unsent,
     /// Nothing was sent, as what was planned no longer holds; it says nothing of the target.
     Outdated,
+    /// Nothing was sent, as the target takes no more requests now.
+    Limited,
     /// The target reported that it did not run the request.
     Refused,
     /// The request may have run.
@@ -44,7 +46,7 @@
 /// A request that runs at most once is sent again only after a proof that it did not run.
 pub fn retry_decide(kind: Kind, max_runs: u32, counts: &Counts, failure: Failure) -> Decision {
     let is_allowed = match (failure, kind) {
-        (Failure::Unsent | Failure::Outdated | Failure::Refused, _) => {
+        (Failure::Unsent | Failure::Outdated | Failure::Limited | Failure::Refused, _) => {
             counts.runs < max_runs.max(1)
         }
         (Failure::Broken, Kind::AtMostOnce | Kind::Stream { resumable: false }) => false,
@@ -62,7 +64,7 @@
 pub fn retry_final_code(counts: &Counts, failure: Failure) -> Code {
     match failure {
         _ if counts.runs > 0 => Code::TargetFailed,
-        Failure::Unsent | Failure::Outdated => Code::NoTarget,
+        Failure::Unsent | Failure::Outdated | Failure::Limited => Code::NoTarget,
         Failure::Refused | Failure::Broken => Code::TargetRefused,
     }
 }
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -36,7 +36,9 @@
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Callers that wait for a target to take requests again return over this share of the wait more.
 const CLOSED_SPREAD: f64 = 0.5;
-/// Limit on that.
+/// Least Retry-After of such a caller; others come for the first request that a target takes.
+const MIN_CLOSED_WAIT: Duration = Duration::from_millis(100);
+/// Limit on that spread.
 const MAX_CLOSED_SPREAD: Duration = Duration::from_secs(2);
 /// Timeout of a request whose caller sends none; the route's timeout applies too.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -450,6 +452,8 @@
                 self.tracker.record_failure(&faulty, now, unresponsive)
             }
             Failure::Outdated => {}
+            // Nothing was offered to the target.
+            Failure::Limited => request.counts.sends = request.counts.sends.saturating_sub(1),
         }
         if failure == Failure::Broken {
             self.record_loss(request, plan, &faulty, now);
@@ -474,7 +478,7 @@
         );
         // A request that came to nothing at a peer has reached no target.
         let was_sent = match failure {
-            Failure::Unsent | Failure::Outdated => false,
+            Failure::Unsent | Failure::Outdated | Failure::Limited => false,
             Failure::Refused => !self.needs_detour(&request.service),
             Failure::Broken => true,
         };
@@ -499,13 +503,13 @@
         decision == Decision::Again && self.budget.has_retry(&request.service, now, share)
     }
 
-    /// Retry-After while targets of a service want no requests from this instance: the time until the
+    /// Retry-After while targets of a service take no requests from this instance: the time until the
     /// first takes some, spread so that callers don't all return then; `None` if none is closed.
     fn wait_for_closed(&mut self, service: &str, now: Time) -> Option<Duration> {
         let targets = self.fleet.available(service);
-        let ends = targets.map(|target| self.tracker.state(&target.id).closed_until());
+        let ends = targets.map(|target| self.tracker.state(&target.id).shut_until());
         let first = ends.filter(|end| *end > now).min()?;
-        let wait = first - now;
+        let wait = (first - now).max(MIN_CLOSED_WAIT);
         let spread = wait.mul_f64(CLOSED_SPREAD).min(MAX_CLOSED_SPREAD);
         Some(wait + spread.mul_f64(self.next_random()))
     }
@@ -534,6 +538,20 @@
         configuration.services.get(service)?.engine.as_ref()
     }
 
+    /// The requests a second that a target takes, and how long a request can wait for a permit to send
+    /// there; `None` for a target without a limit.
+    pub fn limit_of(
+        &self,
+        target: &TargetId,
+        request: &Admission,
+        now: Time,
+    ) -> Option<(f64, Duration)> {
+        let rate = self.limits.rate(self.fleet.get(target)?)?;
+        let waited = now.saturating_sub(request.arrived_at);
+        let max_wait = request.route.latency_objective / WAIT_DIVISOR;
+        Some((rate, max_wait.saturating_sub(waited)))
+    }
+
     /// Whether a request that no target can take now may wait briefly: memory is freed many times
     /// a second, and a refused caller retries once at most.
     pub fn may_wait_for_memory(&self, request: &Admission, refusal: &Refusal, now: Time) -> bool {
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -33,6 +33,8 @@
 const COST_JITTER: f64 = 0.25;
 /// Cost factor on a path for a target that is ejected or in backoff.
 const AVOIDED_FACTOR: f64 = 20.0;
+/// Cost factor on a path for a target whose limit is used up, which other targets may spare.
+const LIMITED_FACTOR: f64 = 1.5;
 /// Usable share of the memory of a target in the own zone; the rest is for what peers have started
 /// since their last digest.
 const LOCAL_MEMORY_SHARE: f64 = 0.95;
@@ -91,7 +93,7 @@
     pub(crate) fn plan_target(&self, request: &Admission, now: Time) -> Option<Plan> {
         let engine = self.engine(&request.service);
         let is_allowed = |target: &&Target| {
-            !request.excluded.contains(&target.id) && !self.tracker.is_closed(&target.id, now)
+            !request.excluded.contains(&target.id) && !self.tracker.is_shut(&target.id, now)
         };
         let targets = self.fleet.available(&request.service).filter(is_allowed);
         let chosen = targets.min_by(|a, b| {
@@ -180,8 +182,9 @@
         })
     }
 
-    /// Explains to operators why no target can take a request: which zones lack only memory and
-    /// which lack layers. Returns also whether any zone lacks only memory.
+    /// Explains to operators why no target can take a request: which zones lack only memory, in which the
+    /// limits of targets are used up, and which lack layers. Returns also whether any zone lacks only
+    /// memory.
     pub(crate) fn explain_no_plan(&self, request: &Admission, now: Time) -> (String, bool) {
         let Some(engine) = self.engine(&request.service) else {
             return ("No target is left.".to_owned(), false);
@@ -194,10 +197,17 @@
         let zones = self.offers_by_zone(request, engine, now).into_iter();
         let states = zones.map(|(zone, mut offers)| {
             for offer in &mut offers {
-                (offer.free_token_layers, offer.accepts_first_hop) = (f64::INFINITY, true);
+                offer.free_token_layers = f64::INFINITY;
+                offer.accepts_first_hop = !self.tracker.is_shut(&offer.target, now);
+            }
+            if path_choose(&offers, &demand).is_some() {
+                return (format!("{zone} is full"), true);
+            }
+            for offer in &mut offers {
+                offer.accepts_first_hop = true;
             }
             match path_choose(&offers, &demand) {
-                Some(_) => (format!("{zone} is full"), true),
+                Some(_) => (format!("{zone} is at its limits"), false),
                 None => (format!("{zone} lacks layers"), false),
             }
         });
@@ -275,14 +285,18 @@
             false => 1.0 + FAILURE_RATE_WEIGHT * state.failure_rate,
         };
         let jitter = 1.0 + COST_JITTER * request_jitter(&request.id, &target.id);
-        let factor = failure_factor * jitter * self.fill_factor(used_share);
+        let is_limited = self.tracker.is_shut(&target.id, now);
+        let limit_factor = if is_limited { LIMITED_FACTOR } else { 1.0 };
+        let factor = failure_factor * jitter * limit_factor * self.fill_factor(used_share);
         Some(Offer {
             target: target.id.clone(),
             span: target.span,
             layer_ms: (prompt_ms + answer * token_ms) * factor / f64::from(engine.layers),
             free_token_layers: free,
-            accepts_first_hop: f64::from(state.in_flight) + peer_load.first_hops
-                < f64::from(target.slots) * usable_share,
+            // A limit counts what instances send, not what passes through from other targets.
+            accepts_first_hop: !is_limited
+                && f64::from(state.in_flight) + peer_load.first_hops
+                    < f64::from(target.slots) * usable_share,
         })
     }
 }
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -50,6 +50,8 @@
     full_until: Time,
     /// End of the time for which the target wants no requests from this instance.
     closed_until: Time,
+    /// End of the time for which there are no permits to send to the target.
+    limited_until: Time,
     /// Set while the target is suspected to be unresponsive.
     suspicion: Option<Suspicion>,
     /// When a peer last reported the target as unresponsive.
@@ -77,9 +79,9 @@
             .is_some_and(|suspicion| now.saturating_sub(suspicion.failed_at) < UNRESPONSIVE_TTL)
     }
 
-    /// End of the time for which the target wants no requests from this instance.
-    pub fn closed_until(&self) -> Time {
-        self.closed_until
+    /// End of the time for which the target takes no requests from this instance.
+    pub fn shut_until(&self) -> Time {
+        self.closed_until.max(self.limited_until)
     }
 
     fn suspect(&mut self, now: Time) {
@@ -110,6 +112,7 @@
             peer_ejected_until: Time::ZERO,
             full_until: Time::ZERO,
             closed_until: Time::ZERO,
+            limited_until: Time::ZERO,
             suspicion: None,
             peer_reported_at: None,
         }
@@ -358,6 +361,24 @@
         self.state(target).closed_until > now
     }
 
+    /// Records that there are no permits to send to a target for some time.
+    pub fn record_limited(&mut self, target: &TargetId, wait: Duration, now: Time) {
+        let state = self.state_mut(target);
+        state.limited_until = state.limited_until.max(now + wait);
+    }
+
+    /// Whether a target takes no requests from this instance now: it wants none, or there are no permits.
+    pub fn is_shut(&self, target: &TargetId, now: Time) -> bool {
+        self.state(target).shut_until() > now
+    }
+
+    /// Records that the limit of a target has ended or risen.
+    pub fn clear_limited(&mut self, target: &TargetId) {
+        if let Some(state) = self.states.get_mut(target) {
+            state.limited_until = Time::ZERO;
+        }
+    }
+
     /// Whether a target did not answer this instance, and has not answered a probe since.
     pub(crate) fn is_suspected(&self, target: &TargetId) -> bool {
         self.state(target).suspicion.is_some()
@@ -368,7 +389,7 @@
         self.is_suspected(target) || self.is_unresponsive(target, now)
     }
 
-    /// Whether no request may use a target now: it is unresponsive or suspected to be, or wants none.
+    /// Whether no request may use a target now, even on its way from another target.
     pub fn is_excluded(&self, target: &TargetId, now: Time) -> bool {
         self.is_suspect(target, now) || self.is_closed(target, now)
     }
@@ -383,6 +404,7 @@
             state.failure_rate = 0.0;
             state.latency_ms = INITIAL_LATENCY_MS;
             state.closed_until = Time::ZERO;
+            state.limited_until = Time::ZERO;
         }
     }
 }
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -552,3 +552,60 @@
     router.tracker.reset_health(&"ledger-0".into());
     assert!(!router.tracker.is_closed(&"ledger-0".into(), ms(1_000)));
 }
+
+#[test]
+fn a_target_without_permits_gets_no_request_and_still_runs_what_passes_through() {
+    let mut router = router();
+    let near = router.fleet.get(&"near-0".into()).unwrap().clone();
+    let other = Target {
+        id: "near-2".into(),
+        address: "127.0.0.1:99".parse().unwrap(),
+        span: Span { from: 0, to: 1 },
+        ..near
+    };
+    router.fleet.upsert(other, ms(0));
+    let mut request = admit_request(&mut router, "/text/a", ms(0));
+    let plan = router.plan(&mut request, ms(0)).unwrap();
+    assert_eq!(&*plan.target, "near-0");
+    let outcome = Outcome::Failed(Failure::Limited, None);
+    router.tracker.record_limited(&plan.target, ms(300), ms(0));
+    let decision = router.finish_send(&mut request, &plan, outcome, ms(0));
+    assert_eq!((decision, request.counts.sends), (Decision::Again, 0));
+    let mut request = admit_request(&mut router, "/text/a", ms(100));
+    let plan = router.plan(&mut request, ms(100)).unwrap();
+    let hops = plan.path().unwrap().0.hops();
+    let hops: Vec<&str> = hops.iter().map(|hop| &*hop.target).collect();
+    assert_eq!(hops, ["near-2", "near-0", "near-1"]);
+    // A permit that a request has holds whatever became of later ones.
+    assert!(router.is_plan_valid(&plan, ms(100)));
+    router.tracker.clear_limited(&"near-0".into());
+    let mut request = admit_request(&mut router, "/text/a", ms(101));
+    let plan = router.plan(&mut request, ms(101)).unwrap();
+    assert_eq!(&*plan.target, "near-0");
+}
+
+#[test]
+fn callers_are_refused_at_once_when_the_limits_of_all_targets_are_used_up() {
+    for path in ["/text/a", "/seal/a"] {
+        let mut router = router();
+        let ids: Vec<_> = router
+            .fleet
+            .targets()
+            .map(|target| target.id.clone())
+            .collect();
+        for id in ids {
+            router.tracker.record_limited(&id, ms(400), ms(0));
+        }
+        let mut waits = Vec::new();
+        for _ in 0..20 {
+            let mut request = admit_request(&mut router, path, ms(100));
+            let refusal = router.plan(&mut request, ms(100)).unwrap_err();
+            assert_eq!((refusal.code.status(), refusal.ran), (503, Ran::No));
+            assert!(!router.may_wait_for_memory(&request, &refusal, ms(100)));
+            waits.push(refusal.retry_after.unwrap());
+        }
+        let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
+        assert!(*least >= ms(300) && *most <= ms(450), "{waits:?}");
+        assert!(*most - *least > ms(50), "{waits:?}");
+    }
+}
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -5,13 +5,19 @@
 //! aggregators of the other zones.
 
 use {
-    crate::{crash::Suspect, map_serde::serialize_as_map},
+    crate::{
+        crash::Suspect,
+        limit::{Account, Ask, Grant, News},
+        map_serde::serialize_as_map,
+    },
     serde::{Deserialize, Serialize},
 };
 
 /// Revision of the messages between entries and of their records in the store, for operators to see
 /// which releases run; nothing depends on it. It rises with each release that changes one of them.
-pub const FORMATS: u32 = 2;
+pub const FORMATS: u32 = 3;
+/// First revision that asks for permits to send to limited targets.
+pub const PERMIT_FORMATS: u32 = 3;
 /// Unit of [`Load::memory`]: tokens times layers.
 pub const MEMORY_UNIT_TOKEN_LAYERS: f64 = 1024.0;
 
@@ -70,7 +76,7 @@
 }
 
 /// Any datagram between entries.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
     /// The load of the sender alone.
     Digest(Digest),
@@ -78,6 +84,14 @@
     Summary(Summary),
     /// Contents and parts of prompts under which targets ended.
     Suspects(Vec<Suspect>),
+    /// Limits that targets name.
+    Limits(Vec<News>),
+    /// A question for a permit to send to a limited target.
+    Ask(Ask),
+    /// The answer to it.
+    Grant(Grant),
+    /// Permits that the sender gave.
+    Account(Account),
 }
 
 /// The load of many entries on some targets; it fits in one datagram.
--- a/camphorweir-wire/tests/formats/main.rs
+++ b/camphorweir-wire/tests/formats/main.rs
@@ -22,6 +22,8 @@
 const E39A49A: &str = include_str!("e39a49a.txt");
 /// Messages as 63c8192 writes them.
 const R63C8192: &str = include_str!("63c8192.txt");
+/// Messages as fcf729b writes them.
+const RFCF729B: &str = include_str!("fcf729b.txt");
 /// Messages as this release writes them.
 const CURRENT: &str = include_str!("current.txt");
 
@@ -63,6 +65,10 @@
             codec::encode_named(&Datagram::Suspects(vec![samples::suspect()])),
         ),
         ("quarantine", codec::encode_named(&samples::quarantine())),
+        ("limits", datagram(Datagram::Limits(vec![samples::news()]))),
+        ("ask", datagram(Datagram::Ask(samples::ask()))),
+        ("grant", datagram(Datagram::Grant(samples::grant()))),
+        ("account", datagram(Datagram::Account(samples::account()))),
     ]
     .into()
 }
@@ -110,7 +116,23 @@
 }
 
 #[test]
-fn messages_of_the_last_release_are_read() {
+fn messages_of_the_last_release_are_read_and_unchanged() {
+    let cases = cases(RFCF729B);
+    let addresses = codec::decode::<Addresses>(&cases["addresses"]).unwrap();
+    assert_eq!(addresses, samples::addresses());
+    let written = written();
+    for (name, bytes) in &cases {
+        assert_eq!(&written[name], bytes, "{name}");
+    }
+    // It drops the messages that are new, and nothing else with them.
+    for name in ["limits", "ask", "grant", "account"] {
+        assert!(from_slice::<earlier::SuspectsOf63c8192>(&written[name]).is_err());
+        assert!(from_slice::<earlier::Datagram>(&written[name]).is_err());
+    }
+}
+
+#[test]
+fn messages_of_63c8192_are_read() {
     let cases = cases(R63C8192);
     let addresses = codec::decode::<Addresses>(&cases["addresses"]).unwrap();
     let expected = Addresses {
--- a/camphorweir-wire/tests/formats/samples.rs
+++ b/camphorweir-wire/tests/formats/samples.rs
@@ -4,6 +4,7 @@
     camphorweir_wire::{
         crash::{Crash, Quarantine, Suspect},
         digest::{Addresses, Digest, Failing, Load, Newest, Scope, Source, Summary},
+        limit::{Account, Ask, Grant, News, Outcome},
         replication::{Change, Fingerprint, List, Request, Response},
     },
     serde_bytes::ByteBuf,
@@ -158,3 +159,40 @@
         part: true,
     }
 }
+
+pub(crate) fn news() -> News {
+    News {
+        target: 7,
+        started_ms: 1_790_000_000_000,
+        per_second: Some(18.5),
+        since_ms: 9_000,
+        age_ms: 40,
+    }
+}
+
+pub(crate) fn ask() -> Ask {
+    Ask {
+        call: 9,
+        entry: "front-a-1".to_owned(),
+        number: 8,
+        news: news(),
+        max_wait_ms: 62,
+    }
+}
+
+pub(crate) fn grant() -> Grant {
+    Grant {
+        call: 9,
+        outcome: Outcome::After(12),
+        news: Some(news()),
+    }
+}
+
+pub(crate) fn account() -> Account {
+    Account {
+        entry: "front-a-1".to_owned(),
+        target: 7,
+        started_ms: 1_790_000_000_000,
+        ends: vec![(1, 3), (80, 1)],
+    }
+}
