Let a request pass through the target that gave it no permit

A request that got no permit left the target out altogether, so its path could not begin elsewhere and run through it.

--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -91,12 +91,10 @@
     };
     // Since the plan was made, the machine may have been suspended or the target may have left.
     let now = state.now();
-    if !state.router().is_plan_valid(plan, now) || admitted.time_left(now).is_zero() {
+    let is_valid = state.router().is_plan_valid(plan, now) && permit.is_valid(now);
+    if !is_valid || admitted.time_left(now).is_zero() {
         return Err((Failure::Outdated, None));
     }
-    if !permit.is_valid(now) {
-        return Err((Failure::Limited, None));
-    }
     let request = Request::builder()
         .method(template.method.clone())
         .uri(template.path.as_str());
--- a/camphorweir-relay/src/permit.rs
+++ b/camphorweir-relay/src/permit.rs
@@ -51,6 +51,8 @@
 const CUT_OFF_OUT_OF_TURN: Duration = Duration::from_millis(400);
 /// After so long without word of others they may have ended, and the instance uses its share.
 const ALONE: Duration = Duration::from_secs(30);
+/// Least time after which a permit is asked for again.
+const MIN_RETRY: Duration = Duration::from_millis(5);
 /// Time after which a request for a target without permits at all may be tried again.
 const CLOSED_RETRY: Duration = Duration::from_secs(1);
 /// Time after which permits are asked for again where no instance gave an answer.
@@ -197,7 +199,8 @@
         self.denied.insert(asker.to_owned(), now);
         // As many instances wait as get about two tries for each permit.
         let turns = self.denied.len() as f64 / quota.count as f64 / 2.0;
-        Answer::Denied((wait - max_wait).max(quota.span.mul_f64(turns.min(1.0))))
+        let turn = quota.span.mul_f64(turns.min(1.0));
+        Answer::Denied((wait - max_wait).max(turn).max(MIN_RETRY))
     }
 
     /// The permits that were given here, for other instances; `None` if there are no new ones.
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -458,7 +458,10 @@
         if failure == Failure::Broken {
             self.record_loss(request, plan, &faulty, now);
         }
-        request.excluded.push(faulty);
+        // A target without permits may still be passed through.
+        if failure != Failure::Limited {
+            request.excluded.push(faulty);
+        }
         self.decide_after_failure(request, failure, now)
     }
 
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -33,8 +33,6 @@
 const COST_JITTER: f64 = 0.25;
 /// Cost factor on a path for a target that is ejected or in backoff.
 const AVOIDED_FACTOR: f64 = 20.0;
-/// Cost factor on a path for a target whose limit is used up, which other targets may spare.
-const LIMITED_FACTOR: f64 = 1.5;
 /// Usable share of the memory of a target in the own zone; the rest is for what peers have started
 /// since their last digest.
 const LOCAL_MEMORY_SHARE: f64 = 0.95;
@@ -286,8 +284,7 @@
         };
         let jitter = 1.0 + COST_JITTER * request_jitter(&request.id, &target.id);
         let is_limited = self.tracker.is_shut(&target.id, now);
-        let limit_factor = if is_limited { LIMITED_FACTOR } else { 1.0 };
-        let factor = failure_factor * jitter * limit_factor * self.fill_factor(used_share);
+        let factor = failure_factor * jitter * self.fill_factor(used_share);
         Some(Offer {
             target: target.id.clone(),
             span: target.span,
