Draw limits of targets in the soak

One to three targets of six name a limit (5, 2.5, 0.4, 0, or text) for three to nine seconds, drawn after the other faults so that a seed keeps its script.

--- a/camphorweir-standin/tests/soak/deployment.rs
+++ b/camphorweir-standin/tests/soak/deployment.rs
@@ -23,7 +23,7 @@
 /// A revoked key is let in for this long at most.
 const REVOKE: Duration = Duration::from_secs(5);
 /// Environment variable with the path of an older build's program.
-const OLD_BUILD: &str = "CAMPHORWEIR_SOAK_OLD";
+pub(crate) const OLD_BUILD: &str = "CAMPHORWEIR_SOAK_OLD";
 /// Body of a call that ends its target.
 pub(crate) const CRASHING: &str = "a batch that no target bears";
 /// Bytes of what a process printed that a failure shows.
@@ -61,6 +61,19 @@
     version: u64,
     /// When the second key was revoked and given back.
     revoked: Vec<(Instant, Option<Instant>)>,
+    /// Limits that targets named, with the target and the time.
+    limits: Vec<Limit>,
+}
+
+/// A limit that a target named for a while.
+#[derive(Debug)]
+pub(crate) struct Limit {
+    /// Index of the target.
+    pub(crate) target: usize,
+    pub(crate) per_second: f64,
+    pub(crate) since: Instant,
+    /// `None` while it names the limit.
+    pub(crate) until: Option<Instant>,
 }
 
 impl Deployment {
@@ -72,6 +85,7 @@
             targets: Vec::new(),
             version: 0,
             revoked: Vec::new(),
+            limits: Vec::new(),
         };
         deployment.publish(false);
         for index in 0..6 {
@@ -115,6 +129,32 @@
         }
     }
 
+    /// Lets a target name a limit, or none any more.
+    pub(crate) fn limit(&mut self, target: usize, limit: Option<&str>) {
+        let now = Instant::now();
+        let named = self
+            .limits
+            .iter_mut()
+            .filter(|named| named.target == target);
+        for named in named {
+            named.until.get_or_insert(now);
+        }
+        self.targets[target].0.name_limits(limit.as_slice());
+        if let Some(per_second) = limit.and_then(|limit| limit.parse().ok()) {
+            self.limits.push(Limit {
+                target,
+                per_second,
+                since: now,
+                until: None,
+            });
+        }
+    }
+
+    /// Limits that targets named.
+    pub(crate) fn limits(&self) -> &[Limit] {
+        &self.limits
+    }
+
     /// Whether the second key must no longer be let in at a time.
     pub(crate) fn is_revoked(&self, at: Instant) -> bool {
         let mut all = self.revoked.iter();
--- a/camphorweir-standin/tests/soak/fault.rs
+++ b/camphorweir-standin/tests/soak/fault.rs
@@ -46,6 +46,8 @@
     Forget,
     /// A target says in its answers that it leaves, and starts anew after a while.
     Leave(usize),
+    /// A target names a limit of requests a second.
+    Limit(usize, &'static str),
     /// A caller sends an entry a call that ends its target.
     CrashingCall(usize, u32),
 }
@@ -83,6 +85,18 @@
     script
 }
 
+/// Limits that targets name, drawn last for the same reason.
+pub(crate) fn limits_script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+    let mut script = Vec::new();
+    for _ in 0..rng.random_range(1..4) {
+        let at = Duration::from_millis(rng.random_range(200..3_000));
+        let lasts = Duration::from_millis(rng.random_range(3_000..9_000));
+        let limit = ["5", "2.5", "0.4", "0", "soon"][rng.random_range(0..5)];
+        script.push((at, lasts, Fault::Limit(rng.random_range(0..TARGETS), limit)));
+    }
+    script
+}
+
 fn draw(rng: &mut SmallRng) -> Fault {
     let entry = rng.random_range(0..ENTRIES);
     let target = rng.random_range(0..TARGETS);
@@ -149,6 +163,7 @@
         Fault::Act(index, act) => deployment.targets[index].0.inject(act),
         Fault::Publish(revoke) => deployment.publish(revoke),
         Fault::Leave(index) => deployment.targets[index].0.leave(),
+        Fault::Limit(index, limit) => deployment.limit(index, Some(limit)),
         Fault::CrashingCall(index, number) => {
             let entry = deployment.entries[index].callers;
             tokio::spawn(caller::crashing(entry, format!("crashing-{number}")));
@@ -175,8 +190,13 @@
             let (target, proxy) = &deployment.targets[index];
             target.restart();
             proxy.set(Mode::Pass);
+            deployment.limit(index, None);
+        }
+        Fault::Leave(index) => {
+            deployment.targets[index].0.restart();
+            deployment.limit(index, None);
         }
-        Fault::Leave(index) => deployment.targets[index].0.restart(),
+        Fault::Limit(index, _) => deployment.limit(index, None),
         Fault::Act(..) | Fault::CrashingCall(..) | Fault::Forget | Fault::Publish(_) => {}
     }
 }
--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::{Call, End, Kind, PATIENCE, all_events},
-        deployment::Deployment,
+        deployment::{Deployment, OLD_BUILD},
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -12,6 +12,12 @@
 const SLACK: Duration = Duration::from_secs(1);
 /// A pause or end of an entry is seen by its callers within this time.
 const SEEN: Duration = Duration::from_millis(500);
+/// Time within which a limit holds after a target first named it, and the span in which it does.
+const LIMIT_KNOWN: Duration = Duration::from_secs(3);
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// What a target may get in a span, as a multiple of its limit, and more requests.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
 /// Runs of a call that may be repeated.
 const RUNS: usize = 2;
 
@@ -30,6 +36,31 @@
     println!("seed {seed}: {ends:?}");
 }
 
+/// Checks that no target got more requests than the limit that it named allows. An earlier build knows none.
+pub(crate) fn judge_limits(seed: u64, deployment: &Deployment) {
+    if std::env::var_os(OLD_BUILD).is_some() {
+        return;
+    }
+    for limit in deployment.limits() {
+        let target = &deployment.targets[limit.target].0;
+        // A target that starts anew has named none.
+        let crashed = target.crashes().into_iter().find(|at| *at >= limit.since);
+        let until = limit.until.into_iter().chain(crashed).min();
+        let mut arrivals = target.arrivals();
+        arrivals.retain(|at| *at >= limit.since + LIMIT_KNOWN && until.is_none_or(|end| *at < end));
+        let most = (0..arrivals.len()).map(|first| {
+            let end = arrivals[first] + LIMIT_SPAN;
+            arrivals[first..].iter().filter(|at| **at < end).count()
+        });
+        let most = most.max().unwrap_or_default();
+        let allowed = LIMIT_FACTOR * limit.per_second * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK;
+        assert!(
+            most as f64 <= allowed,
+            "seed {seed}: {most} requests, {limit:?}"
+        );
+    }
+}
+
 /// What is wrong with a call, if anything.
 pub(crate) fn fault(deployment: &Deployment, call: &Call) -> Option<&'static str> {
     let fault = check_runs(call, runs(deployment, call)).or_else(|| check_body(call));
--- a/camphorweir-standin/tests/soak/main.rs
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -129,6 +129,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut script = fault::script(&mut rng);
     script.extend(fault::later_script(&mut rng));
+    script.extend(fault::limits_script(&mut rng));
     println!("seed {seed}: {script:?}");
     let mut deployment = Deployment::start().await;
     recovered(&mut deployment, "start").await;
@@ -152,6 +153,7 @@
         calls.extend(caller.await.unwrap());
     }
     judge::judge(seed, &deployment, &calls);
+    judge::judge_limits(seed, &deployment);
     let crashes = crash_often(&deployment).await;
     println!("seed {seed}: {crashes} crashes of the last calls");
     assert!(crashes <= MAX_CRASHES, "seed {seed}: {crashes} crashes");
