Mutants of limits and permits

Eight, one for each promise: spans, use, takeovers, cuts, suspensions, accounts, ends of limits, first hops. All killed; permit_gap survived the first form of its test, which heard of others before it looked at the clock, as no entry does.

--- a/camphorweir-relay/tests/decide/permit.rs
+++ b/camphorweir-relay/tests/decide/permit.rs
@@ -46,6 +46,7 @@
 fn starts(grantor: &mut Grantor, per_second: f64, from: u64, to: u64, pause: u64) -> Vec<u64> {
     let mut starts = Vec::new();
     for at in (from..to).step_by(pause as usize) {
+        grantor.record_running(ms(at));
         grantor.record_heard(ms(at));
         if let Answer::After(wait) = grantor.grant(&question(per_second, at), ms(at)) {
             starts.push(at + wait.as_millis() as u64);
