--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         front::{
-            permits::{apply_news, permits_run, receive_account, receive_ask, receive_grant},
+            permits::{permits_run, receive_account, receive_ask, receive_grant, receive_news},
             state::State,
             store::Store,
             suspects::{self, receive_suspects, store_run},
@@ -421,7 +421,7 @@
             Ok(Datagram::Digest(digest)) => receive_digest(state, digest, address),
             Ok(Datagram::Summary(summary)) => receive_summary(state, summary, address),
             Ok(Datagram::Suspects(suspects)) => receive_suspects(state, &suspects, address),
-            Ok(Datagram::Limits(news)) => apply_news(state, &news, "peer"),
+            Ok(Datagram::Limits(news)) => receive_news(state, &news, address),
             Ok(Datagram::Ask(ask)) => receive_ask(state, ask, address),
             Ok(Datagram::Grant(grant)) => receive_grant(state, grant),
             Ok(Datagram::Account(account)) => receive_account(state, &account),
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -8,7 +8,11 @@
         rate_limited_log::dropped_lines,
     },
     bytes::Bytes,
-    camphorweir_relay::{configuration::Kind, router::Admission},
+    camphorweir_relay::{
+        configuration::Kind,
+        ids::{TargetId, Time},
+        router::{Admission, Router},
+    },
     camphorweir_wire::code::Code,
     http_body_util::Full,
     hyper::{Response, header},
@@ -18,7 +22,11 @@
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Registry, TextEncoder},
-    std::{sync::Arc, time::Duration},
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{net::TcpListener, time::sleep},
 };
 
@@ -45,6 +53,10 @@
     cut_off: Gauge<u64>,
     layers: Gauge<u64>,
     zone_flow: Gauge<f64>,
+    limit: Gauge<f64>,
+    limit_age: Gauge<f64>,
+    /// Targets whose limits were shown.
+    limited: Mutex<BTreeSet<TargetId>>,
     configuration_version: Gauge<u64>,
     configuration_age: Gauge<f64>,
     in_flight: Gauge<u64>,
@@ -97,7 +109,7 @@
             ),
             permits: counter(
                 "camphorweir.limit.permits",
-                "Answers to questions for permits to send to targets with limits, by outcome",
+                "Answers to questions for permits to send to targets with limits, by target and outcome",
             ),
             unread: counter(
                 "camphorweir.peer.messages.unread",
@@ -119,6 +131,16 @@
                 "camphorweir.layers",
                 "Layers, by zone and number of live copies",
             ),
+            limit: meter
+                .f64_gauge("camphorweir.target.limit")
+                .with_description("Requests a second that a target takes; infinite without a limit")
+                .build(),
+            limit_age: meter
+                .f64_gauge("camphorweir.target.limit.age")
+                .with_unit("s")
+                .with_description("Time since a target last named its limit")
+                .build(),
+            limited: Mutex::default(),
             zone_flow: meter
                 .f64_gauge("camphorweir.zone.flow")
                 .with_description("Streams a second that a zone can serve, now and arranged anew")
@@ -199,9 +221,13 @@
         self.unread.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Counts an answer to a question for a permit.
-    pub fn record_permit(&self, outcome: &'static str) {
-        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts an answer to a question for a permit to send to a target.
+    pub fn record_permit(&self, target: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("target", target.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.permits.add(1, &labels);
     }
 
     /// Counts a request that is quarantined from now on.
@@ -257,6 +283,7 @@
                 self.zone_flow.record(flow, &labels);
             }
         }
+        self.update_limits(&router, now);
         if let Some(configuration) = router.configuration() {
             self.configuration_version
                 .record(configuration.version, &[]);
@@ -276,6 +303,26 @@
     }
 }
 
+impl Metrics {
+    /// Shows the limit of each target that has named one since the start.
+    fn update_limits(&self, router: &Router, now: Time) {
+        let mut shown = self.limited.lock().unwrap_or_else(PoisonError::into_inner);
+        let limited = router.limits.limited(&router.fleet);
+        shown.extend(limited.map(|(target, _)| target.id.clone()));
+        for id in shown.iter() {
+            let target = router.fleet.get(id);
+            let limit = target.and_then(|target| router.limits.get(target));
+            let per_second = limit.and_then(|limit| limit.per_second);
+            let age = limit.map(|limit| now.saturating_sub(limit.confirmed_at));
+            let label = [KeyValue::new("target", id.to_string())];
+            self.limit
+                .record(per_second.unwrap_or(f64::INFINITY), &label);
+            self.limit_age
+                .record(age.unwrap_or_default().as_secs_f64(), &label);
+        }
+    }
+}
+
 /// The `class` label of a kind of request.
 fn class(kind: Kind) -> &'static str {
     match kind {
--- a/camphorweir-entry/src/front/permits.rs
+++ b/camphorweir-entry/src/front/permits.rs
@@ -40,6 +40,8 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(100);
 /// Number of instances that are told of a change at each of these, for [`NEWS_TIME`].
 const NEWS_RECIPIENTS: usize = 3;
+/// Number of looks after the start at which others are asked for what they know.
+const NEWS_QUESTIONS: u32 = 5;
 /// Time for which a change is told; four rounds reach some two hundred instances.
 const NEWS_TIME: Duration = Duration::from_secs(1);
 /// Number of looks for each message with what is known of all limits to one instance, which makes up for
@@ -72,6 +74,8 @@
     /// Senders of the answers that are awaited, by number of the message.
     pending: HashMap<u64, oneshot::Sender<Grant>>,
     last_number: u64,
+    /// Number of times that other instances are still to be asked for the limits that they know.
+    news_questions: u32,
     /// When this instance last learned of a change.
     changed_at: Option<Time>,
     /// When each target that takes nothing was last checked.
@@ -88,6 +92,7 @@
                 silences: Silences::default(),
                 pending: HashMap::new(),
                 last_number: rand::random::<u64>() >> 1,
+                news_questions: NEWS_QUESTIONS,
                 changed_at: None,
                 checked_at: HashMap::new(),
             }),
@@ -131,6 +136,7 @@
         ticks.tick().await;
         let now = state.now();
         state.permits().inner().grantor.record_running(now);
+        ask_for_news(state);
         {
             let mut router = state.router();
             let Router { fleet, limits, .. } = &mut *router;
@@ -147,6 +153,39 @@
     }
 }
 
+/// Asks some instances for the limits that they know, once this instance has started and knows the targets.
+fn ask_for_news(state: &State) {
+    let has_targets = state.router().fleet.targets().next().is_some();
+    if !has_targets || state.permits().inner().news_questions == 0 {
+        return;
+    }
+    let others = permitted(state);
+    let others = others.iter().filter_map(|instance| instance.address);
+    let others = others.choose_multiple(&mut rand::rng(), NEWS_RECIPIENTS);
+    if !others.is_empty() {
+        state.permits().inner().news_questions -= 1;
+    }
+    for address in others {
+        state.permits().send(&Datagram::Limits(Vec::new()), address);
+    }
+}
+
+/// Applies what another instance knows of limits; one that names none asks for those known here.
+pub fn receive_news(state: &State, news: &[News], address: SocketAddr) {
+    if !news.is_empty() {
+        return apply_news(state, news, "peer");
+    }
+    let now = state.now();
+    let mut known = {
+        let router = state.router();
+        router.limits.news(&router.fleet, now)
+    };
+    known.truncate(MAX_NEWS);
+    if !known.is_empty() {
+        state.permits().send(&Datagram::Limits(known), address);
+    }
+}
+
 /// Tells some instances of limits: newly changed ones at once, and a part of all now and then.
 fn tell(state: &State, round: u64, now: Time) {
     let changed_at = state.permits().inner().changed_at;
@@ -266,7 +305,9 @@
         }
     };
     let (answer, asked_at) = permits_ask(state, &target, max_wait).await;
-    state.metrics().record_permit(answer_label(answer));
+    state
+        .metrics()
+        .record_permit(&target.id, answer_label(answer));
     match answer {
         Answer::Free => Some(free),
         Answer::After(wait) => {
@@ -460,7 +501,7 @@
 }
 
 /// Applies what another instance knows of limits.
-pub fn apply_news(state: &State, news: &[News], source: &str) {
+fn apply_news(state: &State, news: &[News], source: &str) {
     let now = state.now();
     let mut router = state.router();
     let Router {
--- a/camphorweir-standin/tests/soak/deployment.rs
+++ b/camphorweir-standin/tests/soak/deployment.rs
@@ -44,6 +44,7 @@
     /// Proxy between it and the store.
     pub(crate) door: Proxy,
     /// When a signal that asks nothing kept it from working, from and to.
+    started: Vec<Instant>,
     hurt: Vec<(Instant, Instant)>,
     /// When it was killed, from the signal to its end.
     kills: Vec<(Instant, Instant)>,
@@ -187,6 +188,7 @@
             process: None,
             door,
             hurt: Vec::new(),
+            started: Vec::new(),
             kills: Vec::new(),
             paused: None,
             stopped: None,
@@ -223,6 +225,7 @@
         let program = old.map_or_else(|| binary("camphorweir-entry"), PathBuf::from);
         let mut command = Command::new(program);
         self.starts += 1;
+        self.started.push(Instant::now());
         command.arg("--platform");
         command.env("CAMPHORWEIR_CONFIG", &self.settings);
         self.process = Some(Child::start("entry", command));
@@ -316,6 +319,12 @@
         kills.any(|(from, to)| opened <= *to && *from <= begun)
     }
 
+    /// Whether it started, or was paused or killed, at some time between these.
+    pub(crate) fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let mut started = self.started.iter();
+        started.any(|at| (from..to).contains(at)) || self.was_hurt(from, to)
+    }
+
     /// Whether a signal that asks nothing kept it from working at some time between these.
     pub(crate) fn was_hurt(&self, from: Instant, to: Instant) -> bool {
         let paused = self.paused.map(|since| (since, to));
