--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -27,7 +27,7 @@
 /// Time from the head of a response until the target crashes under it.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Time from a crash of a target until it runs again.
-const RESTART_TIME: Duration = Duration::from_millis(500);
+pub const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Pause after each byte of a stream that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
 /// Number of those bytes, a minute of them.
