Add a first hop where those of a zone have limits below its flow

Change: the holder of the lease orders one target whose layers others hold to load the first ones, where that leaves 0.8 of the flow, also while it loads; no moves for the flow while a zone has limits. Tests: place::a_zone_whose_first_hops_have_limits_…, place::limits_above_….

--- a/camphorweir-entry/src/front/placement.rs
+++ b/camphorweir-entry/src/front/placement.rs
@@ -181,6 +181,7 @@
                     &pending_orders,
                     time_since_first_seen,
                     is_zone_settled,
+                    router.limits.rate(target),
                 )
             })
             .collect();
@@ -227,6 +228,7 @@
     pending_orders: &HashMap<TargetId, (u64, Span, Time)>,
     time_since_first_seen: Duration,
     is_zone_settled: bool,
+    limit: Option<f64>,
 ) -> Option<Candidate> {
     let ordered_span = pending_orders.get(&target.id);
     let ordered_span = ordered_span.filter(|(started_ms, _, _)| *started_ms == target.started_ms);
@@ -237,6 +239,7 @@
         is_order_pending: ordered_span.is_some(),
         time_since_first_seen,
         is_zone_settled,
+        limit,
         ..Candidate::of(target, engine)?
     })
 }
@@ -282,6 +285,7 @@
     match reason {
         Reason::Empty => "empty".to_owned(),
         Reason::Gap => "gap".to_owned(),
+        Reason::FirstHop => "first hop".to_owned(),
         Reason::Flow(balance) => format!("flow {:.1} of {:.1}", balance.now, balance.reference),
     }
 }
--- a/camphorweir-relay/src/placement.rs
+++ b/camphorweir-relay/src/placement.rs
@@ -27,6 +27,8 @@
 /// Worth of a layer with more copies, divided by the number of requests that they have memory for.
 const MORE_COPIES_WORTH: f64 = 100.0;
 
+/// Part of a zone's flow that its first hops must take, and that a move that adds one must leave.
+const MIN_FIRST_HOPS: f64 = 0.8;
 /// Time for which all targets of a zone without any layers must have been listed before the zone is
 /// placed: targets report about every second, and the first few alone would have to hold the whole
 /// model.
@@ -49,6 +51,8 @@
     pub time_since_first_seen: Duration,
     /// Whether the targets of its zone, and their layers, have not changed for a while.
     pub is_zone_settled: bool,
+    /// Requests a second that the target takes as the first hop of paths, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// Why a target is ordered to load layers.
@@ -58,6 +62,8 @@
     Empty,
     /// Its layers have other copies, and another layer has none.
     Gap,
+    /// The limits of the zone's first hops are below its flow.
+    FirstHop,
     /// The zone serves less than it could.
     Flow(Balance),
 }
@@ -97,7 +103,13 @@
     }
     let plan = plan_cover(candidates, engine);
     if plan.spans.is_empty() && plan.covers_all {
-        return balance_zone(candidates, engine);
+        let has_limit = |candidate: &&&Candidate| candidate.limit.is_some();
+        return match candidates.iter().any(|candidate| has_limit(&candidate)) {
+            true => placement_first_hop(candidates, engine)
+                .into_iter()
+                .collect(),
+            false => balance_zone(candidates, engine),
+        };
     }
     if plan.covers_all && plan.is_without_moves() {
         let places = displaced(candidates, engine);
@@ -126,6 +138,51 @@
     orders.collect()
 }
 
+/// An order that adds a first hop where those of a zone have limits that are below its flow. Later hops
+/// have none, so the target may hold few layers.
+pub fn placement_first_hop(candidates: &[&Candidate], engine: &Engine) -> Option<Order> {
+    let mut first_hops = candidates.iter().filter(|candidate| candidate.span.has(0));
+    let allowed: Option<f64> = first_hops.try_fold(0.0, |sum, hop| Some(sum + hop.limit?));
+    let holders: Vec<Holder> = candidates.iter().map(|other| other.holder()).collect();
+    let flow = flow_compute(&holders, engine);
+    let is_loading = candidates
+        .iter()
+        .any(|candidate| candidate.is_order_pending);
+    if is_loading || allowed.is_none_or(|allowed| allowed >= MIN_FIRST_HOPS * flow) {
+        return None;
+    }
+    let mut coverage = Coverage::new(engine.layers);
+    for candidate in candidates {
+        coverage.add(candidate.span, &candidate.hardware, engine);
+    }
+    let spare = candidates.iter().filter(|candidate| {
+        candidate.is_movable() && candidate.limit.is_none() && coverage.is_redundant(candidate.span)
+    });
+    let moved = spare.filter_map(|candidate| {
+        let layers = layers_with_memory(engine, &candidate.hardware, wanted_tokens(engine));
+        let span = Span::new(0, layers)?;
+        let others = candidates
+            .iter()
+            .filter(|other| other.target != candidate.target);
+        let mut holders: Vec<Holder> = others.map(|other| other.holder()).collect();
+        // It serves nothing while it loads.
+        let while_loading = flow_compute(&holders, engine);
+        holders.push(Holder {
+            span,
+            hardware: candidate.hardware,
+        });
+        let kept = while_loading.min(flow_compute(&holders, engine));
+        Some((kept, candidate, span))
+    });
+    let moved = moved.filter(|(kept, ..)| *kept >= MIN_FIRST_HOPS * flow);
+    let (_, candidate, span) = moved.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(Order {
+        target: candidate.target.clone(),
+        span,
+        reason: Reason::FirstHop,
+    })
+}
+
 /// The spans of a zone's targets if all were placed anew.
 fn reference<'a>(candidates: &[&'a Candidate], engine: &Engine) -> Vec<(&'a Candidate, Span)> {
     let empty: Vec<Candidate> = candidates
@@ -313,6 +370,7 @@
             is_order_pending: false,
             time_since_first_seen: Duration::MAX,
             is_zone_settled: true,
+            limit: None,
         })
     }
 
--- a/camphorweir-relay/tests/load/world.rs
+++ b/camphorweir-relay/tests/load/world.rs
@@ -297,6 +297,7 @@
             is_order_pending: false,
             time_since_first_seen: Duration::from_secs(5),
             is_zone_settled: false,
+            limit: None,
         });
         let candidates: Vec<Candidate> = candidates.collect();
         for order in placement_plan(&candidates, &self.engine) {
--- a/camphorweir-relay/tests/place.rs
+++ b/camphorweir-relay/tests/place.rs
@@ -60,6 +60,7 @@
             is_order_pending: false,
             time_since_first_seen: Duration::from_secs(5),
             is_zone_settled: false,
+            limit: None,
         })
         .collect()
 }
@@ -299,6 +300,57 @@
     assert!(moves.iter().all(is_for_flow), "{moves:?}");
 }
 
+/// Lets every first hop of a zone name a limit.
+fn limit_first_hops(candidates: &mut [Candidate], limit: f64) {
+    for candidate in candidates
+        .iter_mut()
+        .filter(|candidate| candidate.span.has(0))
+    {
+        candidate.limit = Some(limit);
+    }
+}
+
+#[test]
+fn a_zone_whose_first_hops_have_limits_below_its_flow_gets_another() {
+    let engine = engine();
+    let mut moved = 0;
+    for zone in ZONES {
+        let mut candidates = placed(&engine, *zone);
+        set_settled(&mut candidates, true);
+        let before = balance(&candidates, &engine).now;
+        limit_first_hops(&mut candidates, 0.1);
+        let orders = placement_plan(&candidates, &engine);
+        assert!(orders.len() <= 1, "{zone:?}: {orders:?}");
+        for order in &orders {
+            assert_eq!((order.reason, order.span.from), (Reason::FirstHop, 0));
+            moved += 1;
+            let loading: Vec<Candidate> = candidates
+                .iter()
+                .filter(|candidate| candidate.target != order.target)
+                .cloned()
+                .collect();
+            assert!(balance(&loading, &engine).now >= 0.8 * before, "{zone:?}");
+        }
+        apply(&mut candidates, orders);
+        assert!(copies(&candidates, 80).iter().all(|copies| *copies > 0));
+        // One first hop without a limit is enough, also while the limits last.
+        assert_eq!(placement_plan(&candidates, &engine), []);
+    }
+    assert!(moved >= 3, "{moved}");
+}
+
+#[test]
+fn limits_above_the_flow_of_a_zone_move_nothing() {
+    let engine = engine();
+    for zone in ZONES {
+        let mut candidates = placed(&engine, *zone);
+        set_settled(&mut candidates, true);
+        let flow = balance(&candidates, &engine).now;
+        limit_first_hops(&mut candidates, flow);
+        assert_eq!(placement_plan(&candidates, &engine), []);
+    }
+}
+
 proptest! {
     #[test]
     fn moves_keep_a_copy_of_every_layer_and_most_of_the_flow(
@@ -318,6 +370,7 @@
                 is_order_pending: *is_pending,
                 time_since_first_seen: Duration::from_secs(5),
                 is_zone_settled: true,
+                limit: None,
             }
         });
         let candidates: Vec<Candidate> = candidates.collect();
