--- a/camphorweir-relay/src/placement.rs
+++ b/camphorweir-relay/src/placement.rs
@@ -27,8 +27,10 @@
 /// Worth of a layer with more copies, divided by the number of requests that they have memory for.
 const MORE_COPIES_WORTH: f64 = 100.0;
 
-/// Part of a zone's flow that its first hops must take, and that a move that adds one must leave.
+/// Part of a zone's flow that its first hops must take.
 const MIN_FIRST_HOPS: f64 = 0.8;
+/// Part of the flow that a move that adds one must leave, while the target loads and once it has.
+const MIN_FIRST_HOP_KEPT: (f64, f64) = (0.8, 0.95);
 /// Time for which all targets of a zone without any layers must have been listed before the zone is
 /// placed: targets report about every second, and the first few alone would have to hold the whole
 /// model.
@@ -171,10 +173,11 @@
             span,
             hardware: candidate.hardware,
         });
-        let kept = while_loading.min(flow_compute(&holders, engine));
-        Some((kept, candidate, span))
+        let kept = flow_compute(&holders, engine);
+        let is_enough =
+            while_loading >= MIN_FIRST_HOP_KEPT.0 * flow && kept >= MIN_FIRST_HOP_KEPT.1 * flow;
+        is_enough.then_some((kept, candidate, span))
     });
-    let moved = moved.filter(|(kept, ..)| *kept >= MIN_FIRST_HOPS * flow);
     let (_, candidate, span) = moved.max_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(Order {
         target: candidate.target.clone(),
