End a limit with the first later answer that lacks it

Callers saw refusals while their targets took everything. Cause: three answers without the limit and two seconds at one instance, where each of 63 gets an answer of that target every three seconds. Change: one answer ends it, to a request that was sent after the last answer that named it, unless answers of that target were mixed before; then three and two seconds as until now.

--- a/camphorweir-relay/src/limit.rs
+++ b/camphorweir-relay/src/limit.rs
@@ -12,10 +12,11 @@
 
 /// A limit of this many requests a second or more is none.
 const MAX_PER_SECOND: f64 = 1e6;
-/// Time for which no answer has named a limit before it can end; some answers of a target may lack it.
-const WITHDRAW_TIME: Duration = Duration::from_secs(2);
-/// Number of answers in a row without the limit that end it.
-const WITHDRAW_ANSWERS: u32 = 3;
+/// Time for which no answer has named a limit before an answer without it ends it.
+const WITHDRAW_TIME: Duration = Duration::from_millis(500);
+/// The same for a target of which only some answers name the limit, and the number of answers in a row
+/// without it that it then takes.
+const MIXED_WITHDRAW: (Duration, u32) = (Duration::from_secs(2), 3);
 /// Time for which the end of a limit is told to others.
 const ENDED_MEMORY: Duration = Duration::from_secs(10);
 
@@ -54,6 +55,8 @@
     started_ms: u64,
     /// Answers in a row that did not name it, to requests sent after the last one that did.
     silent_answers: u32,
+    /// Whether answers named it again after others had not.
+    is_mixed: bool,
 }
 
 /// A change of a limit, for the log.
@@ -90,6 +93,10 @@
         };
         let known = self.current(target);
         let since = known.filter(|known| known.per_second.is_some());
+        let is_mixed = known.is_some_and(|known| {
+            let has_ended = known.per_second.is_none();
+            known.is_mixed || known.silent_answers > 0 || has_ended
+        });
         let limit = Limit {
             per_second: Some(rate),
             since: since.map_or(now, |known| known.since),
@@ -97,6 +104,7 @@
             source: Source::Answer,
             started_ms: target.started_ms,
             silent_answers: 0,
+            is_mixed,
         };
         let is_same = known.is_some_and(|known| known.per_second == Some(rate));
         self.known.insert(target.id.clone(), limit);
@@ -108,10 +116,14 @@
         let known = known.filter(|known| known.started_ms == target.started_ms)?;
         let rate = known.per_second.filter(|_| sent_at > known.confirmed_at)?;
         known.silent_answers += 1;
+        let (time, answers) = match known.is_mixed {
+            true => MIXED_WITHDRAW,
+            false => (WITHDRAW_TIME, 1),
+        };
         // A target that takes next to nothing answers next to nothing.
-        let needed = WITHDRAW_ANSWERS.min(rate as u32).max(1);
-        let is_over = known.silent_answers >= needed
-            && now.saturating_sub(known.confirmed_at) >= WITHDRAW_TIME;
+        let needed = answers.min(rate as u32).max(1);
+        let is_over =
+            known.silent_answers >= needed && now.saturating_sub(known.confirmed_at) >= time;
         is_over.then(|| {
             known.per_second = None;
             known.confirmed_at = now;
@@ -169,6 +181,7 @@
             return None;
         }
         let before = known.and_then(|known| known.per_second);
+        let is_mixed = known.is_some_and(|known| known.is_mixed);
         let rate = news
             .per_second
             .filter(|rate| (0.0..MAX_PER_SECOND).contains(rate));
@@ -179,6 +192,7 @@
             source: Source::Peer,
             started_ms: target.started_ms,
             silent_answers: 0,
+            is_mixed,
         };
         self.known.insert(target.id.clone(), limit);
         match rate {
