--- a/camphorweir-relay/src/permit.rs
+++ b/camphorweir-relay/src/permit.rs
@@ -1,7 +1,7 @@
 //! Permits to send a request to a target that names a limit.
 //!
 //! All instances together keep to the limit since one of them gives out all permits of a target: the first
-//! live instance in an order that all know. It tells the next in that order what it has given; whoever takes
+//! live instance in an order that all know. It tells the others of the order what it has given; whoever takes
 //! over counts that too, and assumes that the limit was used evenly since.
 
 use {
@@ -72,7 +72,7 @@
     Denied(Duration),
 }
 
-/// How many permits start in any span of this length.
+/// How many permits start in any span of some length.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Quota {
     count: usize,
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -84,7 +84,7 @@
     Summary(Summary),
     /// Contents and parts of prompts under which targets ended.
     Suspects(Vec<Suspect>),
-    /// Limits that targets name.
+    /// Limits that targets name; an empty list asks the recipient for those that it knows.
     Limits(Vec<News>),
     /// A question for a permit to send to a limited target.
     Ask(Ask),
