--- a/camphorweir-relay/tests/decide/limit.rs
+++ b/camphorweir-relay/tests/decide/limit.rs
@@ -61,6 +61,7 @@
     let target = target(1);
     let mut name = |named, at| limits.record_answer(&target, named, ms(at), ms(at));
     assert_eq!(name(Named::Rate(1e300), 10), None);
+    assert_eq!(name(Named::Rate(10_000.0), 11), None);
     assert_eq!(name(Named::Rate(f64::INFINITY), 20), None);
     assert_eq!(name(Named::Rate(5.0), 30), Some(Change::Set(5.0)));
     for at in 0..20 {
