Features that a configuration calls for, and hooks for admission, load and zones

Change: features.rs derives, for each version of the configuration, the ranks of a service's priorities and whether its targets are uneven. selection.rs gets one hook each for the share of memory that a request may fill, the load of a target and the cost factor of a zone; each returns what was computed before.

--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod contact;
 mod crashes;
 pub mod detour;
+pub mod features;
 pub mod fleet;
 pub mod flow;
 pub mod head;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -7,6 +7,7 @@
         configuration::{Configuration, Engine, Route},
         contact::Contacts,
         detour::Detours,
+        features::{Features, features_of},
         fleet::Fleet,
         head::Head,
         ids::{Fingerprint, RequestId, ServiceName, TargetId, Time, Workspace, Zone},
@@ -20,7 +21,7 @@
         tracker::Tracker,
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Retry-After while all layers are loaded but memory is used up: soon enough for a first event
@@ -160,6 +161,9 @@
     pub(crate) zone: Zone,
     bounds: Bounds,
     snapshot: Option<Snapshot>,
+    /// What the configuration in force calls for, by service.
+    features: BTreeMap<ServiceName, Features>,
+    no_features: Features,
     /// Targets as listed in the store.
     pub fleet: Fleet,
     /// Load and health of targets.
@@ -202,6 +206,8 @@
             zone,
             bounds,
             snapshot: None,
+            features: BTreeMap::new(),
+            no_features: Features::default(),
             fleet: Fleet::default(),
             tracker: Tracker::default(),
             limits: Limits::default(),
@@ -242,6 +248,10 @@
                 false
             }
             _ => {
+                let services = configuration.services.keys();
+                let features =
+                    services.map(|name| (name.clone(), features_of(&configuration, name)));
+                self.features = features.collect();
                 self.snapshot = Some(Snapshot {
                     configuration,
                     confirmed_at,
@@ -258,6 +268,11 @@
         }
     }
 
+    /// What the configuration in force calls for at a service.
+    pub fn features(&self, service: &str) -> &Features {
+        self.features.get(service).unwrap_or(&self.no_features)
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.snapshot
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -6,6 +6,7 @@
         fleet::Target,
         ids::{Time, Zone, ids_tag},
         path::{Demand, Offer, path_choose},
+        peers::Load,
         router::{Admission, Destination, Plan, Router},
     },
     std::{
@@ -155,13 +156,7 @@
         };
         let paths = zones.iter().filter_map(|(zone, offers)| {
             let path = path_choose(offers, &demand)?;
-            let factor = match *zone == self.zone {
-                true => 1.0,
-                false => {
-                    let share = request_jitter(&request.id, zone);
-                    REMOTE_PATH_FACTOR + REMOTE_FACTOR_SPREAD * share
-                }
-            };
+            let factor = self.zone_factor(request, zone);
             Some((path.cost_ms() * factor, path))
         });
         let (_, path) = paths.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
@@ -247,6 +242,43 @@
         certain + (uncertain - certain) * uncertainty
     }
 
+    /// Cost factor of a path through an availability zone.
+    fn zone_factor(&self, request: &Admission, zone: &Zone) -> f64 {
+        match *zone == self.zone {
+            true => 1.0,
+            false => {
+                let share = request_jitter(&request.id, zone);
+                REMOTE_PATH_FACTOR + REMOTE_FACTOR_SPREAD * share
+            }
+        }
+    }
+
+    /// Share of a target's memory and slots that is used; the rest is for what peers have started and
+    /// this instance does not know of yet.
+    fn usable_share(&self, target: &Target) -> f64 {
+        let peer_reserve = MEMORY_SHARE_PER_PEER * self.peers.count() as f64;
+        match target.zone == self.zone {
+            true => (LOCAL_MEMORY_SHARE - peer_reserve).max(REMOTE_MEMORY_SHARE),
+            false => REMOTE_MEMORY_SHARE,
+        }
+    }
+
+    /// Share of a target's memory that a request may fill up.
+    fn memory_share(&self, _request: &Admission, target: &Target) -> f64 {
+        self.usable_share(target)
+    }
+
+    /// Load of this instance and of its peers on a target.
+    fn projected_load(&self, target: &Target, _now: Time) -> Load {
+        let state = self.tracker.state(&target.id);
+        let peers = self.peers.load(ids_tag(&target.id));
+        Load {
+            streams: f64::from(state.streams) + peers.streams,
+            first_hops: f64::from(state.in_flight) + peers.first_hops,
+            token_layers: state.token_layers + peers.token_layers,
+        }
+    }
+
     /// What a target offers to a request; `None` when it holds no layers or its hardware is
     /// unknown.
     fn offer(
@@ -261,17 +293,13 @@
         }
         let hardware = engine.hardware.get(target.hardware.as_ref()?)?;
         let state = self.tracker.state(&target.id);
-        let peer_load = self.peers.load(ids_tag(&target.id));
-        let peer_reserve = MEMORY_SHARE_PER_PEER * self.peers.count() as f64;
-        let usable_share = match target.zone == self.zone {
-            true => (LOCAL_MEMORY_SHARE - peer_reserve).max(REMOTE_MEMORY_SHARE),
-            false => REMOTE_MEMORY_SHARE,
-        };
-        let capacity = engine.free_token_layers(hardware, target.span.len()) * usable_share;
-        let used = state.token_layers + peer_load.token_layers;
+        let load = self.projected_load(target, now);
+        let capacity = engine.free_token_layers(hardware, target.span.len())
+            * self.memory_share(request, target);
+        let used = load.token_layers;
         let free = capacity - used;
         let used_share = (used / capacity.max(1.0)).min(1.0);
-        let streams = f64::from(state.streams) + peer_load.streams;
+        let streams = load.streams;
         let (prompt, answer) = (f64::from(request.tokens.0), engine.mean_tokens.1);
         let context = (engine.mean_tokens.0 + engine.mean_tokens.1 / 2.0) / 1e3;
         let per_stream_ms = engine.stream_ms + engine.context_ms_per_1k * context;
@@ -292,8 +320,7 @@
             free_token_layers: free,
             // A limit counts what instances send, not what passes through from other targets.
             accepts_first_hop: !is_limited
-                && f64::from(state.in_flight) + peer_load.first_hops
-                    < f64::from(target.slots) * usable_share,
+                && load.first_hops < f64::from(target.slots) * self.usable_share(target),
         })
     }
 }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod contact;
 mod detour;
+mod features;
 mod fleet;
 mod isolation;
 mod keepers;
