The standing of a request among those of its rank

Cause: admission and the waiting room, built side by side, order requests by the same standing. Change: admission::Standing, and a field of it in every admitted request; nothing reads it yet. Measured: the workspace builds; no behavior changes.

--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod access;
+pub mod admission;
 pub mod balance;
 pub mod budget;
 pub mod changes;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         access::{Snapshot, access_check, access_keys_trusted},
+        admission::Standing,
         budget::Budget,
         configuration::{Configuration, Engine, Route},
         contact::Contacts,
@@ -68,6 +69,8 @@
     pub workspace: Option<Workspace>,
     /// Priority, 0 first: that of the workspace, else that of the route.
     pub priority: u8,
+    /// How the request stands among those of its rank.
+    pub standing: Standing,
     /// Time of arrival.
     pub arrived_at: Time,
     /// Deadline of the request.
@@ -320,6 +323,7 @@
             fingerprint: 0,
             prompt_parts: head.prompt_parts.as_slice().into(),
             priority: priority.unwrap_or(permit.route.priority),
+            standing: Standing::default(),
             configuration_version: version,
             service,
             workspace: permit.owner.map(|owner| owner.workspace.clone()),
