Take the router's random numbers from the library's generator

Ruled out: the hash by request and target in selection.rs, which is no generator and changes with the choice of targets.

--- a/camphorweir-relay/src/contact.rs
+++ b/camphorweir-relay/src/contact.rs
@@ -10,6 +10,7 @@
         ids::{ServiceName, TargetId, Time, Zone},
         router::Router,
     },
+    rand::Rng,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         time::Duration,
@@ -186,7 +187,7 @@
     /// the next probe of each.
     pub fn take_due_probes(&mut self, now: Time) -> Vec<TargetId> {
         let mut due = self.tracker.take_due_probes(now);
-        let random = self.next_random();
+        let random = self.rng.random();
         for (service, contact) in &mut self.contacts {
             let targets = self.fleet.available(service);
             let is_open = |target: &&Target| !self.tracker.is_closed(&target.id, now);
--- a/camphorweir-relay/src/detour.rs
+++ b/camphorweir-relay/src/detour.rs
@@ -7,6 +7,7 @@
         router::{Admission, Destination, Outcome, Plan, Router},
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
+    rand::Rng,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -107,7 +108,7 @@
         request: &mut Admission,
         now: Time,
     ) -> Result<Plan, Refusal> {
-        let random = self.next_random();
+        let random = self.rng.random();
         let is_allowed = !request.is_from_peer && request.counts.detours < MAX_DETOURS;
         let peer = self.detours.choose(&self.zone, random, now);
         let Some(peer) = peer.filter(|_| is_allowed) else {
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -22,6 +22,7 @@
         tracker::Tracker,
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -186,7 +187,8 @@
     pub listed_instances: usize,
     /// Least number of instances assumed to use the same targets, this one included.
     pub(crate) min_sharers: f64,
-    rng_state: u64,
+    /// Random numbers; the same for the same seed.
+    pub(crate) rng: SmallRng,
 }
 
 impl Router {
@@ -221,7 +223,7 @@
             peers: Peers::default(),
             listed_instances: 0,
             min_sharers,
-            rng_state: seed | 1,
+            rng: SmallRng::seed_from_u64(seed),
         }
     }
 
@@ -309,7 +311,7 @@
             self.bounds.key_revocation,
         )?;
         let version = self.configuration().map_or(0, |current| current.version);
-        let random = self.next_random();
+        let random = self.rng.random();
         let service = permit.route.pick_service(random).cloned();
         let Some(service) = service else {
             return Err(Refusal::not_run(Code::NoTarget, "the route has no service"));
@@ -533,7 +535,7 @@
         let first = ends.filter(|end| *end > now).min()?;
         let wait = (first - now).max(MIN_CLOSED_WAIT);
         let spread = wait.mul_f64(CLOSED_SPREAD).min(MAX_CLOSED_SPREAD);
-        Some(wait + spread.mul_f64(self.next_random()))
+        Some(wait + spread.mul_f64(self.rng.random()))
     }
 
     /// The refusal that ends a request with `code`; a request that may have run is not reported as
@@ -583,12 +585,4 @@
             && refusal.code == Code::NoPath
             && waited < request.route.latency_objective / WAIT_DIVISOR
     }
-
-    /// The next number of a xorshift generator, in `0.0..1.0`.
-    pub(crate) fn next_random(&mut self) -> f64 {
-        self.rng_state ^= self.rng_state << 13;
-        self.rng_state ^= self.rng_state >> 7;
-        self.rng_state ^= self.rng_state << 17;
-        (self.rng_state >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -553,6 +553,26 @@
     assert!(!router.tracker.is_closed(&"ledger-0".into(), ms(1_000)));
 }
 
+/// Guards against random numbers that a test can't repeat, as from a generator seeded by the process.
+#[test]
+fn the_same_seed_gives_the_same_spread_of_waits() {
+    let waits = || {
+        let mut router = router();
+        for target in ["ledger-0", "ledger-1"] {
+            let id = target.into();
+            router.tracker.record_closed(&id, ms(1_000), ms(0));
+        }
+        let mut wait = || {
+            let mut request = admit_request(&mut router, "/seal/a", ms(200));
+            router.plan(&mut request, ms(200)).unwrap_err().retry_after
+        };
+        [wait(), wait(), wait()]
+    };
+    let first = waits();
+    assert_eq!(first, waits());
+    assert!(first[0] != first[1] || first[1] != first[2], "{first:?}");
+}
+
 #[test]
 fn a_target_without_permits_gets_no_request_and_still_runs_what_passes_through() {
     let mut router = router();
