Let the order of routes decide among workspaces of the usual priority

Cause: a workspace's priority replaced that of the route. Change: where the routes of a service have different priorities, a workspace of the priority that most have leaves the order of routes; one that is more or less urgent than that takes precedence over it, as the first or last rank. Elsewhere the workspace's priority counts as before. Ruled out: ranks of pairs (they split the reserve among combinations that hardly occur).

--- a/camphorweir-relay/src/features.rs
+++ b/camphorweir-relay/src/features.rs
@@ -1,6 +1,9 @@
 //! Features that a configuration calls for, by service.
 
-use crate::configuration::{Configuration, Engine};
+use {
+    crate::configuration::{Configuration, Engine},
+    std::{cmp::Ordering, collections::BTreeMap},
+};
 
 /// Least ratio between the slowest and the fastest kind of hardware of a service at which its targets count
 /// as uneven.
@@ -29,6 +32,22 @@
         at_most.saturating_sub(1)
     }
 
+    /// Priority of a request, where the workspace has one of its own and `usual` is that of most workspaces.
+    ///
+    /// A workspace more or less urgent than most takes precedence over the order of routes; among the others
+    /// the order of routes decides. A service whose routes are all equal knows the workspace's priority alone.
+    pub fn priority(&self, route: u8, workspace: Option<u8>, usual: Option<u8>) -> u8 {
+        let (Some(workspace), Some(usual)) = (workspace, usual) else {
+            return workspace.unwrap_or(route);
+        };
+        match (self.priorities.as_slice(), workspace.cmp(&usual)) {
+            ([] | [_], _) => workspace,
+            ([first, ..], Ordering::Less) => *first,
+            (_, Ordering::Equal) => route,
+            ([.., last], Ordering::Greater) => *last,
+        }
+    }
+
     /// Number of ranks.
     pub fn count(&self) -> usize {
         self.priorities.len()
@@ -68,6 +87,26 @@
     }
 }
 
+/// The priority that most workspaces have, the most urgent of several; `None` where none has one.
+///
+/// Linear in the keys.
+pub fn features_usual_priority(configuration: &Configuration) -> Option<u8> {
+    let owners = configuration.keys.values();
+    let priorities = owners.filter_map(|owner| Some((&owner.workspace, owner.priority?)));
+    let by_workspace: BTreeMap<_, _> = priorities.collect();
+    let mut counts: BTreeMap<u8, usize> = BTreeMap::new();
+    for priority in by_workspace.into_values() {
+        *counts.entry(priority).or_default() += 1;
+    }
+    let mut counts = counts.into_iter().rev();
+    let first = counts.next()?;
+    let most = counts.fold(
+        first,
+        |most, other| if other.1 >= most.1 { other } else { most },
+    );
+    Some(most.0)
+}
+
 fn is(name: &crate::ids::ServiceName, service: &str) -> bool {
     **name == *service
 }
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -8,7 +8,7 @@
         configuration::{Configuration, Engine, Route},
         contact::Contacts,
         detour::Detours,
-        features::{Features, features_of},
+        features::{Features, features_of, features_usual_priority},
         fleet::Fleet,
         head::Head,
         ids::{Fingerprint, RequestId, ServiceName, TargetId, Time, Workspace, Zone},
@@ -68,7 +68,9 @@
     pub service: ServiceName,
     /// Workspace of the request's key.
     pub workspace: Option<Workspace>,
-    /// Priority, 0 first: that of the workspace, else that of the route.
+    /// Priority, 0 first, from those of the workspace and of the route ([`Ranks::priority`]).
+    ///
+    /// [`Ranks::priority`]: crate::features::Ranks::priority
     pub priority: u8,
     /// How the request stands among those of its rank.
     pub standing: Standing,
@@ -168,6 +170,8 @@
     /// What the configuration in force calls for, by service.
     features: BTreeMap<ServiceName, Features>,
     no_features: Features,
+    /// Priority that most workspaces have.
+    usual_priority: Option<u8>,
     /// Targets as listed in the store.
     pub fleet: Fleet,
     /// Load and health of targets.
@@ -213,6 +217,7 @@
             snapshot: None,
             features: BTreeMap::new(),
             no_features: Features::default(),
+            usual_priority: None,
             fleet: Fleet::default(),
             tracker: Tracker::default(),
             limits: Limits::default(),
@@ -257,6 +262,7 @@
                 let features =
                     services.map(|name| (name.clone(), features_of(&configuration, name)));
                 self.features = features.collect();
+                self.usual_priority = features_usual_priority(&configuration);
                 self.snapshot = Some(Snapshot {
                     configuration,
                     confirmed_at,
@@ -324,7 +330,11 @@
             id: head.id.clone(),
             fingerprint: 0,
             prompt_parts: head.prompt_parts.as_slice().into(),
-            priority: priority.unwrap_or(permit.route.priority),
+            priority: self.features(&service).ranks.priority(
+                permit.route.priority,
+                priority,
+                self.usual_priority,
+            ),
             standing: Standing::default(),
             configuration_version: version,
             service,
--- a/camphorweir-relay/tests/decide/features.rs
+++ b/camphorweir-relay/tests/decide/features.rs
@@ -2,8 +2,8 @@
 
 use {
     camphorweir_relay::{
-        configuration::{Configuration, Engine, Hardware, Kind, Route, Service},
-        features::{Ranks, features_of},
+        configuration::{Configuration, Engine, Hardware, Kind, Owner, Route, Service},
+        features::{Ranks, features_of, features_usual_priority},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -86,3 +86,54 @@
     assert!(!is_uneven(&[0.0, 16.0]));
     assert!(!is_uneven(&[]));
 }
+
+/// Guards against a priority that all workspaces have hiding the order of routes: all classes were then equal.
+#[test]
+fn a_priority_that_most_workspaces_have_leaves_the_order_of_routes() {
+    let ranks = Ranks::new([0, 1, 2]);
+    let of = |route, workspace| ranks.priority(route, workspace, Some(1));
+    assert_eq!([0, 1, 2].map(|route| of(route, Some(1))), [0, 1, 2]);
+    assert_eq!([0, 1, 2].map(|route| of(route, None)), [0, 1, 2]);
+    // A workspace of another priority takes precedence over the order of routes.
+    assert_eq!([0, 1, 2].map(|route| of(route, Some(0))), [0, 0, 0]);
+    assert_eq!([0, 1, 2].map(|route| of(route, Some(3))), [2, 2, 2]);
+    // Where routes are equal the workspace's priority is passed on as it is.
+    let equal = Ranks::new([1]);
+    assert_eq!(
+        [0, 1, 4].map(|workspace| equal.priority(1, Some(workspace), Some(1))),
+        [0, 1, 4]
+    );
+}
+
+/// Guards against a usual priority that follows the number of keys, or of workspaces without one.
+#[test]
+fn the_usual_priority_is_that_of_most_workspaces() {
+    let usual = |workspaces: &[(&str, Option<u8>)]| {
+        let owners = workspaces.iter().enumerate();
+        let keys = owners.map(|(key, (workspace, priority))| {
+            let owner = Owner {
+                workspace: (*workspace).into(),
+                priority: *priority,
+            };
+            (key.to_string(), Arc::new(owner))
+        });
+        features_usual_priority(&Configuration {
+            keys: keys.collect(),
+            ..Configuration::default()
+        })
+    };
+    assert_eq!(
+        usual(&[
+            ("a", Some(0)),
+            ("a", Some(0)),
+            ("b", Some(1)),
+            ("c", Some(1))
+        ]),
+        Some(1)
+    );
+    assert_eq!(
+        usual(&[("a", Some(2)), ("b", Some(1)), ("c", None)]),
+        Some(1)
+    );
+    assert_eq!(usual(&[("c", None)]), None);
+}
