Warnings of a configuration check, and a comparison with the log or a file

Cause: `camphorweir check` listed faults only. Entries without effect and limits that contradict each other were found when requests were refused, and the changes against the version in force only by `publish` itself.

Change: `findings` in camphorweir-config decides six warnings, 5151 to 5156; `parse::examined` gives them their places. `check` prints them and, with `--against VERSION|FILE` or `--log URL`, the changes as `diff` describes them. Reading the stream moved from publish.rs to versions.rs, which both commands use. Warnings leave the exit code at 0, since `publish` accepts such a file.

--- a/camphorweir-config/src/fault.rs
+++ b/camphorweir-config/src/fault.rs
@@ -1,4 +1,4 @@
-//! Faults of a configuration file, each with a code, a place and a description.
+//! Faults of a configuration file and warnings about it, each with a code, a place and a description.
 
 use {
     crate::check::name_is_usable,
@@ -101,6 +101,18 @@
     DuplicateLink = 5119, "Remove one of the two links.";
     /// The record in the log is not a configuration record.
     Garbled = 5120, "Find out who writes to the configuration stream; the record is skipped.";
+    /// A warning: requests for the pipeline's name are matched by a route to another pipeline.
+    ShadowedRoute = 5151, "Give the other route a name that no pipeline has.";
+    /// A warning: callers hold keys of the workspace, but it has no route.
+    NoRoutes = 5152, "Add a route, or remove the keys.";
+    /// A warning: routes lead here, but no target that accepts work serves it.
+    Unserved = 5153, "Add a target or undrain one, or remove the routes.";
+    /// A warning: nothing refers to the item.
+    Unused = 5154, "Remove the item, or add what should refer to it.";
+    /// A warning: the deadline ends the longest answers that the pipeline permits.
+    DeadlineTooShort = 5155, "Lengthen the deadline or lower `max_tokens` of the pipeline.";
+    /// A warning: other limits of the workspace keep it from ever reaching this limit.
+    UnreachableLimit = 5156, "Lower this limit or raise the limit named.";
 }
 
 /// A position in the text: line and column, both from 1.
--- a/camphorweir-config/src/lib.rs
+++ b/camphorweir-config/src/lib.rs
@@ -47,6 +47,7 @@
 mod describe_warn;
 pub mod edit;
 pub mod fault;
+pub mod findings;
 pub mod fold;
 pub mod handle;
 pub mod history;
--- a/camphorweir-config/src/parse.rs
+++ b/camphorweir-config/src/parse.rs
@@ -5,6 +5,7 @@
         check,
         decode::{NodeDeserializer, Progress},
         fault::{Code, Fault},
+        findings::findings,
         model::Document,
         tree::{Tree, tree_of},
     },
@@ -36,6 +37,23 @@
 ///
 /// All faults with their positions.
 pub fn checked(text: &str) -> Result<Document, Vec<Fault>> {
+    checked_tree(text).map(|(document, _)| document)
+}
+
+/// Parses and checks a document as [`checked`] does; returns it with its [`findings`] and their
+/// positions, in the order of the text.
+///
+/// # Errors
+///
+/// All faults with their positions.
+pub fn examined(text: &str) -> Result<(Document, Vec<Fault>), Vec<Fault>> {
+    let (document, tree) = checked_tree(text)?;
+    let mut found = findings(&document);
+    locate(&tree, &mut found);
+    Ok((document, found))
+}
+
+fn checked_tree(text: &str) -> Result<(Document, Tree), Vec<Fault>> {
     let (document, mut faults, tree) = document_of(text).map_err(|fault| vec![fault])?;
     // Items that could not be decoded are missing from the document; references to them are no
     // faults.
@@ -44,16 +62,21 @@
     let check_faults = check::document(&document).into_iter().filter(is_certain);
     faults.extend(check_faults.take(MAX_FAULTS));
     if faults.is_empty() {
-        return Ok(document);
+        return Ok((document, tree));
     }
+    locate(&tree, &mut faults);
+    Err(faults)
+}
+
+/// Sets the positions of faults that have none, and sorts by position.
+fn locate(tree: &Tree, faults: &mut [Fault]) {
     let index = tree.index();
-    for fault in &mut faults {
+    for fault in &mut *faults {
         if fault.place.position.is_none() {
             fault.place.position = tree.position(&fault.place.steps, &index);
         }
     }
     faults.sort_by_key(|fault| fault.place.position);
-    Err(faults)
 }
 
 /// Whether the fault may leave an item that others refer to out of the document.
--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -17,20 +17,16 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version, generate(command), footer(EXIT_CODES))]
 pub enum Command {
-    /// Checks a configuration file and lists all its faults
+    /// Checks a configuration file: lists all its faults, or else warnings and what it would change
     ///
     ///
+    /// Warnings leave the exit code at 0. The file is compared with --against, or with the version in
+    /// force if only --log is given. Nothing is published.
     ///
     ///
-    /// Example: camphorweir check pine-hollow.yaml
+    /// Example: camphorweir check pine-hollow.yaml --against 12 --log http://10.0.0.5:7000
     #[bpaf(command)]
-    Check {
-        /// Print JSON
-        json: bool,
-        /// The file to read; - is standard input
-        #[bpaf(positional("FILE"), complete_shell(yaml_files()))]
-        file: PathBuf,
-    },
+    Check(#[bpaf(external(check))] Check),
     /// Describes what publishing NEW over OLD would change, with warnings
     ///
     ///
@@ -138,6 +134,42 @@
     Unresolved(#[bpaf(external(ask))] Ask),
 }
 
+/// The arguments of `check`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct Check {
+    /// Print JSON
+    pub json: bool,
+    /// Version of the log, or file, to compare with; write a file whose name is a number as ./12
+    #[bpaf(argument::<String>("VERSION|FILE"), map(against), optional, complete_shell(yaml_files()))]
+    pub against: Option<Against>,
+    /// Address of the log service.
+    #[bpaf(external, optional)]
+    pub log: Option<String>,
+    /// Time to wait for the log.
+    #[bpaf(external)]
+    pub timeout: Duration,
+    /// The file to read; - is standard input
+    #[bpaf(positional("FILE"), complete_shell(yaml_files()))]
+    pub file: PathBuf,
+}
+
+/// What `check` compares a file with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Against {
+    /// A version of the log.
+    Version(Version),
+    /// A file.
+    File(PathBuf),
+}
+
+fn against(text: String) -> Against {
+    match text.parse() {
+        Ok(version) => Against::Version(version),
+        Err(_) => Against::File(text.into()),
+    }
+}
+
 /// The subcommands of `quarantine`.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(ignore_rustdoc)]
--- a/camphorweir/src/explain.rs
+++ b/camphorweir/src/explain.rs
@@ -15,7 +15,7 @@
 
 Every answer that is not a plain success carries one of these numbers, in its body and in the header
 `camphorweir-code`. The header `camphorweir-ran` says whether the request ran: `yes`, `no` or `unknown`.
-Codes without a status are faults of a configuration file.
+Codes without a status are faults of a configuration file, from 5151 on warnings about one without faults.
 
 | code | name | HTTP status | meaning | what to do |
 |---|---|---|---|---|
--- a/camphorweir/src/lib.rs
+++ b/camphorweir/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod admin;
 pub mod args;
+mod check;
 mod diff;
 mod drain;
 pub mod exit;
@@ -27,6 +28,7 @@
 mod status;
 mod stream;
 mod unresolved;
+mod versions;
 
 use {
     args::{Command, Quarantine},
@@ -36,7 +38,7 @@
 /// Runs a command.
 pub fn run(command: Command) -> Report {
     match command {
-        Command::Check { json, file } => file::check(&file, json),
+        Command::Check(options) => check::check(&options),
         Command::Diff { json, old, new } => diff::diff(&old, &new, json),
         Command::Drain(options) => drain::set(&options, true),
         Command::Explain { markdown: true, .. } => explain::markdown(),
--- a/camphorweir/src/publish.rs
+++ b/camphorweir/src/publish.rs
@@ -8,16 +8,16 @@
         log::Client,
         report::{Report, json_values},
         run::block_on,
-        stream::{REQUEST_TIMEOUT, Stream},
+        stream::REQUEST_TIMEOUT,
+        versions::{Versions, outdated},
     },
     camphorweir_config::{
         describe::{Severity, notes},
         edit::edits,
         fault::Fault,
-        fold::Fold,
         history::{self, Winner},
         model::{Document, Version},
-        record::{Body, FORMAT, Nonce, Publication, Record, STREAM},
+        record::{Body, FORMAT, Nonce, Publication, Record},
     },
     camphorweir_wire::codec,
     serde_json::json,
@@ -86,11 +86,10 @@
     })
 }
 
-/// One run of the command: the log's stream and its fold.
+/// One run of the command.
 struct Session<'a> {
     params: &'a Params<'a>,
-    stream: Stream,
-    fold: Fold,
+    log: Versions,
     remarks: String,
 }
 
@@ -98,8 +97,7 @@
     fn new(params: &'a Params<'a>, client: Client) -> Self {
         Self {
             params,
-            stream: Stream::new(client, STREAM, params.timeout),
-            fold: Fold::new(),
+            log: Versions::new(client, params.timeout),
             remarks: String::new(),
         }
     }
@@ -108,15 +106,15 @@
         &mut self,
         change: impl Fn(&Document) -> Result<Document, Report>,
     ) -> Result<Outcome, Report> {
-        while let Err(text) = self.catch_up().await {
-            if !self.stream.wait_to_retry().await {
+        while let Err(text) = self.log.catch_up().await {
+            if !self.log.stream.wait_to_retry().await {
                 return Ok(Outcome::Unreachable(None, text));
             }
         }
-        if let Some(format) = self.fold.unknown_format() {
+        if let Some(format) = self.log.fold.unknown_format() {
             return Ok(Outcome::Outdated(format));
         }
-        let document = change(self.fold.document())?;
+        let document = change(self.log.fold.document())?;
         if let Some(outcome) = self.outcome_without_append(&document) {
             return Ok(outcome);
         }
@@ -127,8 +125,8 @@
             body: Body::Publication(Publication {
                 nonce,
                 author: self.params.author.to_owned(),
-                base: self.fold.version(),
-                edits: edits(self.fold.document(), &document),
+                base: self.log.fold.version(),
+                edits: edits(self.log.fold.document(), &document),
             }),
         });
         Ok(self.append(nonce, record).await)
@@ -136,12 +134,12 @@
 
     /// The outcome, if nothing has to be appended.
     fn outcome_without_append(&self, document: &Document) -> Option<Outcome> {
-        let version = self.fold.version();
-        if **self.fold.document() == *document {
+        let version = self.log.fold.version();
+        if **self.log.fold.document() == *document {
             return Some(Outcome::Unchanged(version));
         }
         let base = self.params.base.unwrap_or(version);
-        (base != version).then(|| Outcome::Conflict(self.fold.successor_of(base)))
+        (base != version).then(|| Outcome::Conflict(self.log.fold.successor_of(base)))
     }
 
     /// Appends the record, with retries, until the outcome is known.
@@ -153,58 +151,36 @@
         loop {
             let mut last_error = String::new();
             if !acknowledged {
-                match self.stream.append(record.clone()).await {
+                match self.log.stream.append(record.clone()).await {
                     Ok(()) => acknowledged = true,
                     Err(text) => last_error = text,
                 }
             }
-            if let Err(text) = self.catch_up().await {
+            if let Err(text) = self.log.catch_up().await {
                 last_error = text;
             }
             if let Some(outcome) = self.outcome_of(nonce) {
                 return outcome;
             }
-            if !self.stream.wait_to_retry().await {
+            if !self.log.stream.wait_to_retry().await {
                 return Outcome::Unreachable(Some(nonce), last_error);
             }
         }
     }
 
     fn outcome_of(&self, nonce: Nonce) -> Option<Outcome> {
-        if let Some(format) = self.fold.unknown_format() {
+        if let Some(format) = self.log.fold.unknown_format() {
             return Some(Outcome::Outdated(format));
         }
-        match self.fold.outcome(nonce)? {
+        match self.log.fold.outcome(nonce)? {
             history::Outcome::Accepted(version) => Some(Outcome::Accepted(*version)),
             history::Outcome::Conflict(winner) => Some(Outcome::Conflict(winner.clone())),
             history::Outcome::Faulty(faults) => Some(Outcome::Faulty(faults.clone())),
         }
     }
 
-    /// Reads the stream to its end.
-    async fn catch_up(&mut self) -> Result<(), String> {
-        loop {
-            let page = self.stream.read_page(self.fold.next_offset()).await?;
-            self.fold.note_truncation(page.oldest);
-            for stored in &page.records {
-                self.fold.apply(stored.offset, &stored.body);
-            }
-            if self.fold.unknown_format().is_some() {
-                return Ok(());
-            }
-            if page.records.is_empty() || self.fold.next_offset() >= page.end {
-                break;
-            }
-        }
-        if self.fold.needs_checkpoint() {
-            let text = "the log has deleted old records and has no checkpoint that covers them yet";
-            return Err(text.to_owned());
-        }
-        Ok(())
-    }
-
     fn collect_warnings(&mut self, document: &Document) {
-        let notes = notes(self.fold.document(), document);
+        let notes = notes(self.log.fold.document(), document);
         let warnings = notes
             .iter()
             .filter(|note| note.severity == Severity::Warning);
@@ -250,12 +226,7 @@
             json!({"outcome": "faulty", "faults": json_values(&faults)}),
         ),
         Outcome::Unreachable(nonce, text) => unreachable_report(json, nonce, &text),
-        Outcome::Outdated(format) => Report::failure(
-            Exit::Outdated,
-            json,
-            "outdated",
-            format!("the log holds records in unknown format {format}; upgrade this command"),
-        ),
+        Outcome::Outdated(format) => outdated(json, format),
     };
     report.with_remarks(remarks)
 }
