Admission by rank while memory of targets is scarce

Cause: a request took the last memory of a target whatever its priority; who came first while targets were full was chance. The hook memory_share and the slots of first hops use it; Router::plan marks a stream that is planned anew after an answer had begun. Where ranks are not ordered nothing changes. The simulation of tests/load has classes now.

--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -350,6 +350,10 @@
         if let Some(refusal) = self.refuse_quarantined(request, now) {
             return Err(refusal);
         }
+        // Kept when this send fails too, as the stream is still interrupted then.
+        if request.counts.sends > 0 && request.progress != Progress::Waiting {
+            request.standing = Standing::Resumed;
+        }
         if self.needs_detour(&request.service) {
             return self.plan_detour(request, now);
         }
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admission::{admission_rank, admission_share},
         configuration::Engine,
         fleet::Target,
         ids::{Time, Zone, ids_tag},
@@ -264,8 +265,14 @@
     }
 
     /// Share of a target's memory that a request may fill up.
-    fn memory_share(&self, _request: &Admission, target: &Target) -> f64 {
-        self.usable_share(target)
+    fn memory_share(&self, request: &Admission, target: &Target) -> f64 {
+        let usable = self.usable_share(target);
+        let ranks = &self.features(&request.service).ranks;
+        if !ranks.is_ordered() {
+            return usable;
+        }
+        let rank = admission_rank(ranks.rank(request.priority), &request.id);
+        (usable * admission_share(ranks, rank, request.standing)).min(1.0)
     }
 
     /// Load of this instance and of its peers on a target.
@@ -320,7 +327,7 @@
             free_token_layers: free,
             // A limit counts what instances send, not what passes through from other targets.
             accepts_first_hop: !is_limited
-                && load.first_hops < f64::from(target.slots) * self.usable_share(target),
+                && load.first_hops < f64::from(target.slots) * self.memory_share(request, target),
         })
     }
 }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the routing decisions, without a network.
 
 mod access;
+mod admission;
 mod budget;
 mod changes;
 mod contact;
--- a/camphorweir-relay/tests/load/main.rs
+++ b/camphorweir-relay/tests/load/main.rs
@@ -36,6 +36,7 @@
         instances: 39,
         zones: ZONES,
         factor: 1.0,
+        classes: &[1.0],
         length: Duration::from_secs(8),
         loss_at: None,
         seed,
@@ -78,3 +79,46 @@
     assert_eq!((result.refused, result.late), (0, 0), "{result:?}");
     assert!(result.share_in_time() > 0.95, "{result:?}");
 }
+
+/// 99 targets in three zones, with the requests that they have capacity for.
+const SCARCE: &[Zone] = &[Zone {
+    targets: (4, 16, 13),
+    per_second: 130.0,
+}; 3];
+
+/// The mix of the three kinds of stream of glide-weir.
+const CLASSES: &[f64] = &[0.49, 0.29, 0.22];
+
+/// A class may be served this much less than a less urgent one, for chance.
+const ORDER_SLACK: f64 = 0.02;
+/// A class is served at least this share as often as all.
+const MIN_CLASS_SHARE: f64 = 0.25;
+
+fn overload(instances: usize, factor: f64, seed: u64) -> Load {
+    Load {
+        instances,
+        zones: SCARCE,
+        factor,
+        classes: CLASSES,
+        length: Duration::from_secs(12),
+        ..load(seed)
+    }
+}
+
+/// Guards against an overload in which classes are served in no order, as while targets are filled by
+/// whoever asks first, and against one in which the least urgent class is starved.
+#[test]
+fn while_capacity_is_short_urgent_classes_are_served_first_and_none_is_starved() {
+    for (instances, factor, seed) in [(26, 1.3, 11), (30, 1.8, 12), (37, 2.3, 13), (3, 2.3, 14)] {
+        let result = World::new(overload(instances, factor, seed)).run();
+        let shares = result.shares_served();
+        for pair in shares.windows(2) {
+            assert!(pair[0] > pair[1] - ORDER_SLACK, "{shares:?} {result:?}");
+        }
+        let least = MIN_CLASS_SHARE * result.share_served();
+        assert!(
+            shares.iter().all(|share| *share >= least),
+            "{shares:?} {result:?}"
+        );
+    }
+}
--- a/camphorweir-relay/tests/load/world.rs
+++ b/camphorweir-relay/tests/load/world.rs
@@ -27,6 +27,8 @@
     },
 };
 
+/// Most priorities that a load has.
+pub(crate) const MAX_CLASSES: usize = 3;
 /// Simulated time between two steps.
 const STEP: Duration = Duration::from_millis(5);
 /// Steps between two digests of an instance, and between two summaries.
@@ -60,6 +62,8 @@
     pub(crate) zones: &'static [Zone],
     /// Factor on the requests of all zones.
     pub(crate) factor: f64,
+    /// Shares of the requests by priority, the most urgent first.
+    pub(crate) classes: &'static [f64],
     /// Simulated time.
     pub(crate) length: Duration,
     /// When a third of the first zone's targets is lost, if ever.
@@ -87,9 +91,26 @@
     pub(crate) rejected: u32,
     /// Longest time until a refusal.
     pub(crate) longest_refusal: Duration,
+    /// Requests by priority, without their returns.
+    pub(crate) asked_of: [u32; MAX_CLASSES],
+    /// Requests by priority that were served.
+    pub(crate) served_of: [u32; MAX_CLASSES],
 }
 
 impl Result {
+    /// Share of the requests of each priority that were served.
+    pub(crate) fn shares_served(&self) -> [f64; MAX_CLASSES] {
+        std::array::from_fn(|class| {
+            f64::from(self.served_of[class]) / f64::from(self.asked_of[class].max(1))
+        })
+    }
+
+    /// Share of all requests that were served.
+    pub(crate) fn share_served(&self) -> f64 {
+        let (served, asked) = (&self.served_of, &self.asked_of);
+        f64::from(served.iter().sum::<u32>()) / f64::from(asked.iter().sum::<u32>().max(1))
+    }
+
     /// Share of the requests that were served within their objective.
     pub(crate) fn share_in_time(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.asked.max(1))
@@ -117,6 +138,7 @@
 #[derive(Clone, Debug)]
 struct Call {
     zone: usize,
+    class: usize,
     id: u64,
     began_at: Time,
     tokens: (f64, f64),
@@ -186,26 +208,26 @@
     }
 }
 
-fn configuration(engine: &Engine) -> Configuration {
-    let route = Route {
-        name: "text".to_owned(),
+fn configuration(engine: &Engine, classes: usize) -> Configuration {
+    let routes = (0..classes).map(|class| Route {
+        name: format!("text-{class}"),
         host: "h".to_owned(),
-        prefix: "/".to_owned(),
+        prefix: format!("/{class}"),
         kind: Kind::Stream { resumable: true },
         weights: vec![("scribe".into(), 1)],
         timeout: Duration::from_secs(20),
         latency_objective: Duration::from_millis(600),
-        priority: 1,
+        priority: class as u8,
         max_runs: 2,
         public: true,
-    };
+    });
     let service = Service {
         max_connections: 2_068,
         engine: Some(engine.clone()),
     };
     Configuration {
         version: 1,
-        routes: vec![Arc::new(route)],
+        routes: routes.map(Arc::new).collect(),
         services: [("scribe".into(), service)].into(),
         ..Configuration::default()
     }
@@ -237,7 +259,7 @@
     pub(crate) fn new(load: Load) -> Self {
         let engine = engine();
         let mut rng = SmallRng::seed_from_u64(load.seed);
-        let configuration = Arc::new(configuration(&engine));
+        let configuration = Arc::new(configuration(&engine, load.classes.len()));
         let instances = load.instances * load.zones.len();
         let routers = (0..instances).map(|index| {
             let mut router = router(index / load.instances, instances, rng.random());
@@ -347,6 +369,9 @@
         }
         // Streams that go on are neither served nor lost yet.
         self.result.asked -= self.streams.len() as u32;
+        for stream in &self.streams {
+            self.result.asked_of[stream.active.call.class] -= 1;
+        }
         self.result
     }
 
@@ -414,6 +439,7 @@
                 self.now,
             );
             let began_at = stream.active.call.began_at;
+            self.result.served_of[stream.active.call.class] += 1;
             match stream.first_token_at.saturating_sub(began_at) <= Duration::from_millis(600) {
                 true => self.result.in_time += 1,
                 false => self.result.late += 1,
@@ -511,8 +537,11 @@
             );
             self.next_call += 1;
             self.result.asked += 1;
+            let class = self.draw_class();
+            self.result.asked_of[class] += 1;
             self.call(Call {
                 zone,
+                class,
                 id: self.next_call,
                 began_at: self.now,
                 tokens,
@@ -521,6 +550,26 @@
         }
     }
 
+    fn draw_class(&mut self) -> usize {
+        let Some(last) = self
+            .load
+            .classes
+            .len()
+            .checked_sub(1)
+            .filter(|last| *last > 0)
+        else {
+            return 0;
+        };
+        let total: f64 = self.load.classes.iter().sum();
+        let mut left = total * self.rng.random::<f64>();
+        let mut classes = self.load.classes.iter();
+        let class = classes.position(|share| {
+            left -= share;
+            left < 0.0
+        });
+        class.unwrap_or(last)
+    }
+
     fn call_again(&mut self) {
         let (due, later) = std::mem::take(&mut self.returns)
             .into_iter()
@@ -538,7 +587,7 @@
         let head = Head {
             id: format!("{}-{}", call.id, call.is_return).into(),
             host: "h".to_owned(),
-            path: "/a".to_owned(),
+            path: format!("/{}", call.class),
             timeout: Some(Duration::from_secs(20)),
             tokens: Some((call.tokens.0 as u32, 630)),
             ..Head::default()
