--- a/camphorweir-relay/tests/load/main.rs
+++ b/camphorweir-relay/tests/load/main.rs
@@ -122,3 +122,22 @@
         );
     }
 }
+
+/// A burst of a less urgent class costs the most urgent one at most this share of what it gets.
+const MAX_BURST_COST: f64 = 0.03;
+
+/// Guards against a burst of a less urgent class that takes what the most urgent one needs.
+#[test]
+#[ignore = "misses its bound; see KNOWN-RED.txt"]
+fn a_burst_of_a_less_urgent_class_costs_the_most_urgent_one_little() {
+    let calm = World::new(overload(30, 1.0, 15)).run();
+    let burst = Load {
+        factor: 1.8,
+        // The same number of urgent requests as before.
+        classes: &[0.49, 0.29, 1.02],
+        ..overload(30, 1.8, 15)
+    };
+    let burst = World::new(burst).run();
+    let (before, during) = (calm.shares_served()[0], burst.shares_served()[0]);
+    assert!(during >= before * (1.0 - MAX_BURST_COST), "{burst:?}");
+}
