--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -264,8 +264,8 @@
     }
 
     /// Share of a target's memory that a request may fill up.
-    fn memory_share(&self, _request: &Admission, target: &Target) -> f64 {
-        self.usable_share(target)
+    fn memory_share(&self, request: &Admission, target: &Target) -> f64 {
+        (self.usable_share(target) * request.admission_share).min(1.0)
     }
 
     /// Load of this instance and of its peers on a target.
@@ -320,7 +320,7 @@
             free_token_layers: free,
             // A limit counts what instances send, not what passes through from other targets.
             accepts_first_hop: !is_limited
-                && load.first_hops < f64::from(target.slots) * self.usable_share(target),
+                && load.first_hops < f64::from(target.slots) * self.memory_share(request, target),
         })
     }
 }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the routing decisions, without a network.
 
 mod access;
+mod admission;
 mod budget;
 mod changes;
 mod contact;
 mod detour;
+mod fairness;
 mod features;
 mod fleet;
 mod isolation;
