Tell peers of uneven services which targets rejected a send for lack of memory

Cause: a rejection made one instance avoid a target for 120 ms; each of the other instances learned of it through a rejection of its own.

Change: digests list such a target as failing, with 300 ms from the rejection and not as unresponsive, so that the zone avoids it within 0.3 s. The report is not renewed by those who receive it, ends at a restart of the target, and is left out where the digest would grow beyond a datagram. A summary that lists a target only as full ends an older report that it does not respond. Services whose hardware is alike send what they sent.

Measured: the new tests of even_load pass.

--- a/camphorweir-relay/src/reports.rs
+++ b/camphorweir-relay/src/reports.rs
@@ -10,6 +10,13 @@
     std::time::Duration,
 };
 
+/// Limit on the targets of a digest that are listed only because they rejected a send for lack of
+/// memory: the newest rejections are the most useful ones.
+const MAX_FULL: usize = 16;
+/// Limit on the entries of a digest, of up to 14 bytes each, up to which such targets are listed; a
+/// digest that exceeds the size of a datagram is not sent at all.
+const MAX_ENTRIES_WITH_FULL: usize = 80;
+
 impl Router {
     /// The digest of load and ejections for peers; the caller fills in the sender's fields. While
     /// the own links are in doubt it names no failing target.
@@ -29,13 +36,45 @@
                 excluded_ms: u16::try_from(remaining.as_millis()).unwrap_or(u16::MAX),
                 unresponsive: self.tracker.state(target).is_unresponsive(now),
             });
+        let loads: Vec<Load> = loads.collect();
+        let mut failing: Vec<Failing> = failing.collect();
+        self.add_full(&mut failing, loads.len(), now);
         Digest {
-            loads: loads.collect(),
-            failing: failing.collect(),
+            loads,
+            failing,
             ..Digest::default()
         }
     }
 
+    /// Adds targets of uneven services that rejected a send of this instance for lack of memory, so
+    /// that peers avoid them without a rejection of their own.
+    fn add_full(&self, failing: &mut Vec<Failing>, loads: usize, now: Time) {
+        let is_listed = |target: &TargetId, failing: &[Failing]| {
+            let tag = ids_tag(target);
+            failing.iter().any(|failing| failing.target == tag)
+        };
+        let full = self.tracker.full(now).filter(|(target, _)| {
+            self.is_uneven(target)
+                && !self.is_target_in_doubt(target)
+                && !is_listed(target, failing)
+        });
+        let mut full: Vec<(&TargetId, Duration)> = full.collect();
+        full.sort_by(|(a, a_left), (b, b_left)| b_left.cmp(a_left).then_with(|| a.cmp(b)));
+        let room = MAX_ENTRIES_WITH_FULL.saturating_sub(loads + failing.len());
+        full.truncate(room.min(MAX_FULL));
+        failing.extend(full.into_iter().map(|(target, left)| Failing {
+            target: ids_tag(target),
+            excluded_ms: u16::try_from(left.as_millis()).unwrap_or(u16::MAX),
+            unresponsive: false,
+        }));
+    }
+
+    /// Whether the load of a target is projected and spread.
+    fn is_uneven(&self, target: &TargetId) -> bool {
+        let target = self.fleet.get(target);
+        target.is_some_and(|target| self.features(&target.service).uneven)
+    }
+
     /// Whether the links to a target's service may be at fault.
     fn is_target_in_doubt(&self, target: &TargetId) -> bool {
         let target = self.fleet.get(target);
@@ -65,13 +104,20 @@
         self.record_failing(&summary.failing, now)
     }
 
-    /// Clears what peers reported of the targets that a summary covers and does not list as failing.
+    /// Clears what peers reported of the targets that a summary covers and does not list as failing;
+    /// a target of an uneven service that is only full responds.
     fn clear_recovered(&mut self, zone: &str, summary: &Summary) {
+        let may_not_respond = |failing: &&Failing| {
+            let target = self.fleet.by_tag(failing.target);
+            failing.unresponsive || !target.is_some_and(|target| self.is_uneven(&target.id))
+        };
+        let failing = summary.failing.iter().filter(may_not_respond);
+        let failing: Vec<u32> = failing.map(|failing| failing.target).collect();
         let is_covered = |target: &&Target| {
             let tag = ids_tag(&target.id);
             *target.zone == *zone
                 && tag % summary.parts.max(1) == summary.part
-                && !summary.failing.iter().any(|failing| failing.target == tag)
+                && !failing.contains(&tag)
         };
         for target in self.fleet.targets().filter(is_covered) {
             self.tracker.clear_peer_report(&target.id);
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -14,6 +14,9 @@
 const EJECTION_MAX: Duration = Duration::from_secs(3);
 /// Backoff from a target that has no memory free: a typical stream frees some in that time.
 const FULL_BACKOFF: Duration = Duration::from_millis(120);
+/// Time after a rejection for lack of memory for which peers avoid the target: its word reaches all
+/// instances of the zone within 0.3 s, and a busy target frees memory in about that time.
+const FULL_REPORT: Duration = Duration::from_millis(300);
 /// An unresponsive target is assumed to have lost its layers for this long; its record in the store
 /// ends, or shows a restart, within three reports of 1.2 s.
 const UNRESPONSIVE_TTL: Duration = Duration::from_millis(4500);
@@ -48,6 +51,8 @@
     peer_ejected_until: Time,
     /// End of the backoff after a report that the target has no memory free.
     full_until: Time,
+    /// When the target last rejected a send of this instance for lack of memory.
+    rejected_at: Option<Time>,
     /// End of the time for which the target wants no requests from this instance.
     closed_until: Time,
     /// End of the time for which there are no permits to send to the target.
@@ -111,6 +116,7 @@
             ejected_until: Time::ZERO,
             peer_ejected_until: Time::ZERO,
             full_until: Time::ZERO,
+            rejected_at: None,
             closed_until: Time::ZERO,
             limited_until: Time::ZERO,
             suspicion: None,
@@ -164,6 +170,16 @@
         })
     }
 
+    /// Targets that rejected a send of this instance for lack of memory, with the remaining time for
+    /// which peers should avoid them. What peers report is not listed, so that instances do not renew
+    /// each other's reports.
+    pub fn full(&self, now: Time) -> impl Iterator<Item = (&TargetId, Duration)> {
+        self.states.iter().filter_map(move |(target, state)| {
+            let remaining = (state.rejected_at? + FULL_REPORT).saturating_sub(now);
+            (!remaining.is_zero()).then_some((target, remaining))
+        })
+    }
+
     /// Ejects a target that a peer has ejected, for the remaining time there but no longer than
     /// after a first failure seen here. `unresponsive` is what the peer reports. Returns whether
     /// the report alone makes the target unresponsive here, and the one before did not.
@@ -338,6 +354,7 @@
     pub fn record_full(&mut self, target: &TargetId, now: Time, suspected: bool) {
         let state = self.state_mut(target);
         state.full_until = now + FULL_BACKOFF;
+        state.rejected_at = Some(now);
         if suspected {
             state.suspect(now);
         }
@@ -401,6 +418,7 @@
             state.ejected_until = Time::ZERO;
             state.peer_ejected_until = Time::ZERO;
             state.clear_suspicion();
+            state.rejected_at = None;
             state.failure_rate = 0.0;
             state.latency_ms = INITIAL_LATENCY_MS;
             state.closed_until = Time::ZERO;
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod contact;
 mod detour;
+mod even_load;
 mod features;
 mod fleet;
 mod isolation;
