Project the load of uneven targets to the present, and spread requests by the room that is left

Cause: instances chose the same cheapest targets on the same old load.

Change, for services with uneven hardware and with known peers only: growth of a target's load between the last two summaries is projected to the present. Each request may use another part of a target's memory, 0.8 to 0.98 of what streams hold on average in the own zone and 0.36 to 0.62 in others or without news for 0.5 s, so that as a target fills up, fewer and fewer requests use it. The cost of a target rises by a factor of e for each sixth of its memory above 0.6, with a random part that grows with use and age. A target that rejected a send counts as full, less what streams have freed, until newer word.

Services whose hardware is alike decide as before; the tests of their simulation pass unchanged.

--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod permit;
 pub mod placement;
 pub mod progress;
+pub mod projection;
 mod reports;
 pub mod retry;
 pub mod roles;
--- a/camphorweir-relay/src/peers.rs
+++ b/camphorweir-relay/src/peers.rs
@@ -4,7 +4,7 @@
 //! requests that exceed their memory.
 
 use {
-    crate::ids::Time,
+    crate::{ids::Time, projection::Rate},
     camphorweir_wire::digest::{self, Digest, Failing, MEMORY_UNIT_TOKEN_LAYERS, Scope, Summary},
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
@@ -67,6 +67,8 @@
     loads: HashMap<u32, Load>,
     /// Number of peers whose load is included.
     count: usize,
+    /// Change of the load by tag of the target between the last two summaries, and when the last came.
+    rates: HashMap<u32, (Rate, Time)>,
 }
 
 impl Peers {
@@ -100,6 +102,12 @@
         if is_outdated {
             return false;
         }
+        if let (Scope::TargetsOf(_), Some(previous)) = (&summary.scope, self.summaries.get(&key))
+            && previous.message.parts == summary.parts
+        {
+            let rates = summary_rates(previous, &summary, now);
+            self.rates.extend(rates);
+        }
         // A scope that is split differently than before is replaced part by part.
         self.summaries.retain(|(scope, _), received| {
             *scope != summary.scope || received.message.parts == summary.parts
@@ -130,6 +138,29 @@
             .retain(|_, received| is_within(received.received_at, DIGEST_TIMEOUT));
         self.summaries
             .retain(|_, received| is_within(received.received_at, SUMMARY_TIMEOUT));
+        self.rates
+            .retain(|_, (_, at)| is_within(*at, SUMMARY_TIMEOUT));
+    }
+
+    /// Change of the load on the target with this tag, and the age of the newest word of it; `None`
+    /// without two summaries within their timeout.
+    pub fn rate(&self, tag: u32, now: Time) -> Option<(Rate, Duration)> {
+        let (rate, at) = self.rates.get(&tag)?;
+        let age = now.saturating_sub(*at);
+        (age < SUMMARY_TIMEOUT).then_some((*rate, age))
+    }
+
+    /// Age of the newest word on the targets of the own zone: a summary of the aggregator, or for the
+    /// aggregator the newest digest.
+    ///
+    /// Linear in the parts of summaries, and in the instances of the zone at the aggregator.
+    pub fn age_in_zone(&self, zone: &str, now: Time) -> Option<Duration> {
+        let is_of_zone = |scope: &Scope| matches!(scope, Scope::TargetsOf(of) if of == zone);
+        let summaries = self.summaries.iter();
+        let summaries = summaries.filter(|((scope, _), _)| is_of_zone(scope));
+        let summaries = summaries.map(|(_, received)| received.received_at);
+        let digests = self.digests.values().map(|received| received.received_at);
+        Some(now.saturating_sub(summaries.chain(digests).max()?))
     }
 
     /// Computes the load of all peers from the summaries of the zone's aggregator.
@@ -248,6 +279,27 @@
     }
 }
 
+/// Change of the load between two summaries of the same part, by tag; a target that one of them lacks had no
+/// load there.
+fn summary_rates(
+    previous: &Received<Summary>,
+    summary: &Summary,
+    now: Time,
+) -> HashMap<u32, (Rate, Time)> {
+    let apart = now.saturating_sub(previous.received_at);
+    let mut loads: HashMap<u32, (Load, Load)> = HashMap::new();
+    for load in &previous.message.loads {
+        loads.entry(load.target).or_default().0.add(load);
+    }
+    for load in &summary.loads {
+        loads.entry(load.target).or_default().1.add(load);
+    }
+    let rates = loads.into_iter();
+    rates
+        .map(|(tag, (before, after))| (tag, (Rate::between(&before, &after, apart), now)))
+        .collect()
+}
+
 /// Merges reports of failing targets that were received `age` ago.
 fn merge_all(merged: &mut BTreeMap<u32, Failing>, failing: &[Failing], age: Duration) {
     let age = u16::try_from(age.as_millis()).unwrap_or(u16::MAX);
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -7,11 +7,15 @@
         ids::{Time, Zone, ids_tag},
         path::{Demand, Offer, path_choose},
         peers::Load,
+        projection::{
+            projection_after_rejection, projection_cost_factor, projection_load, projection_room,
+        },
         router::{Admission, Destination, Plan, Router},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
+        time::Duration,
     },
 };
 
@@ -44,6 +48,9 @@
 /// Used share of a target's memory at which the cost doubles while peer load is well known, and
 /// above which the cost rises no further while it is not.
 const FULL_SHARE: f64 = 0.9;
+/// Time after a rejection within which what peers report may be older than the rejection: a digest and a
+/// summary.
+const NEWER_WORD: Duration = Duration::from_millis(300);
 /// Number of peers with which a round of digests, 400 bytes to each within the rate limit, takes as
 /// long as a typical stream, so that half of what they have started is unknown here.
 const UNCERTAIN_PEERS: f64 = 40.0;
@@ -269,9 +276,15 @@
     }
 
     /// Load of this instance and of its peers on a target.
-    fn projected_load(&self, target: &Target, _now: Time) -> Load {
+    fn projected_load(&self, target: &Target, now: Time) -> Load {
         let state = self.tracker.state(&target.id);
-        let peers = self.peers.load(ids_tag(&target.id));
+        let tag = ids_tag(&target.id);
+        let mut peers = self.peers.load(tag);
+        if self.features(&target.service).uneven
+            && let Some((rate, age)) = self.peers.rate(tag, now)
+        {
+            peers = projection_load(&peers, &rate, age);
+        }
         Load {
             streams: f64::from(state.streams) + peers.streams,
             first_hops: f64::from(state.in_flight) + peers.first_hops,
@@ -279,6 +292,39 @@
         }
     }
 
+    /// Whether requests spread over targets by their projected load: the targets are uneven, and peers
+    /// use them too.
+    fn is_spread(&self, target: &Target) -> bool {
+        self.features(&target.service).uneven && self.peers.count() > 0
+    }
+
+    /// Age of the newest word on the load of a target of the own zone; `None` for other zones.
+    fn known_age(&self, target: &Target, now: Time) -> Option<Duration> {
+        let is_near = target.zone == self.zone;
+        is_near.then(|| self.peers.age_in_zone(&self.zone, now))?
+    }
+
+    /// Factor on the memory of a target that requests use, for what is known of its load; 1 where
+    /// targets are alike, or no peer is known.
+    fn room_factor(&self, request: &Admission, target: &Target, engine: &Engine, now: Time) -> f64 {
+        if !self.is_spread(target) {
+            return 1.0;
+        }
+        let age = self.known_age(target, now);
+        let draw = request_jitter(&target.id, &request.id);
+        projection_room(engine, age, draw) / self.usable_share(target)
+    }
+
+    /// Memory that is in use at least on a target that rejected a send of this instance, until newer
+    /// word; 0 where targets are alike.
+    fn rejected_load(&self, target: &Target, capacity: f64, now: Time) -> f64 {
+        let rejected_at = self.tracker.rejected_at(&target.id);
+        let rejected_at = rejected_at.filter(|_| self.features(&target.service).uneven);
+        let since = rejected_at.map(|at| now.saturating_sub(at));
+        let since = since.filter(|since| *since < NEWER_WORD);
+        since.map_or(0.0, |since| projection_after_rejection(capacity, since))
+    }
+
     /// What a target offers to a request; `None` when it holds no layers or its hardware is
     /// unknown.
     fn offer(
@@ -295,8 +341,11 @@
         let state = self.tracker.state(&target.id);
         let load = self.projected_load(target, now);
         let capacity = engine.free_token_layers(hardware, target.span.len())
-            * self.memory_share(request, target);
-        let used = load.token_layers;
+            * self.memory_share(request, target)
+            * self.room_factor(request, target, engine, now);
+        let used = load
+            .token_layers
+            .max(self.rejected_load(target, capacity, now));
         let free = capacity - used;
         let used_share = (used / capacity.max(1.0)).min(1.0);
         let streams = load.streams;
@@ -312,7 +361,15 @@
         };
         let jitter = 1.0 + COST_JITTER * request_jitter(&request.id, &target.id);
         let is_limited = self.tracker.is_shut(&target.id, now);
-        let factor = failure_factor * jitter * self.fill_factor(used_share);
+        let factor = match self.is_spread(target) {
+            true => {
+                let memory = engine.free_token_layers(hardware, target.span.len());
+                let draw = request_jitter(&request.id, &target.id);
+                let age = self.known_age(target, now);
+                failure_factor * projection_cost_factor(used / memory.max(1.0), age, draw)
+            }
+            false => failure_factor * jitter * self.fill_factor(used_share),
+        };
         Some(Offer {
             target: target.id.clone(),
             span: target.span,
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -180,6 +180,11 @@
         })
     }
 
+    /// When a target last rejected a send of this instance for lack of memory.
+    pub fn rejected_at(&self, target: &TargetId) -> Option<Time> {
+        self.state(target).rejected_at
+    }
+
     /// Ejects a target that a peer has ejected, for the remaining time there but no longer than
     /// after a first failure seen here. `unresponsive` is what the peer reports. Returns whether
     /// the report alone makes the target unresponsive here, and the one before did not.
--- a/camphorweir-relay/tests/load/world.rs
+++ b/camphorweir-relay/tests/load/world.rs
@@ -7,7 +7,7 @@
 use {
     camphorweir_relay::{
         budget::Policy,
-        configuration::{Configuration, Engine, Hardware, Kind, Route, Service},
+        configuration::{self, Configuration, Engine, Kind, Route, Service},
         fleet::Target,
         head::Head,
         ids::{TargetId, Time},
@@ -17,7 +17,10 @@
         settings::Bounds,
         summary::{summary_for_others, summary_for_zone},
     },
-    camphorweir_wire::digest::{Digest, Summary},
+    camphorweir_wire::{
+        codec,
+        digest::{Datagram, Digest, Summary},
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         collections::{BTreeMap, HashMap},
@@ -45,15 +48,30 @@
 /// A zone and the requests of its callers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Zone {
-    /// Targets by hardware: a100, v100, l4.
-    pub(crate) targets: (usize, usize, usize),
+    /// Number of targets of each of the kinds.
+    pub(crate) targets: &'static [usize],
     /// Requests a second.
     pub(crate) per_second: f64,
 }
 
+/// A kind of hardware.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hardware {
+    /// Name, without a hyphen.
+    pub(crate) name: &'static str,
+    /// Memory in MB.
+    pub(crate) memory_mb: f64,
+    /// Time of a step relative to the reference.
+    pub(crate) step_factor: f64,
+    /// Time of a prompt token relative to the reference.
+    pub(crate) prompt_factor: f64,
+}
+
 /// What is played.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
+    /// Kinds of hardware.
+    pub(crate) kinds: &'static [Hardware],
     /// Instances of each zone.
     pub(crate) instances: usize,
     /// The zones.
@@ -87,6 +105,13 @@
     pub(crate) rejected: u32,
     /// Longest time until a refusal.
     pub(crate) longest_refusal: Duration,
+    /// Mean over time of the used share of the memory of the busiest target, and of all targets.
+    pub(crate) busiest_use: f64,
+    pub(crate) mean_use: f64,
+    /// The largest mean over time of the used share of a target.
+    pub(crate) busiest_mean_use: f64,
+    /// Datagrams between instances, and their bytes.
+    pub(crate) datagrams: (u64, u64),
 }
 
 impl Result {
@@ -101,12 +126,17 @@
     }
 }
 
+/// Time after which the use of targets is measured; before, the load of all instances grows from 0.
+const SETTLED_AT: Time = Duration::from_secs(3);
+
 #[derive(Debug)]
 struct Machine {
     zone: camphorweir_relay::ids::Zone,
     span: camphorweir_relay::span::Span,
     capacity: f64,
     used: f64,
+    /// Sum over the measured steps of the used share of the memory.
+    use_sum: f64,
     streams: u32,
     step_factor: f64,
     prompt_factor: f64,
@@ -158,19 +188,14 @@
     result: Result,
 }
 
-fn engine() -> Engine {
-    let kinds = [
-        ("a100", 72_000.0, 2.4, 3.2),
-        ("v100", 14_400.0, 5.3, 7.9),
-        ("l4", 21_600.0, 16.0, 8.2),
-    ];
-    let kinds = kinds.map(|(name, memory_mb, step_factor, prompt_factor)| {
-        let hardware = Hardware {
-            memory_mb,
-            step_factor,
-            prompt_factor,
+fn engine(kinds: &[Hardware]) -> Engine {
+    let kinds = kinds.iter().map(|kind| {
+        let hardware = configuration::Hardware {
+            memory_mb: kind.memory_mb,
+            step_factor: kind.step_factor,
+            prompt_factor: kind.prompt_factor,
         };
-        (name.to_owned(), hardware)
+        (kind.name.to_owned(), hardware)
     });
     Engine {
         layers: 80,
@@ -181,7 +206,7 @@
         context_ms_per_1k: 0.00615,
         prompt_tokens_per_ms: 164.0,
         mean_tokens: MEAN_TOKENS,
-        hardware: kinds.into(),
+        hardware: kinds.collect(),
         ..Engine::default()
     }
 }
@@ -235,7 +260,7 @@
 impl World {
     /// A zone with all layers placed and no request yet.
     pub(crate) fn new(load: Load) -> Self {
-        let engine = engine();
+        let engine = engine(load.kinds);
         let mut rng = SmallRng::seed_from_u64(load.seed);
         let configuration = Arc::new(configuration(&engine));
         let instances = load.instances * load.zones.len();
@@ -260,9 +285,8 @@
             result: Result::default(),
         };
         for (zone, Zone { targets, .. }) in load.zones.iter().enumerate() {
-            let kinds = [("a100", targets.0), ("v100", targets.1), ("l4", targets.2)];
-            for (kind, count) in kinds {
-                (0..count).for_each(|index| world.add_machine(zone, kind, index));
+            for (kind, count) in load.kinds.iter().zip(*targets) {
+                (0..*count).for_each(|index| world.add_machine(zone, kind.name, index));
             }
         }
         world.place();
@@ -276,6 +300,7 @@
             span: Default::default(),
             capacity: 0.0,
             used: 0.0,
+            use_sum: 0.0,
             streams: 0,
             step_factor: hardware.step_factor,
             prompt_factor: hardware.prompt_factor,
@@ -344,12 +369,42 @@
             self.retry_waiting();
             self.call_again();
             self.call_anew();
+            self.measure_use();
         }
+        let measured =
+            self.load.length.saturating_sub(SETTLED_AT).as_secs_f64() / STEP.as_secs_f64();
+        let means = self
+            .machines
+            .values()
+            .map(|machine| machine.use_sum / measured.max(1.0));
+        self.result.busiest_mean_use = means.fold(0.0, f64::max);
+        self.result.busiest_use /= measured.max(1.0);
+        self.result.mean_use /= measured.max(1.0);
         // Streams that go on are neither served nor lost yet.
         self.result.asked -= self.streams.len() as u32;
         self.result
     }
 
+    fn measure_use(&mut self) {
+        if self.now <= SETTLED_AT {
+            return;
+        }
+        let (mut busiest, mut sum, mut count) = (0.0, 0.0, 0.0_f64);
+        for machine in self
+            .machines
+            .values_mut()
+            .filter(|machine| machine.capacity > 0.0)
+        {
+            let share = machine.used / machine.capacity;
+            machine.use_sum += share;
+            busiest = share.max(busiest);
+            sum += share;
+            count += 1.0;
+        }
+        self.result.busiest_use += busiest;
+        self.result.mean_use += sum / count.max(1.0);
+    }
+
     fn lose_and_repair(&mut self) {
         if self.load.loss_at.is_some_and(|at| at <= self.now) {
             self.load.loss_at = None;
@@ -435,6 +490,7 @@
             let aggregator = index - index % self.load.instances;
             self.routers[index].peers.record_own_digest(digest.clone());
             if index != aggregator {
+                self.count(&Datagram::Digest(digest.clone()));
                 self.routers[aggregator].apply_digest(digest, self.now);
             }
         }
@@ -463,6 +519,7 @@
             for other in (0..self.routers.len()).step_by(self.load.instances) {
                 if other != aggregator {
                     let summary = self.stamp(summary.clone(), aggregator);
+                    self.count(&Datagram::Summary(summary.clone()));
                     self.routers[other].apply_summary(summary, self.now);
                 }
             }
@@ -479,11 +536,17 @@
             for summary in &summaries {
                 let mut summary = self.stamp(summary.clone(), aggregator);
                 summary.included_sequence = sequences.get(&format!("entry-{index}")).copied();
+                self.count(&Datagram::Summary(summary.clone()));
                 self.routers[index].apply_summary(summary, self.now);
             }
         }
     }
 
+    fn count(&mut self, datagram: &Datagram) {
+        self.result.datagrams.0 += 1;
+        self.result.datagrams.1 += codec::encode(datagram).len() as u64;
+    }
+
     fn stamp(&self, summary: Summary, sender: usize) -> Summary {
         Summary {
             entry: format!("entry-{sender}"),
