Show the use of uneven targets, and test and describe their projection

Cause: nothing showed an operator why a target is full while others are idle; `target changed` named neither address nor layers. The age of the own zone's news was searched among all summaries for each target of each choice, which does not hold at 2,200 targets.

The time of the newest summary of a zone and of the newest digest is kept instead of searched.

The time of a choice at 2,200 targets was not measured.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -53,6 +53,7 @@
     cut_off: Gauge<u64>,
     layers: Gauge<u64>,
     zone_flow: Gauge<f64>,
+    target_use: Gauge<f64>,
     limit: Gauge<f64>,
     limit_age: Gauge<f64>,
     /// Targets whose limits were shown.
@@ -145,6 +146,12 @@
                 .f64_gauge("camphorweir.zone.flow")
                 .with_description("Streams a second that a zone can serve, now and arranged anew")
                 .build(),
+            target_use: meter
+                .f64_gauge("camphorweir.target.use")
+                .with_description(
+                    "Reserved share of the memory of targets of a zone, known and projected",
+                )
+                .build(),
             configuration_version: gauge("camphorweir.configuration", "The version in force"),
             configuration_age: meter
                 .f64_gauge("camphorweir.configuration.age")
@@ -283,6 +290,7 @@
                 self.zone_flow.record(flow, &labels);
             }
         }
+        self.update_use(&router, now);
         self.update_limits(&router, now);
         if let Some(configuration) = router.configuration() {
             self.configuration_version
@@ -304,6 +312,26 @@
 }
 
 impl Metrics {
+    /// Shows how much of the memory of uneven targets is reserved, by zone.
+    fn update_use(&self, router: &Router, now: Time) {
+        for (zone, utilization) in router.zone_utilization(now) {
+            let shares = [
+                ("known", "busiest", utilization.known.busiest),
+                ("known", "mean", utilization.known.mean),
+                ("projected", "busiest", utilization.projected.busiest),
+                ("projected", "mean", utilization.projected.mean),
+            ];
+            for (kind, of, share) in shares {
+                let labels = [
+                    KeyValue::new("zone", zone.to_string()),
+                    KeyValue::new("kind", kind),
+                    KeyValue::new("of", of),
+                ];
+                self.target_use.record(share, &labels);
+            }
+        }
+    }
+
     /// Shows the limit of each target that has named one since the start.
     fn update_limits(&self, router: &Router, now: Time) {
         let mut shown = self.limited.lock().unwrap_or_else(PoisonError::into_inner);
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -16,7 +16,7 @@
         },
     },
     camphorweir_relay::{
-        fleet::Change,
+        fleet::{Change, Target},
         ids::Time,
         lists::{Status, lists_next_read, lists_old_age},
         roles::Source,
@@ -215,7 +215,7 @@
         was_old = log_list_age(&state, was_old);
         let removed = state.router().fleet.remove_lapsed(now);
         for id in removed {
-            log_change(&id, Change::Gone);
+            log_change(&id, Change::Gone, None);
         }
     }
 }
@@ -282,7 +282,7 @@
         let keys = records.iter().map(|record| record.key.as_str().into());
         let listed: BTreeSet<Arc<str>> = keys.collect();
         for (id, change) in router.fleet.remove_unlisted(&listed, now) {
-            log_change(&id, change);
+            log_change(&id, change, router.fleet.get(&id));
         }
         state
             .feed()
@@ -308,7 +308,7 @@
             },
         };
         if let Some(change) = change {
-            log_change(&id, change);
+            log_change(&id, change, router.fleet.get(&id));
             if change == Change::Up {
                 router.tracker.reset_health(&id);
                 if let Some(target) = router.fleet.get(&id).cloned() {
@@ -320,8 +320,17 @@
     }
 }
 
-fn log_change(id: &str, change: Change) {
-    log::info!(target_name = id, change:? = change; "target changed");
+/// Logs a change of a target; address and layers are empty once it is removed.
+fn log_change(id: &str, change: Change, target: Option<&Target>) {
+    let address = target.map(|target| target.address.to_string());
+    let layers = target.map(|target| format!("{}-{}", target.span.from, target.span.to));
+    log::info!(
+        target_name = id,
+        change:? = change,
+        address = address.unwrap_or_default(),
+        layers = layers.unwrap_or_default();
+        "target changed"
+    );
 }
 
 /// Records that were read from the store, in order.
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod summary;
 pub mod suspects;
 pub mod tracker;
+pub mod utilization;
--- a/camphorweir-relay/src/peers.rs
+++ b/camphorweir-relay/src/peers.rs
@@ -69,6 +69,10 @@
     count: usize,
     /// Change of the load by tag of the target between the last two summaries, and when the last came.
     rates: HashMap<u32, (Rate, Time)>,
+    /// When the newest summary of the load on the targets of each zone came.
+    summarized_at: HashMap<String, Time>,
+    /// When the newest digest came.
+    digest_at: Option<Time>,
 }
 
 impl Peers {
@@ -79,6 +83,7 @@
                 && latest.message.sequence >= digest.sequence
         });
         if !is_outdated {
+            self.digest_at = Some(now);
             let received = Received {
                 received_at: now,
                 message: digest,
@@ -102,6 +107,9 @@
         if is_outdated {
             return false;
         }
+        if let Scope::TargetsOf(zone) = &summary.scope {
+            self.summarized_at.insert(zone.clone(), now);
+        }
         if let (Scope::TargetsOf(_), Some(previous)) = (&summary.scope, self.summaries.get(&key))
             && previous.message.parts == summary.parts
         {
@@ -152,15 +160,9 @@
 
     /// Age of the newest word on the targets of the own zone: a summary of the aggregator, or for the
     /// aggregator the newest digest.
-    ///
-    /// Linear in the parts of summaries, and in the instances of the zone at the aggregator.
     pub fn age_in_zone(&self, zone: &str, now: Time) -> Option<Duration> {
-        let is_of_zone = |scope: &Scope| matches!(scope, Scope::TargetsOf(of) if of == zone);
-        let summaries = self.summaries.iter();
-        let summaries = summaries.filter(|((scope, _), _)| is_of_zone(scope));
-        let summaries = summaries.map(|(_, received)| received.received_at);
-        let digests = self.digests.values().map(|received| received.received_at);
-        Some(now.saturating_sub(summaries.chain(digests).max()?))
+        let summarized_at = self.summarized_at.get(zone).copied();
+        Some(now.saturating_sub(summarized_at.max(self.digest_at)?))
     }
 
     /// Computes the load of all peers from the summaries of the zone's aggregator.
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -276,7 +276,7 @@
     }
 
     /// Load of this instance and of its peers on a target.
-    fn projected_load(&self, target: &Target, now: Time) -> Load {
+    pub(crate) fn projected_load(&self, target: &Target, now: Time) -> Load {
         let state = self.tracker.state(&target.id);
         let tag = ids_tag(&target.id);
         let mut peers = self.peers.load(tag);
--- a/camphorweir-relay/tests/decide/even_load.rs
+++ b/camphorweir-relay/tests/decide/even_load.rs
@@ -164,3 +164,28 @@
     );
     assert!(codec::encode(&Datagram::Digest(digest)).len() < MAX_DATAGRAM_BYTES);
 }
+
+/// Guards against a gauge that hides a full target behind a mean, or shows what is known as projected.
+#[test]
+fn utilization_is_shown_as_known_and_as_projected() {
+    let mut router = uneven_router();
+    let load = |memory| camphorweir_wire::digest::Load {
+        target: ids_tag("near-0"),
+        streams: 1,
+        first_stage: 1,
+        memory,
+    };
+    for (sequence, memory, at) in [(1, 1, 1_000), (2, 2, 1_200)] {
+        let summary = Summary {
+            loads: vec![load(memory)],
+            ..summary(sequence, Vec::new())
+        };
+        router.apply_summary(summary, ms(at));
+    }
+    let zones = router.zone_utilization(ms(1_300));
+    let near = zones["near"];
+    assert!(near.known.busiest > 0.0);
+    assert!((near.known.mean * 2.0 - near.known.busiest).abs() < 1e-9);
+    assert!((near.projected.busiest / near.known.busiest - 1.25).abs() < 1e-9);
+    assert!(router.zone_utilization(ms(1_300))["far"].known.busiest < 1e-9);
+}
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -18,6 +18,7 @@
 mod permit;
 mod permit_play;
 mod progress;
+mod projection;
 mod retry;
 mod roles;
 mod router;
