Choose plain targets of uneven services from two drawn by their free slots

Cause: instances with the same knowledge choose the same cheapest target of a service without layers.

Change: where hardware is uneven and a peer is known, two targets are drawn in proportion to the slots that are projected to be free, and the cheaper is chosen. A service without an engine is never uneven and is not affected.

--- a/camphorweir-relay/src/projection.rs
+++ b/camphorweir-relay/src/projection.rs
@@ -112,3 +112,26 @@
     let ratio = ((prompt + answer) / held).clamp(1.0, MAX_RESERVED_RATIO);
     (least + (most - least) * draw.clamp(0.0, 1.0)) * ratio
 }
+
+/// Indices of two entries, each drawn in proportion to its weight by a number in `0.0..=1.0`; they may be the
+/// same. `None` if no weight is above zero.
+pub fn projection_draw_two(weights: &[f64], draws: (f64, f64)) -> Option<(usize, usize)> {
+    let total: f64 = weights.iter().map(|weight| weight.max(0.0)).sum();
+    let draw = |draw: f64| {
+        let mut left = draw.clamp(0.0, 1.0) * total;
+        let has_weight = weights
+            .iter()
+            .enumerate()
+            .filter(|(_, weight)| **weight > 0.0);
+        let mut last = None;
+        for (index, weight) in has_weight {
+            last = Some(index);
+            left -= weight;
+            if left < 0.0 {
+                break;
+            }
+        }
+        last
+    };
+    Some((draw(draws.0)?, draw(draws.1)?))
+}
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -8,7 +8,8 @@
         path::{Demand, Offer, path_choose},
         peers::Load,
         projection::{
-            projection_after_rejection, projection_cost_factor, projection_load, projection_room,
+            projection_after_rejection, projection_cost_factor, projection_draw_two,
+            projection_load, projection_room,
         },
         router::{Admission, Destination, Plan, Router},
     },
@@ -102,7 +103,8 @@
             !request.excluded.contains(&target.id) && !self.tracker.is_shut(&target.id, now)
         };
         let targets = self.fleet.available(&request.service).filter(is_allowed);
-        let chosen = targets.min_by(|a, b| {
+        let targets = self.draw_targets(request, targets.collect(), now);
+        let chosen = targets.into_iter().min_by(|a, b| {
             let cost = |target| self.target_cost_ms(target, engine, now);
             cost(a).total_cmp(&cost(b))
         })?;
@@ -116,6 +118,30 @@
         })
     }
 
+    /// The targets among which a request takes the cheapest: all where targets are alike, else two drawn in
+    /// proportion to the slots that are projected to be free, so that instances with the same
+    /// knowledge choose differently.
+    fn draw_targets<'a>(
+        &self,
+        request: &Admission,
+        targets: Vec<&'a Target>,
+        now: Time,
+    ) -> Vec<&'a Target> {
+        if !self.features(&request.service).uneven || self.peers.count() == 0 {
+            return targets;
+        }
+        let free_slots = |target: &&Target| match self.tracker.is_avoided(&target.id, now) {
+            true => 0.0,
+            false => f64::from(target.slots) - self.projected_load(target, now).first_hops,
+        };
+        let weights: Vec<f64> = targets.iter().map(free_slots).collect();
+        let draw = |salt: &str| request_jitter(&request.id, salt);
+        match projection_draw_two(&weights, (draw("first"), draw("second"))) {
+            Some((first, second)) => vec![targets[first], targets[second]],
+            None => targets,
+        }
+    }
+
     /// Projected time of a request in ms; a target that is ejected or in backoff comes last.
     fn target_cost_ms(&self, target: &Target, engine: Option<&Engine>, now: Time) -> f64 {
         let state = self.tracker.state(&target.id);
--- a/camphorweir-relay/tests/decide/even_load.rs
+++ b/camphorweir-relay/tests/decide/even_load.rs
@@ -189,3 +189,47 @@
     assert!((near.projected.busiest / near.known.busiest - 1.25).abs() < 1e-9);
     assert!(router.zone_utilization(ms(1_300))["far"].known.busiest < 1e-9);
 }
+
+/// Guards against 78 instances that all choose the same plain target, and against a choice that differs
+/// from the cheapest where no peer is known.
+#[test]
+fn plain_targets_are_chosen_by_their_free_slots() {
+    let mut router = uneven_router();
+    let mut configuration = (**router.configuration().unwrap()).clone();
+    configuration.version += 1;
+    let service = configuration.services.get_mut("scribe").unwrap();
+    service.engine.as_mut().unwrap().layers = 0;
+    router.set_configuration(Arc::new(configuration), ms(0));
+    let count = |router: &mut Router| {
+        let mut counts = std::collections::BTreeMap::new();
+        for index in 0..400 {
+            let mut request = admit_request(router, "/text/a", ms(1_000));
+            request.id = format!("request-{index}").into();
+            let plan = router.plan(&mut request, ms(1_000)).unwrap();
+            *counts.entry(plan.target.to_string()).or_insert(0) += 1;
+            router.finish_send(&mut request, &plan, Outcome::Cancelled, ms(1_000));
+        }
+        counts
+    };
+    assert_eq!(count(&mut router).len(), 1);
+    let busy = camphorweir_wire::digest::Load {
+        target: ids_tag("near-0"),
+        streams: 60,
+        first_stage: 60,
+        memory: 0,
+    };
+    let summary = Summary {
+        loads: vec![busy],
+        ..summary(1, Vec::new())
+    };
+    router.apply_summary(summary, ms(1_000));
+    let counts = count(&mut router);
+    assert!(
+        counts["near-1"] > 150 && counts["near-1"] < 300,
+        "{counts:?}"
+    );
+    assert!(
+        counts.get("near-0").is_none_or(|near| *near < 40),
+        "{counts:?}"
+    );
+}
--- a/camphorweir-relay/tests/decide/projection.rs
+++ b/camphorweir-relay/tests/decide/projection.rs
@@ -5,8 +5,8 @@
         configuration::Engine,
         peers::{Load, Peers},
         projection::{
-            Rate, projection_after_rejection, projection_cost_factor, projection_load,
-            projection_room,
+            Rate, projection_after_rejection, projection_cost_factor, projection_draw_two,
+            projection_load, projection_room,
         },
     },
     camphorweir_wire::digest::{self, MEMORY_UNIT_TOKEN_LAYERS, Scope, Summary},
@@ -94,6 +94,25 @@
     }
 }
 
+/// Guards against plain targets that are all drawn alike however few of their slots are free.
+#[test]
+fn two_targets_are_drawn_in_proportion_to_free_slots() {
+    let weights = [30.0, 0.0, 10.0, -2.0];
+    let mut counts = [0; 4];
+    for index in 0..400 {
+        let draws = (f64::from(index) / 400.0, 1.0 - f64::from(index) / 400.0);
+        let (first, second) = projection_draw_two(&weights, draws).unwrap();
+        counts[first] += 1;
+        counts[second] += 1;
+    }
+    assert!(
+        (598..=602).contains(&counts[0]) && (198..=202).contains(&counts[2]),
+        "{counts:?}"
+    );
+    assert_eq!((counts[1], counts[3]), (0, 0));
+    assert_eq!(projection_draw_two(&[0.0, -1.0], (0.5, 0.5)), None);
+}
+
 proptest! {
     /// Guards against a projection that invents load without bound, or loses known load, whatever the age.
     #[test]
