Decide who waits for capacity, and when refused callers return

Change: `waiting` orders requests (interrupted streams, rank, standing, fair tag), bounds how many wait and how long, names the next to try, bounds how often one is passed over, and derives Retry-After from the backlog and the rate of starts. `Admission::lack` says whether memory or targets are missing. Nothing uses it yet.

--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod summary;
 pub mod suspects;
 pub mod tracker;
+pub mod waiting;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -50,6 +50,15 @@
 /// each zone.
 const MAX_UNKNOWN_INSTANCES: usize = 3;
 
+/// What no zone has for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lack {
+    /// Free memory; the layers are there.
+    Memory,
+    /// Targets that take the request, or layers.
+    Targets,
+}
+
 /// An admitted request.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -79,6 +88,8 @@
     pub tokens: (u32, u32),
     /// Counts of sends and of possible runs so far.
     pub counts: Counts,
+    /// Why the last plan found no targets; `None` if it found some.
+    pub lack: Option<Lack>,
     /// How far the answer to the last send has come.
     pub progress: Progress,
     /// Whether a peer sent it, which reaches no target itself.
@@ -331,6 +342,7 @@
             deadline: now + timeout,
             tokens: head.tokens.unwrap_or((0, 0)),
             counts: Counts::default(),
+            lack: None,
             progress: Progress::default(),
             is_from_peer: false,
             excluded: Vec::new(),
@@ -344,6 +356,7 @@
     ///
     /// The refusal when no target can take the request, or too little time is left.
     pub fn plan(&mut self, request: &mut Admission, now: Time) -> Result<Plan, Refusal> {
+        request.lack = None;
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(self.refusal(request, Code::DeadlinePassed));
         }
@@ -364,6 +377,10 @@
             let mut refusal = self.refusal(request, no_plan_code);
             let (detail, any_full) = self.explain_no_plan(request, now);
             refusal.detail = detail;
+            request.lack = Some(match any_full {
+                true => Lack::Memory,
+                false => Lack::Targets,
+            });
             if no_plan_code == Code::NoPath && !any_full {
                 refusal.retry_after = Some(MISSING_LAYERS_RETRY_AFTER);
             }
@@ -585,7 +602,7 @@
     }
 
     /// The next number of a xorshift generator, in `0.0..1.0`.
-    pub(crate) fn next_random(&mut self) -> f64 {
+    pub fn next_random(&mut self) -> f64 {
         self.rng_state ^= self.rng_state << 13;
         self.rng_state ^= self.rng_state >> 7;
         self.rng_state ^= self.rng_state << 17;
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -25,3 +25,4 @@
 mod storm;
 mod suspects;
 mod tracker;
+mod waiting;
