Requests wait for capacity in an order instead of polling

An interrupted stream that found no capacity was cut at once, although its caller waits two seconds for an event.

Change: where routes to a service have different priorities, `front/waiting.rs` replaces the polling: the end of a send or stream of this instance, or load that peers report, plans the waiting requests under one lock. Refusals for lack of memory say when to return by the backlog; not if the request may have run.

--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -8,6 +8,7 @@
             state::State,
             store::Store,
             suspects::{self, receive_suspects, store_run},
+            waiting::waiting_wake_all,
             watch::{RETRY_BACKOFF, read_newest},
         },
         supervise::Backoff,
@@ -317,6 +318,7 @@
             return;
         }
         self.state.router().peers.use_digests(now);
+        waiting_wake_all(self.state);
         let version = self.state.configuration_version();
         let assignment = self.state.roles().assign(self.follow_address, version, now);
         if self.round.is_multiple_of(CROSS_ZONE_ROUNDS) {
@@ -468,6 +470,10 @@
     let reporter = digest.entry.clone();
     let reported = state.router().apply_digest(digest, now);
     log_reported(&reporter, &reported);
+    // The aggregator uses the digests of its zone together, in its next round.
+    if !state.roles().is_aggregator(now) {
+        waiting_wake_all(state);
+    }
 }
 
 /// Logs the targets that this instance avoids on a peer's word from now on.
@@ -509,6 +515,7 @@
     let reporter = summary.entry.clone();
     let reported = state.router().apply_summary(summary, now);
     log_reported(&reporter, &reported);
+    waiting_wake_all(state);
 }
 
 fn decode_assignment(summary: &Summary) -> Assignment {
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -48,6 +48,8 @@
     unread: Counter<u64>,
     duration: DurationHistogram,
     first_event: DurationHistogram,
+    waits: Counter<u64>,
+    wait: DurationHistogram,
     workspace_names: WorkspaceLabels,
     targets: Gauge<u64>,
     cut_off: Gauge<u64>,
@@ -121,6 +123,11 @@
                 "first_event",
                 "From arrival to the first event",
             ),
+            waits: counter(
+                "camphorweir.waits",
+                "Waits for capacity, by class and outcome",
+            ),
+            wait: DurationHistogram::new(&meter, "wait", "In the waiting room for capacity"),
             workspace_names: WorkspaceLabels::default(),
             targets: gauge("camphorweir.targets", "Targets, by state"),
             cut_off: gauge(
@@ -193,6 +200,25 @@
         self.first_event.record(&self.label(request), elapsed);
     }
 
+    /// Records a wait for capacity of a request of this rank.
+    pub fn record_wait(
+        &self,
+        request: &Admission,
+        rank: usize,
+        outcome: &'static str,
+        waited: Duration,
+    ) {
+        let class = rank_class(rank);
+        let labels = [
+            KeyValue::new("class", class),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.waits.add(1, &labels);
+        let workspace = request.workspace.as_deref().unwrap_or_default();
+        let workspace = self.workspace_names.label(workspace);
+        self.wait.record(&Labels::new(class, workspace), waited);
+    }
+
     fn label(&self, request: &Admission) -> Labels {
         let workspace = request.workspace.as_deref().unwrap_or_default();
         Labels::new(
@@ -323,6 +349,17 @@
     }
 }
 
+/// The `class` label of a rank among the priorities of a service.
+fn rank_class(rank: usize) -> &'static str {
+    match rank {
+        0 => "rank_0",
+        1 => "rank_1",
+        2 => "rank_2",
+        3 => "rank_3",
+        _ => "rank_4_and_less_urgent",
+    }
+}
+
 /// The `class` label of a kind of request.
 fn class(kind: Kind) -> &'static str {
     match kind {
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -24,4 +24,5 @@
 pub mod store;
 pub mod stream;
 pub mod suspects;
+pub mod waiting;
 pub mod watch;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -11,6 +11,7 @@
             stall::with_stall_check,
             state::State,
             stream::{Events, Job},
+            waiting::{waiting_plan, waiting_refusal, waiting_wake},
         },
         units::millis,
     },
@@ -30,7 +31,7 @@
     http_body_util::{BodyExt, Either, LengthLimitError, Limited},
     hyper::{Request, Response, body::Incoming},
     std::time::Duration,
-    tokio::time::{sleep, timeout},
+    tokio::time::timeout,
 };
 
 /// Requests that arrive later than this after shutdown began are refused, as a stream could not
@@ -40,9 +41,6 @@
 /// Retry delay for requests refused during shutdown; the retry should reach another instance.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Pause between attempts to plan while a request waits for capacity.
-const CAPACITY_RETRY_PAUSE: Duration = Duration::from_millis(15);
-
 /// Handles a request from a caller.
 pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
     handle(state, request, None).await
@@ -226,10 +224,13 @@
     fn finish_send(&mut self, outcome: Outcome) -> Decision {
         let now = self.state.now();
         match self.plan.take() {
-            Some(plan) => self
-                .state
-                .router()
-                .finish_send(self.admitted, &plan, outcome, now),
+            Some(plan) => {
+                let mut router = self.state.router();
+                let decision = router.finish_send(self.admitted, &plan, outcome, now);
+                drop(router);
+                waiting_wake(self.state, &self.admitted.service);
+                decision
+            }
             None => Decision::End(Code::Internal),
         }
     }
@@ -255,16 +256,8 @@
     template: &Template,
 ) -> Result<Forwarded, Refusal> {
     loop {
+        let plan = waiting_plan(state, admitted).await?;
         let now = state.now();
-        let planned = state.router().plan(admitted, now);
-        let plan = match planned {
-            Ok(plan) => plan,
-            Err(refusal) if state.router().may_wait_for_memory(admitted, &refusal, now) => {
-                sleep(CAPACITY_RETRY_PAUSE).await;
-                continue;
-            }
-            Err(refusal) => return Err(refusal),
-        };
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
         let mut guard = SendGuard {
@@ -323,7 +316,7 @@
         match (decision, response) {
             (Decision::Again, _) => {}
             (Decision::End(_), Some(response)) => return Ok(Forwarded::Whole(response)),
-            (Decision::End(code), None) => return Err(state.router().refusal(admitted, code)),
+            (Decision::End(code), None) => return Err(waiting_refusal(state, admitted, code)),
         }
     }
 }
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{
             body::Collector, client::Client, clock::Clock, feed::Feed, instances::Instances,
-            metrics::Metrics, permits::Permits, pool::Pool, stall::Reports,
+            metrics::Metrics, permits::Permits, pool::Pool, stall::Reports, waiting::Waiting,
         },
         units::millis,
     },
@@ -49,6 +49,7 @@
     stall_reports: Reports,
     feed: Feed,
     permits: Permits,
+    waiting: Waiting,
     metrics: Metrics,
     holds_lease: AtomicBool,
     probe_wakeup: Notify,
@@ -90,6 +91,7 @@
             collector: Collector::default(),
             stall_reports: Reports::default(),
             feed: Feed::default(),
+            waiting: Waiting::default(),
             metrics,
             holds_lease: AtomicBool::new(false),
             probe_wakeup: Notify::new(),
@@ -142,6 +144,11 @@
         &self.0.permits
     }
 
+    /// Requests that wait for capacity.
+    pub fn waiting(&self) -> &Waiting {
+        &self.0.waiting
+    }
+
     /// Metrics of the instance.
     pub fn metrics(&self) -> &Metrics {
         &self.0.metrics
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -10,6 +10,7 @@
                 STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check,
             },
             state::{InFlightGuard, State},
+            waiting::{waiting_plan_resumed, waiting_wake},
         },
         units::millis,
     },
@@ -132,9 +133,11 @@
         match (self.plan.take(), &mut self.job) {
             (Some(plan), Some(job)) => {
                 let now = job.state.now();
-                job.state
-                    .router()
-                    .finish_send(&mut job.request, &plan, outcome, now)
+                let mut router = job.state.router();
+                let decision = router.finish_send(&mut job.request, &plan, outcome, now);
+                drop(router);
+                waiting_wake(&job.state, &job.request.service);
+                decision
             }
             _ => Decision::End(Code::Internal),
         }
@@ -149,6 +152,10 @@
             job.state
                 .metrics()
                 .record_first_event(&job.request, elapsed);
+            if let Some(plan) = &self.plan {
+                let time = job.state.now().saturating_sub(plan.chosen_at);
+                job.state.waiting().record_first_event(&job.request, time);
+            }
         }
     }
 
@@ -273,13 +280,14 @@
 /// Sends the request to other targets until one returns a successful response head or no further
 /// send is allowed.
 async fn resume(mut job: Box<Job>, last_event_id: Option<String>) -> ResumeResult {
+    let interrupted_at = job.state.now();
     loop {
-        let now = job.state.now();
-        let planned = job.state.router().plan(&mut job.request, now);
-        let plan = match planned {
+        let state = job.state.clone();
+        let plan = match waiting_plan_resumed(&state, &mut job.request, interrupted_at).await {
             Ok(plan) => plan,
             Err(refusal) => return (job, Err(refusal)),
         };
+        let now = job.state.now();
         let time_left = job.request.time_left(now);
         log_plan(&job.state, &job.request, &plan);
         let send = send_request(
@@ -308,6 +316,7 @@
             .state
             .router()
             .finish_send(&mut job.request, &plan, outcome, now);
+        waiting_wake(&job.state, &job.request.service);
         job.state.wake_prober();
         job.state
             .metrics()
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -15,3 +15,4 @@
 #[path = "../support/site.rs"]
 mod site;
 mod streams;
+mod waiting;
