The virtual time of waiting requests never goes back

Cause: a caller that returns starts before requests with lower tags; their later starts set the virtual time back, and a workspace that had waited for nothing then went before others.

Change: the virtual time of a rank only advances. An unused count of waiting requests is removed.

Clippy of relay and entry passes.

--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -69,12 +69,6 @@
             lane.room.record_first_event(time);
         }
     }
-
-    /// Number of requests that wait.
-    pub fn count(&self) -> usize {
-        let lanes = self.lanes();
-        lanes.values().map(|lane| lane.slots.len()).sum()
-    }
 }
 
 impl Lane {
--- a/camphorweir-relay/src/waiting.rs
+++ b/camphorweir-relay/src/waiting.rs
@@ -216,7 +216,7 @@
         };
         self.remove(ticket);
         self.starts.add(now);
-        self.virtual_time.insert(place.rank, place.tag);
+        self.advance(place);
         for (_, waiting) in self.waiting.range_mut(..place) {
             waiting.bypasses += 1;
             if waiting.bypasses >= MAX_BYPASSES {
@@ -230,7 +230,7 @@
     pub fn start_at_once(&mut self, request: &Request, now: Time) {
         let place = self.place(request, Ticket::MAX);
         self.charge(request, place.tag);
-        self.virtual_time.insert(place.rank, place.tag);
+        self.advance(place);
         self.starts.add(now);
     }
 
@@ -300,6 +300,13 @@
         self.virtual_time.get(&rank).copied().unwrap_or_default()
     }
 
+    /// Moves the virtual time of a rank to the tag of a request that starts. It never goes back: callers
+    /// that return precede requests with lower tags.
+    fn advance(&mut self, place: Place) {
+        let virtual_time = self.virtual_time.entry(place.rank).or_default();
+        *virtual_time = place.tag.max(*virtual_time);
+    }
+
     fn charge(&mut self, request: &Request, tag: u64) {
         if self.finish.len() >= MAX_WORKSPACES {
             let virtual_time = &self.virtual_time;
--- a/camphorweir-relay/tests/decide/waiting.rs
+++ b/camphorweir-relay/tests/decide/waiting.rs
@@ -95,6 +95,26 @@
     assert_eq!(room.ahead(next), 1);
 }
 
+/// Guards against a workspace that gains by a virtual time that goes back: a caller that returns starts
+/// before a request with a lower tag.
+#[test]
+fn turns_of_workspaces_outlast_callers_that_return() {
+    let mut room = Room::default();
+    let of = |standing, workspace: &str| request(0, standing, workspace, 100);
+    let early = join(&mut room, of(Standing::Newcomer, "early"));
+    for _ in 0..5 {
+        room.start_at_once(&of(Standing::Returning, "heavy"), ms(0));
+    }
+    room.start(early, ms(0));
+    let heavy = join(&mut room, of(Standing::Newcomer, "heavy"));
+    let fresh = join(&mut room, of(Standing::Newcomer, "fresh"));
+    let next = join(&mut room, of(Standing::Newcomer, "fresh"));
+    assert_eq!(
+        [fresh, heavy, next].map(|ticket| room.ahead(ticket)),
+        [0, 1, 2]
+    );
+}
+
 /// Guards against a newcomer that takes what was freed while others wait for it.
 #[test]
 fn a_request_is_behind_those_that_go_before_it_only() {
