--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod suspects;
 pub mod tracker;
 pub mod utilization;
+pub mod waiting;
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -29,3 +29,4 @@
 mod storm;
 mod suspects;
 mod tracker;
+mod waiting;
