Project and spread load only where many instances share targets

Six instances know each other's load well, and leave the fastest targets for nothing. Change: one condition, Router::is_load_spread, for projection, spread, draws and reports of rejections: uneven targets and 40 known peers or more. The tests of even load have 77 peers now; a case with six is added.

--- a/camphorweir-relay/src/reports.rs
+++ b/camphorweir-relay/src/reports.rs
@@ -72,7 +72,7 @@
     /// Whether the load of a target is projected and spread.
     fn is_uneven(&self, target: &TargetId) -> bool {
         let target = self.fleet.get(target);
-        target.is_some_and(|target| self.features(&target.service).uneven)
+        target.is_some_and(|target| self.is_load_spread(&target.service))
     }
 
     /// Whether the links to a target's service may be at fault.
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -52,6 +52,9 @@
 /// Time after a rejection within which what peers report may be older than the rejection: a digest and a
 /// summary.
 const NEWER_WORD: Duration = Duration::from_millis(300);
+/// Least number of peers with which load is projected and spread. With fewer, as in a deployment of six
+/// instances, load is well known, and to leave the fastest targets costs more than it saves.
+const MIN_SPREAD_PEERS: usize = 40;
 /// Number of peers with which a round of digests, 400 bytes to each within the rate limit, takes as
 /// long as a typical stream, so that half of what they have started is unknown here.
 const UNCERTAIN_PEERS: f64 = 40.0;
@@ -127,7 +130,7 @@
         targets: Vec<&'a Target>,
         now: Time,
     ) -> Vec<&'a Target> {
-        if !self.features(&request.service).uneven || self.peers.count() == 0 {
+        if !self.is_load_spread(&request.service) {
             return targets;
         }
         let free_slots = |target: &&Target| match self.tracker.is_avoided(&target.id, now) {
@@ -306,7 +309,7 @@
         let state = self.tracker.state(&target.id);
         let tag = ids_tag(&target.id);
         let mut peers = self.peers.load(tag);
-        if self.features(&target.service).uneven
+        if self.is_load_spread(&target.service)
             && let Some((rate, age)) = self.peers.rate(tag, now)
         {
             peers = projection_load(&peers, &rate, age);
@@ -318,10 +321,10 @@
         }
     }
 
-    /// Whether requests spread over targets by their projected load: the targets are uneven, and peers
-    /// use them too.
-    fn is_spread(&self, target: &Target) -> bool {
-        self.features(&target.service).uneven && self.peers.count() > 0
+    /// Whether the load of a service's targets is projected, and requests spread over them by it: the
+    /// targets are uneven, and many peers use them.
+    pub(crate) fn is_load_spread(&self, service: &str) -> bool {
+        self.features(service).uneven && self.peers.count() >= MIN_SPREAD_PEERS
     }
 
     /// Age of the newest word on the load of a target of the own zone; `None` for other zones.
@@ -333,7 +336,7 @@
     /// Factor on the memory of a target that requests use, for what is known of its load; 1 where
     /// targets are alike, or no peer is known.
     fn room_factor(&self, request: &Admission, target: &Target, engine: &Engine, now: Time) -> f64 {
-        if !self.is_spread(target) {
+        if !self.is_load_spread(&target.service) {
             return 1.0;
         }
         let age = self.known_age(target, now);
@@ -345,7 +348,7 @@
     /// word; 0 where targets are alike.
     fn rejected_load(&self, target: &Target, capacity: f64, now: Time) -> f64 {
         let rejected_at = self.tracker.rejected_at(&target.id);
-        let rejected_at = rejected_at.filter(|_| self.features(&target.service).uneven);
+        let rejected_at = rejected_at.filter(|_| self.is_load_spread(&target.service));
         let since = rejected_at.map(|at| now.saturating_sub(at));
         let since = since.filter(|since| *since < NEWER_WORD);
         since.map_or(0.0, |since| projection_after_rejection(capacity, since))
@@ -387,7 +390,7 @@
         };
         let jitter = 1.0 + COST_JITTER * request_jitter(&request.id, &target.id);
         let is_limited = self.tracker.is_shut(&target.id, now);
-        let factor = match self.is_spread(target) {
+        let factor = match self.is_load_spread(&target.service) {
             true => {
                 let memory = engine.free_token_layers(hardware, target.span.len());
                 let draw = request_jitter(&request.id, &target.id);
--- a/camphorweir-relay/tests/decide/even_load.rs
+++ b/camphorweir-relay/tests/decide/even_load.rs
@@ -22,8 +22,20 @@
     Duration::from_millis(value)
 }
 
-/// The router of the other tests, for a service with a kind of hardware that is 20 times as slow.
+/// The router of the other tests, for a service with a kind of hardware that is 20 times as slow, which 77
+/// peers use too.
 fn uneven_router() -> Router {
+    let mut router = lone_router();
+    let peers = Summary {
+        scope: Scope::TargetsOf("far".to_owned()),
+        ..summary(1, Vec::new())
+    };
+    router.apply_summary(peers, ms(0));
+    router
+}
+
+/// The same without any peer.
+fn lone_router() -> Router {
     let mut router = router();
     let mut configuration = (**router.configuration().unwrap()).clone();
     configuration.version += 1;
@@ -61,7 +73,7 @@
         entry: "aggregator".to_owned(),
         scope: Scope::TargetsOf("near".to_owned()),
         parts: 1,
-        entries: 3,
+        entries: 78,
         sequence,
         failing,
         ..Summary::default()
@@ -194,7 +206,7 @@
 /// from the cheapest where no peer is known.
 #[test]
 fn plain_targets_are_chosen_by_their_free_slots() {
-    let mut router = uneven_router();
+    let mut router = lone_router();
     let mut configuration = (**router.configuration().unwrap()).clone();
     configuration.version += 1;
     let service = configuration.services.get_mut("scribe").unwrap();
@@ -212,6 +224,13 @@
         counts
     };
     assert_eq!(count(&mut router).len(), 1);
+    // Six instances know each other's load well, and are served as before.
+    let few = Summary {
+        entries: 6,
+        ..summary(0, Vec::new())
+    };
+    router.apply_summary(few, ms(900));
+    assert_eq!(count(&mut router).len(), 1);
     let busy = camphorweir_wire::digest::Load {
         target: ids_tag("near-0"),
         streams: 60,
