Two comments that no longer said what the code does

Cause: room_factor is 1 with few peers since, where its comment says none; a comment of the load simulation named a deployment.

--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -334,7 +334,7 @@
     }
 
     /// Factor on the memory of a target that requests use, for what is known of its load; 1 where
-    /// targets are alike, or no peer is known.
+    /// targets are alike, or few peers use them.
     fn room_factor(&self, request: &Admission, target: &Target, engine: &Engine, now: Time) -> f64 {
         if !self.is_load_spread(&target.service) {
             return 1.0;
--- a/camphorweir-relay/tests/load/main.rs
+++ b/camphorweir-relay/tests/load/main.rs
@@ -108,7 +108,7 @@
     per_second: 130.0,
 }; 3];
 
-/// The mix of the three kinds of stream of glide-weir.
+/// Shares of three classes of streams, the most urgent first.
 const CLASSES: &[f64] = &[0.49, 0.29, 0.22];
 
 /// A class may be served this much less than a less urgent one, for chance.
