Give a workspace that floods all that the others may lose to it

Cause: the least share of a workspace was a constant, 0.2 of the class's mean chance, and what it took came on top of what is admitted, so that it shrank by the competition that it caused.

Change: a workspace below a quarter of the mean chance (0.255 with a margin for measured rates) gets what it lacks from the others, all in proportion, as far as these lose at most 0.029.

The two bounds contradict each other in the world of the failing test, whatever the rule: with N others the capacity is N + 1 fair shares, a quarter of the mean chance for ten times a share is 2.5 (N + 1) / (N + 10) of them, and 0.97 of what the others get is 0.97 N. The sum is above N + 1 for each N from 8 to 32; the test has 8 to 19.

A new test with 1 to 59 others holds both bounds where they agree, and elsewhere that the flood gets what the others may lose, less a twentieth. The bound for the others and its test are as before.

--- a/camphorweir-relay/src/fairness.rs
+++ b/camphorweir-relay/src/fairness.rs
@@ -29,10 +29,12 @@
 const MAX_WORKS: usize = 4_096;
 /// Capacity is short for a class where it is offered this much more work than is admitted.
 const SHORT_FACTOR: f64 = 1.05;
-/// Least share of a workspace's requests that keep their rank, relative to the share of its class that is
-/// admitted, so that no workspace is starved however much it sends. With a quarter, a workspace that sends
-/// ten times its share would cost 30 or fewer others more than 0.03 of what they get.
-const MIN_WORKSPACE_SHARE: f64 = 0.2;
+/// Least share of a workspace's work that is admitted, relative to the share of its class that is admitted,
+/// so that no workspace is starved however much it sends: a quarter, and a margin for rates that are measured.
+const MIN_WORKSPACE_SHARE: f64 = 0.255;
+/// Most that those who get more than that share lose to it, of what they get. Together with a quarter for a
+/// workspace that sends ten times its share, 8 to 32 others would lose more than 0.03.
+const MAX_MIN_SHARE_COST: f64 = 0.029;
 /// Weight of a token of an answer, against one of a prompt.
 const ANSWER_WEIGHT: f64 = 10.0;
 
@@ -266,23 +268,48 @@
         .collect()
 }
 
+/// Share of each workspace's work in a class that keeps its rank.
+///
+/// Those below their least share get what they lack of it from the others, all in proportion, as far as
+/// [`MAX_MIN_SHARE_COST`] allows. What keeps its rank then exceeds what is admitted by this cost.
+fn kept_shares(offered: &[f64], admitted: f64) -> Vec<f64> {
+    let rate = fair_rate(offered, admitted);
+    let served = admitted / offered.iter().sum::<f64>().max(1.0);
+    let least = |offered: f64| MIN_WORKSPACE_SHARE * served * offered;
+    let (mut lacking, mut others) = (0.0, 0.0);
+    for offered in offered {
+        let fair = offered.min(rate);
+        match least(*offered) - fair {
+            lack if lack > 0.0 => lacking += lack,
+            _ => others += fair,
+        }
+    }
+    let cost = (lacking / others.max(1.0)).min(MAX_MIN_SHARE_COST);
+    let covered = cost * others / lacking.max(1.0);
+    let kept = offered.iter().map(|offered| {
+        let fair = offered.min(rate);
+        let lack = least(*offered) - fair;
+        let kept = match lack > 0.0 {
+            true => (fair + covered * lack) / (1.0 - cost),
+            false => fair,
+        };
+        (kept / offered.max(1.0)).min(1.0)
+    });
+    kept.collect()
+}
+
 /// Probability of demotion of each workspace and class above its fair rate.
 fn demotions(rates: &Rates) -> HashMap<Key, f64> {
-    let mut classes: BTreeMap<u16, (Vec<f64>, f64)> = BTreeMap::new();
-    for ((class, _), (offered, admitted)) in rates {
-        let (offers, total) = classes.entry(*class).or_default();
+    let mut classes: BTreeMap<u16, (Vec<Key>, Vec<f64>, f64)> = BTreeMap::new();
+    for (key, (offered, admitted)) in rates {
+        let (keys, offers, total) = classes.entry(key.0).or_default();
+        keys.push(*key);
         offers.push(*offered);
         *total += admitted;
     }
-    let fair = classes.into_iter().map(|(class, (offers, admitted))| {
-        let served = admitted / offers.iter().sum::<f64>().max(1.0);
-        (class, (fair_rate(&offers, admitted), served))
-    });
-    let fair: HashMap<u16, (f64, f64)> = fair.collect();
-    let demotions = rates.iter().map(|(key, (offered, _))| {
-        let (rate, served) = fair[&key.0];
-        let kept = (rate / offered.max(1.0)).max(MIN_WORKSPACE_SHARE * served);
-        (*key, 1.0 - kept.min(1.0))
+    let demotions = classes.into_values().flat_map(|(keys, offers, admitted)| {
+        let kept = kept_shares(&offers, admitted).into_iter();
+        keys.into_iter().zip(kept.map(|kept| 1.0 - kept))
     });
     demotions.filter(|(_, demotion)| *demotion > 0.0).collect()
 }
--- a/camphorweir-relay/tests/decide/fairness.rs
+++ b/camphorweir-relay/tests/decide/fairness.rs
@@ -204,6 +204,38 @@
         }
     }
 
+    /// Guards against a floor that is lower than the others can bear. Both bounds together ask for more than
+    /// there is with 8 to 32 others; the workspace then gets what the others may lose, less a twentieth.
+    #[test]
+    fn a_workspace_that_floods_gets_a_quarter_or_all_that_the_others_may_lose(
+        instances in 3_usize..=65,
+        others in 1_usize..60,
+        capacity_share in 0.5_f64..0.98,
+    ) {
+        let (per_other, flood) = (130, 1_300);
+        let capacity = capacity_share * ((others + 1) * per_other) as f64;
+        let served = capacity / (others * per_other + flood) as f64;
+        let mut zone = Zone::new(instances);
+        for other in 0..others {
+            zone.offer(&format!("w-{other}"), per_other, served, at(0));
+        }
+        zone.offer("flood", flood, served, at(0));
+        zone.exchange(at(100));
+        let fair = capacity_share * per_other as f64;
+        let may_lose = 0.95 * MAX_COST_OF_FLOOD * fair * others as f64;
+        for fairness in &zone.instances {
+            let first = |workspace: &str| 1.0 - fairness.demotion(zone.class, workspace);
+            let of_flood = flood as f64 * first("flood");
+            let of_others = (0..others).map(|other| per_other as f64 * first(&format!("w-{other}")));
+            let of_others: f64 = of_others.sum();
+            let chance = (capacity / (of_flood + of_others)).min(1.0);
+            let lost = 1.0 - of_others * chance / (fair * others as f64);
+            prop_assert!(lost <= MAX_COST_OF_FLOOD, "{lost}");
+            let least = (fair + may_lose).min(MIN_SERVED * served * flood as f64);
+            prop_assert!(of_flood * chance >= least, "{} {least}", of_flood * chance);
+        }
+    }
+
     /// Guards against instances of a zone that tell different workspaces apart.
     #[test]
     fn all_instances_of_a_zone_agree(instances in 3_usize..=65, loads in prop::collection::vec(1_usize..400, 2..12)) {
