Stand-in streams of a length that their request names

The soak of planned work and silent targets needs streams of some seconds, and has to know whether a target broke an answer off. A request names the number of events of its stream and the pause after each; a target keeps the attempts whose answer it broke off, sent wrong or stalled for good. Requests without the headers are answered as before.

--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -9,7 +9,7 @@
     hyper::{Response, Version},
     serde_json::json,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -17,9 +17,13 @@
     tokio::time::{Instant, sleep},
 };
 
-/// Number of events in a complete stream.
+/// Number of events in a complete stream whose request names none.
 pub const STREAM_EVENTS: usize = 6;
-/// Pause after each event.
+/// Header of a request that names the number of events of its stream.
+pub const EVENTS_HEADER: &str = "x-test-events";
+/// Header of a request that names the pause after each event of its stream, in ms.
+pub const PAUSE_HEADER: &str = "x-test-pause-ms";
+/// Pause after each event of other streams.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Pause after each event of a stream slowed by [`ResponseFault::Slow`].
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
@@ -62,6 +66,16 @@
     Fail,
 }
 
+impl ResponseFault {
+    /// Whether the caller can't get a whole answer from this target.
+    fn breaks_answer(self) -> bool {
+        !matches!(
+            self,
+            Self::Refuse | Self::RefuseFor(_) | Self::Unframed | Self::Slow | Self::Fail
+        )
+    }
+}
+
 /// The fixed part of a target's record in the metadata store.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -80,6 +94,8 @@
     faults: VecDeque<ResponseFault>,
     /// Executions by attempt id.
     executions: BTreeMap<String, usize>,
+    /// Attempts whose answer was broken off or wrong, or stalled for good.
+    broken: BTreeSet<String>,
     requests: Vec<Request>,
     layers: Option<(u64, u64)>,
     order_count: u64,
@@ -278,6 +294,11 @@
         self.state().executions.get(id).copied().unwrap_or_default()
     }
 
+    /// Whether the target broke off the answer to an attempt, sent a wrong one or stalled for good.
+    pub fn has_broken(&self, id: &str) -> bool {
+        self.state().broken.contains(id)
+    }
+
     /// Number of streams that are being sent.
     pub fn open_streams(&self) -> usize {
         Arc::strong_count(&self.state().stream_guard) - 1
@@ -390,6 +411,9 @@
             };
         }
         *self.state().executions.entry(id.clone()).or_default() += 1;
+        if fault.is_some_and(ResponseFault::breaks_answer) {
+            self.state().broken.insert(id.clone());
+        }
         if self.state().crashing_body.as_ref() == Some(&request.body) {
             self.crash();
             return Reply::Hang;
@@ -456,12 +480,15 @@
 
 fn stream_body(request: &Request, fault: Option<ResponseFault>) -> Vec<BodyStep> {
     let after: usize = request.header("last-event-id").parse().unwrap_or_default();
+    let events = request.header(EVENTS_HEADER).parse();
+    let pause = request.header(PAUSE_HEADER).parse();
     let mut steps = Vec::new();
-    let pause = match fault {
-        Some(ResponseFault::Slow) => SLOW_EVENT_PAUSE,
-        _ => EVENT_PAUSE,
+    let pause = match (fault, pause) {
+        (Some(ResponseFault::Slow), _) => SLOW_EVENT_PAUSE,
+        (_, Ok(pause)) => Duration::from_millis(pause),
+        (_, Err(_)) => EVENT_PAUSE,
     };
-    for number in after + 1..=STREAM_EVENTS {
+    for number in after + 1..=events.unwrap_or(STREAM_EVENTS) {
         let bytes = event(number).into_bytes();
         let cut = match fault {
             Some(ResponseFault::CutIn(cut_event) | ResponseFault::UnframedCutIn(cut_event)) => {
