A test of two givers of permits that do not reach each other

Nine instances, one target with 18.5 requests a second; from 10 s on the first two instances of the target's order do not reach each other, and the first reaches only part of the others. The second giver hears of other instances, so that it doesn't count as cut off, and takes the place of the first at the full limit; accounts go straight from giver to giver, so neither counts what the other gave.

--- a/camphorweir-relay/tests/decide/permit_play.rs
+++ b/camphorweir-relay/tests/decide/permit_play.rs
@@ -27,6 +27,11 @@
 /// When the limits are first named, and when they must hold.
 const NAMED: Duration = Duration::from_secs(2);
 const KNOWN: Duration = Duration::from_secs(5);
+/// What a target may get in a span at most, as a multiple of its limit, and more requests.
+const MAX_FACTOR: f64 = 1.5;
+const MAX_SLACK: f64 = 5.0;
+/// When links between instances are lost for good.
+const APART: Duration = Duration::from_secs(10);
 /// Least part of the limits that is used while all instances run.
 const MIN_USED: f64 = 0.95;
 const TARGETS_ZONE: &str = "z0";
@@ -47,6 +52,8 @@
     /// How long a request can wait.
     max_wait: Duration,
     faults: Vec<Fault>,
+    /// Instances that do not reach each other from [`APART`] on.
+    apart: Vec<(usize, usize)>,
     seed: u64,
 }
 
@@ -143,7 +150,10 @@
 
     /// Whether a datagram between two instances arrives.
     fn passes(&mut self, from: usize, to: usize, now: Time) -> bool {
+        let mut apart = self.setup.apart.iter();
+        let is_apart = apart.any(|pair| *pair == (from, to) || *pair == (to, from));
         let is_linked = !self.is_cut_off(from, now) && !self.is_cut_off(to, now);
+        let is_linked = is_linked && !(is_apart && now >= APART);
         self.random() >= self.setup.loss && is_linked && self.runs(to, now)
     }
 
@@ -337,6 +347,7 @@
         loss: 0.0,
         max_wait: Duration::from_millis(62),
         faults: Vec::new(),
+        apart: Vec::new(),
         seed,
     }
 }
@@ -393,6 +404,31 @@
     }
 }
 
+/// Each of them reaches half of the other instances, and hears of these.
+#[test]
+fn two_givers_of_permits_that_do_not_reach_each_other_keep_to_a_bound() {
+    let mut exceeded = Vec::new();
+    for seed in 1..10 {
+        let mut setup = setup(9, 18.5, seed);
+        let candidates = Play::new(setup.clone()).candidates[0].clone();
+        let (first, second) = (candidates[0], candidates[1]);
+        let others = (0..setup.instances).filter(|other| !candidates.contains(other));
+        let with_second = others.step_by(2);
+        setup.apart = with_second.map(|other| (first, other)).collect();
+        setup.apart.push((first, second));
+        let play = play(setup);
+        let limit = play.setup.per_second * SPAN.as_secs_f64();
+        let (most, bound) = (play.most_in_span(), MAX_FACTOR * limit + MAX_SLACK);
+        if most as f64 > bound {
+            exceeded.push((seed, most));
+        }
+    }
+    assert!(
+        exceeded.is_empty(),
+        "seeds and requests in a span: {exceeded:?}"
+    );
+}
+
 fn any_fault() -> impl Strategy<Value = (u8, usize, u64, u64)> {
     (0..3u8, 0..200usize, 4_000..36_000u64, 300..9_000u64)
 }
