Stand-in store drops a member of its group at the end of its term

The store of the platform reassigns a partition when its member has sent nothing for `ttlMs` since its last join. The stand-in kept members until they left, and gave the partition to the first by name: once an entry was killed, or could not leave as the store was silent, no entry with a later name held the lease again, and nobody placed layers for good. A member is now dropped at the end of the term that it named when it joined last.

--- a/camphorweir-standin/src/metadata.rs
+++ b/camphorweir-standin/src/metadata.rs
@@ -43,7 +43,8 @@
     topics: BTreeMap<String, Vec<Record>>,
     /// Offset of the oldest retained record, by topic.
     first_offsets: BTreeMap<String, usize>,
-    members: BTreeSet<String>,
+    /// Members of the group, with the time at which each is dropped unless it joins again.
+    members: BTreeMap<String, Instant>,
     generation: u64,
     /// Behavior of each listener, in the order in which they were added.
     behaviors: Vec<Behavior>,
@@ -237,23 +238,28 @@
         Reply::json(200, &json!({"offset": 0, "end": 0}))
     }
 
-    /// Assigns the only partition to the first member by name.
+    /// Assigns the only partition to the first member by name, of those that have joined within their term.
     fn join(&self, request: &Request) -> Reply {
         let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let member = body["member"].as_str().unwrap_or_default().to_owned();
         let topic = body["topics"][0].as_str().unwrap_or_default().to_owned();
+        let term_ms = body["ttlMs"].as_u64().unwrap_or_default();
+        let now = Instant::now();
         let mut state = self.state();
-        if state.members.insert(member.clone()) {
-            state.generation += 1;
-        }
-        let is_assigned = state.members.first() == Some(&member);
+        let before = state.members.len();
+        state.members.retain(|_, until| now < *until);
+        let has_lapsed = state.members.len() < before;
+        let until = now + Duration::from_millis(term_ms);
+        let is_new = state.members.insert(member.clone(), until).is_none();
+        state.generation += u64::from(has_lapsed || is_new);
+        let is_assigned = state.members.keys().next() == Some(&member);
         let parts = match is_assigned {
             true => json!([[topic, 0, 0]]),
             false => json!([]),
         };
         Reply::json(
             200,
-            &json!({"generation": state.generation, "ttlMs": 3000, "parts": parts}),
+            &json!({"generation": state.generation, "ttlMs": term_ms, "parts": parts}),
         )
     }
 
