Soak of silent targets, planned work and callers that keep their connections

Drawn last, so that a seed keeps the script that it had: silences of 0.3 to 1.9 s of one or several sound targets with their report paths, in series; configurations in series that change weights, route timeouts, idle limits and sizes; settings files that change, with and without SIGHUP; stops beside these. Two targets more, of a service to which weights move requests. Twelve callers more keep a connection until it ends, leave it idle for up to four fifths of the idle limit, and ask for streams of up to 6.5 s, of which those on one route may not go on elsewhere.

A request that was read and has no whole answer needs an excuse: its entry was killed or frozen, its deadline or a route timeout was reached, its target broke it off or crashed or its links were cut, its target was silent for more than 1.2 s, or it came early and was at work in the last sixth of the grace. One that came after SIGTERM and could not end in time is at fault. All faults of a seed are printed, with what the entry logged of them. Nothing that was checked before is checked less: callers that never idle still have to get an answer in all cases.

The kill of each holder of the lease in turn is a test by itself.

--- a/camphorweir-standin/tests/soak/caller.rs
+++ b/camphorweir-standin/tests/soak/caller.rs
@@ -1,9 +1,9 @@
-//! Callers that keep their connections, and what became of each call.
+//! Calls and what became of each; callers that keep their connections for a while.
 
 use {
     crate::deployment::{CRASHING, KEYS},
     bytes::Bytes,
-    camphorweir_standin::platform_target::{STREAM_EVENTS, event},
+    camphorweir_standin::platform_target::{EVENTS_HEADER, PAUSE_HEADER, STREAM_EVENTS, event},
     http_body_util::{BodyExt, Full},
     hyper::{
         Request,
@@ -23,6 +23,8 @@
 pub(crate) const PATIENCE: Duration = Duration::from_millis(3000);
 /// Guards against a caller that hangs; the checks judge by [`PATIENCE`].
 const GUARD: Duration = Duration::from_secs(20);
+/// Least tokens of an answer.
+const MIN_TOKENS: u128 = 24;
 /// Longest pause between two calls of a caller in ms.
 const PAUSE_MS: u64 = 150;
 
@@ -32,6 +34,34 @@
     Seal,
     Look,
     Text,
+    /// A stream that may not go on at another target.
+    Once,
+}
+
+/// What a stream has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Length {
+    pub(crate) events: usize,
+    /// Pause after each event; `None` leaves it to the target.
+    pub(crate) pause: Option<Duration>,
+}
+
+/// What callers ask for if they don't care.
+pub(crate) const SHORT: Length = Length {
+    events: STREAM_EVENTS,
+    pause: None,
+};
+
+/// A call to be made.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) id: String,
+    pub(crate) kind: Kind,
+    /// Index in [`KEYS`].
+    pub(crate) key: usize,
+    pub(crate) length: Length,
+    /// How long its caller says to wait.
+    pub(crate) patience: Duration,
 }
 
 /// How a call ended.
@@ -48,10 +78,7 @@
 /// A call of the past.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
-    pub(crate) id: String,
-    pub(crate) kind: Kind,
-    /// Index in [`KEYS`].
-    pub(crate) key: usize,
+    pub(crate) ask: Ask,
     /// Index of the entry.
     pub(crate) entry: usize,
     /// When its connection was opened.
@@ -67,12 +94,29 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
+impl Length {
+    /// The time that the whole stream takes at a target that is not disturbed.
+    pub(crate) fn time(&self) -> Duration {
+        self.pause.unwrap_or_default() * self.events as u32
+    }
+
+    /// All events.
+    pub(crate) fn text(&self) -> String {
+        (1..=self.events).map(event).collect()
+    }
+}
+
 impl Call {
     /// Whether it was sent and got no answer.
     pub(crate) fn is_cut(&self) -> bool {
         matches!(self.end, End::Broken { status: None, .. })
     }
 
+    /// Whether its caller keeps its connection and lets it idle.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.ask.length.pause.is_some()
+    }
+
     /// The status, if one came.
     pub(crate) fn status(&self) -> Option<u16> {
         match &self.end {
@@ -83,11 +127,6 @@
     }
 }
 
-/// Every event of a stream.
-pub(crate) fn all_events() -> String {
-    (1..=STREAM_EVENTS).map(event).collect()
-}
-
 /// Calls entries until told to stop; gives what became of the calls.
 pub(crate) async fn run(
     name: usize,
@@ -108,7 +147,7 @@
             let kind = [Kind::Seal, Kind::Look, Kind::Text][rng.random_range(0..3)];
             let key = usize::from(rng.random_bool(0.3));
             let id = format!("{name}-{}", calls.len());
-            let (call, stays) = ask(&mut line, entry, id, kind, key).await;
+            let (call, stays) = ask(&mut line, entry, short(id, kind, key)).await;
             calls.push(call);
             if !stays {
                 break;
@@ -122,13 +161,13 @@
 /// Makes one call on a connection of its own.
 pub(crate) async fn once(entry: SocketAddr, index: usize, id: String, kind: Kind) -> Option<Call> {
     let mut line = connect(entry).await?;
-    Some(ask(&mut line, index, id, kind, 0).await.0)
+    Some(ask(&mut line, index, short(id, kind, 0)).await.0)
 }
 
 /// Makes a call that ends the target that runs it; nobody waits for what becomes of it.
 pub(crate) async fn crashing(entry: SocketAddr, id: String) {
     if let Some(mut line) = connect(entry).await {
-        let request = request(&id, Kind::Look, 0, CRASHING);
+        let request = request(&short(id, Kind::Look, 0), CRASHING);
         let _ = timeout(GUARD, exchange(&mut line.sender, request)).await;
     }
 }
@@ -142,22 +181,25 @@
     Some(Line { opened, sender })
 }
 
+/// A call of the usual length.
+pub(crate) fn short(id: String, kind: Kind, key: usize) -> Ask {
+    Ask {
+        id,
+        kind,
+        key,
+        length: SHORT,
+        patience: PATIENCE,
+    }
+}
+
 /// Makes a call; says as well whether the connection may be used again.
-pub(crate) async fn ask(
-    line: &mut Line,
-    entry: usize,
-    id: String,
-    kind: Kind,
-    key: usize,
-) -> (Call, bool) {
-    let request = request(&id, kind, key, "batch 7");
+pub(crate) async fn ask(line: &mut Line, entry: usize, ask: Ask) -> (Call, bool) {
+    let request = request(&ask, "batch 7");
     let from = Instant::now();
     let done = timeout(GUARD, exchange(&mut line.sender, request)).await;
-    let (end, stays) = done.unwrap_or_else(|_| panic!("{id}: no end in {GUARD:?}"));
+    let (end, stays) = done.unwrap_or_else(|_| panic!("{ask:?}: no end in {GUARD:?}"));
     let call = Call {
-        id,
-        kind,
-        key,
+        ask,
         entry,
         opened: line.opened,
         from,
@@ -167,19 +209,26 @@
     (call, stays)
 }
 
-fn request(id: &str, kind: Kind, key: usize, body: &'static str) -> Request<Full<Bytes>> {
-    let path = match kind {
+fn request(ask: &Ask, body: &'static str) -> Request<Full<Bytes>> {
+    let path = match ask.kind {
         Kind::Seal => "/seal/a",
         Kind::Look => "/look/a",
         Kind::Text => "/text/a",
+        Kind::Once => "/once/a",
     };
     let mut request = Request::post(path)
         .header("host", "h.example")
-        .header("x-attempt-id", id)
-        .header("x-deadline-ms", PATIENCE.as_millis().to_string())
-        .header("authorization", format!("Bearer {}", KEYS[key]));
-    if kind == Kind::Text {
-        request = request.header("x-token-usage", "10,24");
+        .header("x-attempt-id", &ask.id)
+        .header("x-deadline-ms", ask.patience.as_millis().to_string())
+        .header("authorization", format!("Bearer {}", KEYS[ask.key]));
+    if let Kind::Text | Kind::Once = ask.kind {
+        // A token takes a millisecond.
+        let tokens = ask.length.time().as_millis().max(MIN_TOKENS);
+        request = request.header("x-token-usage", format!("10,{tokens}"));
+        request = request.header(EVENTS_HEADER, ask.length.events.to_string());
+    }
+    if let Some(pause) = ask.length.pause {
+        request = request.header(PAUSE_HEADER, pause.as_millis().to_string());
     }
     let body = Full::new(Bytes::from_static(body.as_bytes()));
     request.body(body).unwrap()
--- a/camphorweir-standin/tests/soak/deployment.rs
+++ b/camphorweir-standin/tests/soak/deployment.rs
@@ -1,65 +1,47 @@
-//! Entries as processes, and a store and targets behind proxies.
+//! Entries, and a store and targets behind proxies.
 
 use {
     crate::{
-        child::{Child, LOOK, binary},
-        port::free,
+        entry::{BOUNDS, Entry, REVOKE},
+        history::{History, Trouble},
         proxy::Proxy,
         site::site,
+        variant::{Published, Variant},
     },
     camphorweir_standin::{
+        http1::Cut,
         metadata::{Behavior, Store},
         platform_target::{Setup, Target},
     },
-    serde_json::json,
-    std::{net::SocketAddr, path::PathBuf, process::Command, time::Duration},
-    tokio::time::{Instant, sleep},
+    std::{net::Ipv4Addr, ops::Range},
+    tokio::{sync::watch, time::Instant},
 };
 
 /// Keys of the two workspaces; the second is revoked and given back.
 pub(crate) const KEYS: [&str; 2] = ["key-of-one", "key-of-two"];
-/// Time in which an entry has ended after it was told to stop.
-pub(crate) const GRACE: Duration = Duration::from_secs(8);
-/// A revoked key is let in for this long at most.
-const REVOKE: Duration = Duration::from_secs(5);
-/// Environment variable with the path of an older build's program.
-pub(crate) const OLD_BUILD: &str = "CAMPHORWEIR_SOAK_OLD";
 /// Body of a call that ends its target.
 pub(crate) const CRASHING: &str = "a batch that no target bears";
-/// Bytes of what a process printed that a failure shows.
-const LAST_PRINTED: usize = 4_000;
 /// Entries of a deployment.
 pub(crate) const ENTRIES: usize = 3;
-
-/// An entry and what was done to it.
-pub(crate) struct Entry {
-    pub(crate) callers: SocketAddr,
-    settings: PathBuf,
-    /// Place in the deployment, and how often it was started: they decide which build runs.
-    index: usize,
-    starts: usize,
-    /// Whether an older build runs.
-    pub(crate) is_old: bool,
-    process: Option<Child>,
-    /// Proxy between it and the store.
-    pub(crate) door: Proxy,
-    /// When a signal that asks nothing kept it from working, from and to.
-    started: Vec<Instant>,
-    hurt: Vec<(Instant, Instant)>,
-    /// When it was killed, from the signal to its end.
-    kills: Vec<(Instant, Instant)>,
-    /// Since when it is paused.
-    paused: Option<Instant>,
-    /// When it was told to stop.
-    stopped: Option<Instant>,
-}
+/// Its targets: two of the ledger, four with layers, two of the annex.
+pub(crate) const ALL_TARGETS: usize = 8;
+/// The first of the annex.
+pub(crate) const ANNEX: usize = 6;
+/// Those with layers.
+pub(crate) const LAYERED: Range<usize> = 2..ANNEX;
+/// Memory of a token, and tokens of a usual answer: no stream has more, so that its time can be told beforehand.
+const TOKEN_BYTES: f64 = 300.0;
+const USUAL_TOKENS: u64 = 6_500;
 
 /// The deployment.
 pub(crate) struct Deployment {
     pub(crate) store: Store,
     pub(crate) entries: Vec<Entry>,
     pub(crate) targets: Vec<(Target, Proxy)>,
+    pub(crate) history: History,
+    pub(crate) published: watch::Sender<Published>,
     version: u64,
+    variant: Variant,
     /// When the second key was revoked and given back.
     revoked: Vec<(Instant, Option<Instant>)>,
     /// Limits that targets named, with the target and the time.
@@ -78,22 +60,25 @@
 }
 
 impl Deployment {
-    /// Starts a store, two plain targets, four with layers, and entries.
+    /// Starts a store, two plain targets, four with layers, two more plain ones, and entries.
     pub(crate) async fn start() -> Self {
         let mut deployment = Self {
             store: Store::default(),
             entries: Vec::new(),
             targets: Vec::new(),
+            history: History::default(),
+            published: watch::Sender::default(),
             version: 0,
+            variant: Variant::default(),
             revoked: Vec::new(),
             limits: Vec::new(),
         };
         deployment.publish(false);
-        for index in 0..6 {
-            let (service, kind) = if index < 2 {
-                ("ledger", "")
-            } else {
-                ("scribe", "half")
+        for index in 0..ALL_TARGETS {
+            let (service, kind) = match index {
+                0..2 => ("ledger", ""),
+                2..ANNEX => ("scribe", "half"),
+                _ => ("annex", ""),
             };
             let setup = Setup {
                 id: format!("{service}-{index}"),
@@ -110,8 +95,8 @@
             deployment.targets.push((target, proxy));
         }
         for index in 0..ENTRIES {
-            let entry = deployment.entry(index).await;
-            deployment.entries.push(entry);
+            let door = Proxy::open(deployment.store.add_listener().await.unwrap()).await;
+            deployment.entries.push(Entry::new(index, door));
         }
         deployment
     }
@@ -120,8 +105,18 @@
     pub(crate) fn publish(&mut self, revoke: bool) {
         self.version += 1;
         let keys = if revoke { &KEYS[..1] } else { &KEYS[..] };
-        let site = site(self.version, keys).to_string();
+        let mut site = site(self.version, keys);
+        self.variant.apply(&mut site);
+        for service in site["services"].as_array_mut().unwrap() {
+            if let Some(engine) = service.get_mut("engine") {
+                engine["kvTokenBytes"] = TOKEN_BYTES.into();
+                engine["usual"]["answer"] = USUAL_TOKENS.into();
+            }
+        }
+        let site = site.to_string();
         self.store.put("keyed.op", "config", site.as_bytes());
+        let published = (Instant::now(), self.variant);
+        self.published.send_modify(|all| all.push(published));
         let open = self.revoked.last_mut().filter(|(_, end)| end.is_none());
         match (revoke, open) {
             (true, None) => self.revoked.push((Instant::now(), None)),
@@ -130,6 +125,24 @@
         }
     }
 
+    /// Publishes another configuration, with the keys as they are.
+    pub(crate) fn configure(&mut self, variant: Variant) {
+        self.variant = variant;
+        let is_revoked = self.revoked.last().is_some_and(|(_, end)| end.is_none());
+        self.publish(is_revoked);
+    }
+
+    /// Silences a target, or lets it go on.
+    pub(crate) fn silence(&mut self, target: usize, is_silent: bool) {
+        let cut = is_silent.then_some(Cut::Paused);
+        // All its clients come from there.
+        self.targets[target].0.cut(Ipv4Addr::LOCALHOST.into(), cut);
+        match is_silent {
+            true => drop(self.history.begin(target, Trouble::Silent)),
+            false => self.history.end(target, Trouble::Silent),
+        }
+    }
+
     /// Lets a target name a limit, or none any more.
     pub(crate) fn limit(&mut self, target: usize, limit: Option<&str>) {
         let now = Instant::now();
@@ -162,181 +175,28 @@
         all.any(|(from, to)| *from + REVOKE <= at && to.is_none_or(|to| at < to))
     }
 
-    async fn entry(&self, index: usize) -> Entry {
-        let door = Proxy::open(self.store.add_listener().await.unwrap()).await;
-        let (callers, ready) = (free(), free());
-        let settings = json!({
-            "node": format!("entry-{index}"), "zone": "z",
-            "listen": {"front": callers, "ready": ready},
-            "portRange": [0, 0],
-            "limits": {"maxFds": 1200},
-            "bounds": {
-                "graceS": GRACE.as_secs(), "drainMs": 2000, "revokeMs": REVOKE.as_millis() as u64,
-                "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 100,
-            },
-            "platform": {"address": door.address},
-        });
-        let name = format!("soak-{}-{}.json", std::process::id(), callers.port());
-        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        std::fs::write(&path, settings.to_string()).unwrap();
-        let mut entry = Entry {
-            callers,
-            settings: path,
-            index,
-            starts: 0,
-            is_old: false,
-            process: None,
-            door,
-            hurt: Vec::new(),
-            started: Vec::new(),
-            kills: Vec::new(),
-            paused: None,
-            stopped: None,
-        };
-        entry.start();
-        entry
+    /// Ends what was done to a target's links, whose connections are closed.
+    pub(crate) fn mend(&mut self, target: usize) {
+        // Another fault may have been mended with the first.
+        self.history.begin(target, Trouble::Lost);
+        self.targets[target].1.mend();
+        self.history.end(target, Trouble::Lost);
     }
 
     /// Ends every fault.
     pub(crate) async fn heal(&mut self) {
-        for (_, proxy) in &self.targets {
-            proxy.mend();
+        for index in 0..ALL_TARGETS {
+            self.mend(index);
         }
         self.store.set_behavior(Behavior::Sound);
         for entry in &mut self.entries {
             entry.door.mend();
             entry.go_on();
             entry.ended().await;
+            entry.reload(&BOUNDS, true);
             entry.start();
         }
+        self.variant = Variant::default();
         self.publish(false);
     }
 }
-
-impl Entry {
-    /// Starts its process if there is none. With an older build in [`OLD_BUILD`], the two take turns at each
-    /// entry and with each start, as in an upgrade that goes back and forth.
-    pub(crate) fn start(&mut self) {
-        if self.process.is_some() {
-            return;
-        }
-        let old = std::env::var_os(OLD_BUILD).filter(|_| (self.index + self.starts) % 2 == 1);
-        self.is_old = old.is_some();
-        let program = old.map_or_else(|| binary("camphorweir-entry"), PathBuf::from);
-        let mut command = Command::new(program);
-        self.starts += 1;
-        self.started.push(Instant::now());
-        command.arg("--platform");
-        command.env("CAMPHORWEIR_CONFIG", &self.settings);
-        self.process = Some(Child::start("entry", command));
-        self.stopped = None;
-    }
-
-    /// Ends it at once.
-    pub(crate) fn kill(&mut self) {
-        self.go_on();
-        if let Some(mut process) = self.process.take() {
-            let from = Instant::now();
-            process.kill();
-            let to = Instant::now();
-            self.hurt.push((from, to));
-            self.kills.push((from, to));
-        }
-    }
-
-    /// Pauses it.
-    pub(crate) fn pause(&mut self) {
-        if let Some(process) = self.process.as_ref().filter(|_| self.paused.is_none()) {
-            process.signal("STOP");
-            self.paused = Some(Instant::now());
-        }
-    }
-
-    /// Lets it go on after a pause.
-    pub(crate) fn go_on(&mut self) {
-        let Some(since) = self.paused.take() else {
-            return;
-        };
-        if let Some(process) = &self.process {
-            process.signal("CONT");
-        }
-        self.hurt.push((since, Instant::now()));
-    }
-
-    /// Tells it to stop, maybe again.
-    pub(crate) fn stop(&mut self) {
-        if let Some(process) = self.process.as_ref().filter(|_| self.paused.is_none()) {
-            process.signal("TERM");
-            self.stopped.get_or_insert_with(Instant::now);
-        }
-    }
-
-    /// Waits for the end of one that was told to stop.
-    pub(crate) async fn ended(&mut self) {
-        let Some(stopped) = self.stopped else {
-            return;
-        };
-        while self.process.as_mut().is_some_and(Child::is_running) {
-            let excused = self.was_hurt(stopped, Instant::now());
-            assert!(
-                excused || stopped.elapsed() < GRACE,
-                "it did not end in time"
-            );
-            sleep(LOOK).await;
-        }
-        self.reap();
-    }
-
-    /// Takes leave of a process that has ended by itself after it was told to.
-    pub(crate) fn reap(&mut self) {
-        let ended = self
-            .process
-            .as_mut()
-            .is_some_and(|process| !process.is_running());
-        if let Some(process) = self.process.take_if(|_| ended) {
-            assert!(
-                self.stopped.is_some(),
-                "it ended untold: {}",
-                process.printed()
-            );
-        }
-    }
-
-    /// Whether its process runs, and what it printed last.
-    pub(crate) fn describe(&mut self) -> String {
-        let Some(process) = &mut self.process else {
-            return "no process".to_owned();
-        };
-        let printed = process.printed();
-        let last = printed.len().saturating_sub(LAST_PRINTED);
-        let last = printed.get(last..).unwrap_or(&printed);
-        format!("runs: {}, printed: {last}", process.is_running())
-    }
-
-    /// Whether the process that let a connection in was killed before a call on it began.
-    pub(crate) fn was_killed(&self, opened: Instant, begun: Instant) -> bool {
-        let mut kills = self.kills.iter();
-        kills.any(|(from, to)| opened <= *to && *from <= begun)
-    }
-
-    /// Whether it started, or was paused or killed, at some time between these.
-    pub(crate) fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
-        let mut started = self.started.iter();
-        started.any(|at| (from..to).contains(at)) || self.was_hurt(from, to)
-    }
-
-    /// Whether a signal that asks nothing kept it from working at some time between these.
-    pub(crate) fn was_hurt(&self, from: Instant, to: Instant) -> bool {
-        let paused = self.paused.map(|since| (since, to));
-        let mut all = self.hurt.iter().copied().chain(paused);
-        all.any(|(begin, end)| begin <= to && from <= end)
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        self.go_on();
-        // A file that stays does no harm.
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
--- a/camphorweir-standin/tests/soak/fault.rs
+++ b/camphorweir-standin/tests/soak/fault.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         caller,
-        deployment::{Deployment, ENTRIES},
+        deployment::{ALL_TARGETS, Deployment, ENTRIES},
+        history::Trouble,
         proxy::Mode,
+        variant::{Bounds, Variant},
     },
     camphorweir_standin::{metadata::Behavior, platform_target::ResponseFault},
     rand::{Rng, rngs::SmallRng},
@@ -18,8 +20,15 @@
 const PAUSE_MS: u64 = 700;
 /// Shortest and longest time of a fault in ms.
 const LASTS_MS: (u64, u64) = (100, 3500);
-/// Targets of a deployment.
+/// Targets that the earlier scripts disturb.
 const TARGETS: usize = 6;
+/// Time in which planned work and silences begin: beyond the other faults, so that some have no other
+/// excuse.
+const PLANNED: Duration = Duration::from_secs(14);
+/// Shortest and longest silence of a sound target in ms.
+const SILENCE_MS: (u64, u64) = (300, 1_900);
+/// The same of the pauses between the silences of a series, and of those between configurations.
+const SERIES_PAUSE_MS: (u64, u64) = (100, 900);
 
 /// What happens from outside.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +59,12 @@
     Limit(usize, &'static str),
     /// A caller sends an entry a call that ends its target.
     CrashingCall(usize, u32),
+    /// A sound target is silent, its report path too, and goes on afterwards.
+    Silence(usize),
+    /// A configuration that changes weights, times and limits.
+    Configure(Variant),
+    /// Other bounds in an entry's settings file, with a signal or without.
+    Reload(usize, Bounds, bool),
 }
 
 /// Faults with the times at which they begin and how long they last, from the start.
@@ -97,6 +112,50 @@
     script
 }
 
+/// Planned work, and targets that are silent for a moment: alone, in series, and beside each other. Drawn
+/// last for the same reason.
+pub(crate) fn planned_script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+    let millis = Duration::from_millis;
+    let mut at = millis(500);
+    let mut script = Vec::new();
+    while at < PLANNED {
+        let entry = rng.random_range(0..ENTRIES);
+        let lasts = millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
+        match rng.random_range(0..8) {
+            0..3 => script.extend(silences(rng, at)),
+            3..5 => {
+                let mut next = at;
+                for _ in 0..rng.random_range(1..5) {
+                    script.push((next, lasts, Fault::Configure(Variant::draw(rng))));
+                    next += millis(rng.random_range(SERIES_PAUSE_MS.0..SERIES_PAUSE_MS.1));
+                }
+            }
+            5..7 => {
+                let reload = Fault::Reload(entry, Bounds::draw(rng), rng.random_bool(0.7));
+                script.push((at, lasts, reload));
+            }
+            _ => script.push((at, lasts, Fault::Stop(entry))),
+        }
+        at += millis(rng.random_range(0..2 * PAUSE_MS));
+    }
+    script
+}
+
+/// A series of silences of one target or several at once.
+fn silences(rng: &mut SmallRng, mut at: Duration) -> Vec<(Duration, Duration, Fault)> {
+    let millis = Duration::from_millis;
+    let first = rng.random_range(0..ALL_TARGETS);
+    let count = [1, 1, 2, 4, ALL_TARGETS][rng.random_range(0..5)];
+    let mut script = Vec::new();
+    for _ in 0..rng.random_range(1..4) {
+        let lasts = millis(rng.random_range(SILENCE_MS.0..=SILENCE_MS.1));
+        let silent = (first..first + count).map(|target| Fault::Silence(target % ALL_TARGETS));
+        script.extend(silent.map(|silence| (at, lasts, silence)));
+        at += lasts + millis(rng.random_range(SERIES_PAUSE_MS.0..SERIES_PAUSE_MS.1));
+    }
+    script
+}
+
 fn draw(rng: &mut SmallRng) -> Fault {
     let entry = rng.random_range(0..ENTRIES);
     let target = rng.random_range(0..TARGETS);
@@ -158,8 +217,17 @@
         Fault::Stop(index) => deployment.entries[index].stop(),
         Fault::Store(mood) => deployment.store.set_behavior(mood),
         Fault::Door(index, mode) => deployment.entries[index].door.set(mode),
-        Fault::Link(index, mode) => deployment.targets[index].1.set(mode),
-        Fault::Crash(index) => deployment.targets[index].1.set(Mode::Reset),
+        Fault::Link(index, mode) => {
+            deployment.history.begin(index, Trouble::Lost);
+            deployment.targets[index].1.set(mode);
+        }
+        Fault::Crash(index) => {
+            deployment.history.begin(index, Trouble::Lost);
+            deployment.targets[index].1.set(Mode::Reset);
+        }
+        Fault::Silence(index) => deployment.silence(index, true),
+        Fault::Configure(variant) => deployment.configure(variant),
+        Fault::Reload(index, bounds, signals) => deployment.entries[index].reload(&bounds, signals),
         Fault::Act(index, act) => deployment.targets[index].0.inject(act),
         Fault::Publish(revoke) => deployment.publish(revoke),
         Fault::Leave(index) => deployment.targets[index].0.leave(),
@@ -185,18 +253,28 @@
         }
         Fault::Store(_) => deployment.store.set_behavior(Behavior::Sound),
         Fault::Door(index, _) => deployment.entries[index].door.mend(),
-        Fault::Link(index, _) => deployment.targets[index].1.mend(),
+        Fault::Link(index, _) => deployment.mend(index),
         Fault::Crash(index) => {
+            deployment.history.begin(index, Trouble::Lost);
             let (target, proxy) = &deployment.targets[index];
             target.restart();
             proxy.set(Mode::Pass);
+            deployment.history.end(index, Trouble::Lost);
             deployment.limit(index, None);
         }
         Fault::Leave(index) => {
+            deployment.history.begin(index, Trouble::Lost);
             deployment.targets[index].0.restart();
+            deployment.history.end(index, Trouble::Lost);
             deployment.limit(index, None);
         }
         Fault::Limit(index, _) => deployment.limit(index, None),
-        Fault::Act(..) | Fault::CrashingCall(..) | Fault::Forget | Fault::Publish(_) => {}
+        Fault::Silence(index) => deployment.silence(index, false),
+        Fault::Act(..)
+        | Fault::Configure(_)
+        | Fault::CrashingCall(..)
+        | Fault::Forget
+        | Fault::Publish(_)
+        | Fault::Reload(..) => {}
     }
 }
--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
-        caller::{Call, End, Kind, PATIENCE, all_events},
-        deployment::{Deployment, OLD_BUILD},
+        caller::{Call, End, Kind},
+        deployment::{ANNEX, Deployment},
+        entry::{GRACE, OLD_BUILD},
+        variant::least_timeout,
     },
     camphorweir_standin::platform_target::RESTART_TIME,
     std::{collections::BTreeMap, time::Duration},
@@ -22,31 +24,75 @@
 const LIMIT_SLACK: f64 = 5.0;
 /// Runs of a call that may be repeated.
 const RUNS: usize = 2;
+/// A request that got no answer for this long after it was sent was read.
+const READ: Duration = Duration::from_millis(200);
+/// The longest silence of a target that ends no answer, "a second or so".
+const SOUND_SILENCE: Duration = Duration::from_millis(1_200);
+/// Requests sent until this long after a stop began may be at work to its end.
+const EARLY: Duration = Duration::from_secs(3);
+/// The end of a stop, as a part of the grace.
+const LAST_PART: f64 = 5.0 / 6.0;
+
+/// Why a call got no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// Its entry was killed or frozen.
+    Hurt,
+    /// It crossed the close of its connection, and nobody read it.
+    Unread,
+    /// Its deadline or the timeout of its route was reached.
+    Deadline,
+    /// It came early, and was still at work at the very end of a stop.
+    Grace,
+    /// Its target broke it off or crashed, or the links there were cut.
+    Target,
+    /// Its target was silent for longer than a second or so.
+    LongSilence,
+    /// Nothing excuses it.
+    Plain,
+}
 
 /// Checks all calls; says what they came to.
 pub(crate) fn judge(seed: u64, deployment: &Deployment, calls: &[Call]) {
     let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    let mut faults = 0;
     for call in calls {
         if let Some(fault) = fault(deployment, call) {
-            let runs = runs(deployment, call);
-            panic!("seed {seed}: {fault}; {runs} runs; {call:?}");
+            faults += 1;
+            let entry = &deployment.entries[call.entry];
+            let lines = entry.lines(&format!("\"{}\"", call.ask.id)).join("\n  ");
+            let stopped = entry.stops.iter().filter(|at| **at <= call.to);
+            let stopped = stopped.map(|at| call.to - *at).min();
+            let silences = targets_of(deployment, call).into_iter().map(|index| {
+                let silence = deployment.history.silence(index, call.from, call.to);
+                (deployment.targets[index].0.id(), silence)
+            });
+            let silences: Vec<_> = silences.collect();
+            println!(
+                "seed {seed}: {fault}; longest silences where it ran: {silences:?}; ended {stopped:?} after a \
+                 stop; {call:?}\n  {lines}"
+            );
         }
         let whole = matches!(call.end, End::Whole { .. });
-        let what = format!("{:?} {:?} {whole}", call.kind, call.status());
+        let what = format!("{:?} {:?} {whole}", call.ask.kind, call.status());
         *ends.entry(what).or_default() += 1;
+        if let Some(loss) = loss(deployment, call) {
+            *ends.entry(format!("lost: {loss:?}")).or_default() += 1;
+        }
     }
     println!("seed {seed}: {ends:?}");
+    assert!(faults == 0, "seed {seed}: {faults} calls are at fault");
 }
 
 /// Checks that no target got more requests than the limit that it named allows, from entries that were not
 /// started, paused or killed shortly before. An earlier build knows no limits.
 pub(crate) fn judge_limits(seed: u64, deployment: &Deployment, calls: &[Call]) {
-    if std::env::var_os(OLD_BUILD).is_some() {
+    if has_old_build() {
         return;
     }
     let entries: BTreeMap<&str, usize> = calls
         .iter()
-        .map(|call| (call.id.as_str(), call.entry))
+        .map(|call| (call.ask.id.as_str(), call.entry))
         .collect();
     let counts = |id: &str, at: Instant| {
         let entry = entries.get(id).map(|entry| &deployment.entries[*entry]);
@@ -80,6 +126,10 @@
     }
 }
 
+fn has_old_build() -> bool {
+    std::env::var_os(OLD_BUILD).is_some()
+}
+
 /// What is wrong with a call, if anything.
 pub(crate) fn fault(deployment: &Deployment, call: &Call) -> Option<&'static str> {
     let fault = check_runs(call, runs(deployment, call)).or_else(|| check_body(call));
@@ -88,13 +138,13 @@
 
 fn runs(deployment: &Deployment, call: &Call) -> usize {
     let targets = deployment.targets.iter();
-    targets.map(|(target, _)| target.runs(&call.id)).sum()
+    targets.map(|(target, _)| target.runs(&call.ask.id)).sum()
 }
 
 /// A seal runs once at most, and what is said not to have run never ran.
 fn check_runs(call: &Call, runs: usize) -> Option<&'static str> {
-    let most = match call.kind {
-        Kind::Seal => 1,
+    let most = match call.ask.kind {
+        Kind::Seal | Kind::Once => 1,
         Kind::Look | Kind::Text => RUNS,
     };
     let not_run = matches!(call.status(), Some(401 | 404 | 408 | 421 | 429 | 503));
@@ -116,9 +166,10 @@
         } => (body, false),
         _ => return None,
     };
-    let right = match (call.kind, whole) {
-        (Kind::Text, true) => *body == all_events(),
-        (Kind::Text, false) => all_events().as_bytes().starts_with(body),
+    let all = call.ask.length.text();
+    let right = match (call.ask.kind, whole) {
+        (Kind::Text | Kind::Once, true) => *body == all,
+        (Kind::Text | Kind::Once, false) => all.as_bytes().starts_with(body),
         (Kind::Seal | Kind::Look, true) => body.starts_with(b"/") && body.len() > 8,
         (Kind::Seal | Kind::Look, false) => true,
     };
@@ -131,15 +182,82 @@
     if entry.was_hurt(call.from, call.to + SEEN) {
         return None;
     }
-    let late = call.to - call.from > PATIENCE + SLACK;
-    let revoked = call.key == 1 && deployment.is_revoked(call.from);
+    let late = call.to - call.from > call.ask.patience + SLACK;
+    let revoked = call.ask.key == 1 && deployment.is_revoked(call.from);
     match call.status() {
         _ if late => Some("it ended late"),
         // Its connection may have ended with the process, and its caller not know yet.
-        None if call.is_cut() && !entry.was_killed(call.opened, call.from) => {
-            Some("it got no answer")
-        }
+        None if call.is_cut() && entry.was_killed(call.opened, call.from) => None,
+        // A connection that is never idle is not closed under a request.
+        None if call.is_cut() && !call.is_kept() => Some("it got no answer"),
         Some(200) if revoked => Some("its key had been revoked"),
+        // An earlier build ends answers for less.
+        status if !has_old_build() && loss(deployment, call) == Some(Loss::Plain) => match status {
+            None => Some("it was read and got no answer"),
+            Some(_) => Some("its answer was broken off"),
+        },
         _ => None,
     }
 }
+
+/// Indices of the targets that ran a call.
+fn targets_of(deployment: &Deployment, call: &Call) -> Vec<usize> {
+    let targets = deployment.targets.iter().enumerate();
+    let ran = targets.filter(|(_, (target, _))| target.runs(&call.ask.id) > 0);
+    ran.map(|(index, _)| index).collect()
+}
+
+/// Why a call got no whole answer; `None` if it got one.
+fn loss(deployment: &Deployment, call: &Call) -> Option<Loss> {
+    let End::Broken { status, .. } = call.end else {
+        return None;
+    };
+    let entry = &deployment.entries[call.entry];
+    if entry.was_hurt(call.from, call.to + SEEN) || entry.was_killed(call.opened, call.from) {
+        return Some(Loss::Hurt);
+    }
+    let time = call.to - call.from;
+    let id = &call.ask.id;
+    let ran = targets_of(deployment, call);
+    if status.is_none() && ran.is_empty() && time < READ {
+        return Some(Loss::Unread);
+    }
+    let timeout = least_timeout(&deployment.published.borrow(), call.to);
+    if time >= timeout.min(call.ask.patience) {
+        return Some(Loss::Deadline);
+    }
+    if is_ended_by_grace(call, &entry.stops, &ran) {
+        return Some(Loss::Grace);
+    }
+    let history = &deployment.history;
+    let was_lost = |index: &usize| {
+        let target = &deployment.targets[*index].0;
+        let crashes = target.crashes();
+        let mut crashes = crashes.iter();
+        target.has_broken(id)
+            || crashes.any(|at| *at <= call.to && call.from <= *at + RESTART_TIME + SEEN)
+            || history.was_lost(*index, call.from, call.to)
+    };
+    // Before an answer has begun, a failure of its target can be answered with one.
+    if status.is_some() && ran.iter().any(was_lost) {
+        return Some(Loss::Target);
+    }
+    let mut silences = ran
+        .iter()
+        .map(|index| history.silence(*index, call.from, call.to));
+    match silences.any(|time| time > SOUND_SILENCE) {
+        true => Some(Loss::LongSilence),
+        false => Some(Loss::Plain),
+    }
+}
+
+/// Whether a call was still at work at the very end of a stop, though it came early. One that came after the
+/// stop had begun, and could not end before the process, should not have been let in.
+fn is_ended_by_grace(call: &Call, stops: &[Instant], ran: &[usize]) -> bool {
+    let is_projected = ran.iter().all(|index| *index < ANNEX);
+    stops.iter().any(|stop| {
+        let is_early = call.from <= *stop + EARLY && call.to >= *stop + GRACE.mul_f64(LAST_PART);
+        let could_end = call.from + call.ask.length.time() < *stop + GRACE;
+        is_early && (call.from <= *stop || !is_projected || could_end)
+    })
+}
--- a/camphorweir-standin/tests/soak/main.rs
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -8,17 +8,23 @@
 #[allow(dead_code)]
 mod child;
 mod deployment;
+mod entry;
 mod fault;
+mod history;
 mod judge;
+mod keeper;
 #[path = "../support/port.rs"]
 mod port;
 mod proxy;
 #[path = "../support/site.rs"]
 mod site;
+mod variant;
 
 use {
     caller::{Call, Kind},
-    deployment::Deployment,
+    camphorweir_standin::platform_target::Target,
+    deployment::{Deployment, LAYERED},
+    proxy::Proxy,
     rand::{SeedableRng, rngs::SmallRng},
     std::time::Duration,
     tokio::{
@@ -37,6 +43,8 @@
 const FAILED: &[u64] = &[105];
 /// Callers at a time.
 const CALLERS: usize = 12;
+/// Callers beside them that keep their connections for as long as they can.
+const KEEPERS: usize = 12;
 /// Everything is served again within this time after the last fault, as the platform asks.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Callers that come anew at the end of a stop.
@@ -107,11 +115,11 @@
     let mut line = caller::connect(deployment.entries[0].callers)
         .await
         .unwrap();
-    let id = |number: usize| format!("k-{number}");
-    let (answered, stays) = caller::ask(&mut line, 0, id(1), Kind::Look, 0).await;
+    let look = |number: usize| caller::short(format!("k-{number}"), Kind::Look, 0);
+    let (answered, stays) = caller::ask(&mut line, 0, look(1)).await;
     assert_eq!((answered.status(), stays), (Some(200), true));
     deployment.entries[0].kill();
-    let (cut, _) = caller::ask(&mut line, 0, id(2), Kind::Look, 0).await;
+    let (cut, _) = caller::ask(&mut line, 0, look(2)).await;
     assert!(cut.is_cut(), "{cut:?}");
     assert_eq!(judge::fault(&deployment, &cut), None);
     // One on a connection to the next process does.
@@ -125,11 +133,39 @@
     assert_eq!(judge::fault(&deployment, &cut), Some("it got no answer"));
 }
 
+/// None of the dead leaves the group, and the names of some come before that of the next holder.
+#[tokio::test(flavor = "multi_thread")]
+async fn layers_are_placed_again_after_each_holder_of_the_lease_was_killed() {
+    let mut deployment = Deployment::start().await;
+    recovered(&mut deployment, "start").await;
+    deployment.entries[2].kill();
+    place_anew(&deployment).await;
+    deployment.entries[0].kill();
+    deployment.entries[1].kill();
+    deployment.entries[2].start();
+    place_anew(&deployment).await;
+}
+
+/// Lets the targets start anew, without layers, which have to be placed in time.
+async fn place_anew(deployment: &Deployment) {
+    let targets = &deployment.targets[LAYERED];
+    for (target, _) in targets {
+        target.restart();
+    }
+    let begun = Instant::now();
+    let is_empty = |(target, _): &(Target, Proxy)| target.layers().is_none();
+    while targets.iter().any(is_empty) {
+        assert!(begun.elapsed() < RECOVERY, "no layers");
+        sleep(LOOK).await;
+    }
+}
+
 async fn soak(seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut script = fault::script(&mut rng);
     script.extend(fault::later_script(&mut rng));
     script.extend(fault::limits_script(&mut rng));
+    script.extend(fault::planned_script(&mut rng));
     println!("seed {seed}: {script:?}");
     let mut deployment = Deployment::start().await;
     recovered(&mut deployment, "start").await;
@@ -143,7 +179,13 @@
         let seed = seed * CALLERS as u64 + name as u64;
         tokio::spawn(caller::run(name, seed, entries.clone(), stopped.clone()))
     });
-    let callers: Vec<_> = callers.collect();
+    let keepers = (0..KEEPERS).map(|name| {
+        let seed = seed * KEEPERS as u64 + name as u64;
+        let published = deployment.published.subscribe();
+        let entries = entries.clone();
+        tokio::spawn(keeper::run(name, seed, entries, published, stopped.clone()))
+    });
+    let callers: Vec<_> = callers.chain(keepers).collect();
     fault::play(&mut deployment, &script).await;
     deployment.heal().await;
     recovered(&mut deployment, "end").await;
