Say of every answer that ends early why it did

A caller that left while its stream was between two targets was in no line at all.

There is one line for each, with target, events and time since the last data, and the counter camphorweir.answers.cut by class and cause. Lines are bounded by the limits of the log, the counter by the number of causes; neither blocks.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -42,6 +42,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     send_failures: Counter<u64>,
+    cuts: Counter<u64>,
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     quarantines: Counter<u64>,
@@ -103,6 +104,10 @@
                 "camphorweir.send.failures",
                 "Sends without an answer, by cause",
             ),
+            cuts: counter(
+                "camphorweir.answers.cut",
+                "Answers ended before they were complete, by class and cause",
+            ),
             store_calls: counter("camphorweir.store.calls", "Calls to the store, by kind"),
             store_restores: counter(
                 "camphorweir.store.restores",
@@ -246,6 +251,15 @@
         self.send_failures.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an answer that ended before it was complete.
+    pub fn record_cut(&self, request: &Admission, cause: &'static str) {
+        let labels = [
+            KeyValue::new("class", class(request.route.kind)),
+            KeyValue::new("cause", cause),
+        ];
+        self.cuts.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, kind: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod cut;
 pub mod demand;
 pub mod exchange;
 pub mod feed;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -4,6 +4,7 @@
     crate::{
         fingerprint::fingerprint,
         front::{
+            cut::{Cause, Cut, cut_record},
             demand,
             exchange::{SendError, TargetResponse, Template, send_request},
             response::{
@@ -243,16 +244,24 @@
 
 impl Drop for SendGuard<'_> {
     fn drop(&mut self) {
-        if self.plan.is_some() {
-            log::info!(
-                request:% = self.admitted.id;
-                "send cancelled: caller disconnected or deadline passed"
-            );
+        if let Some(plan) = &self.plan {
+            cut_whole(self.state, self.admitted, plan, Cause::Caller);
             self.finish_send(Outcome::Cancelled);
         }
     }
 }
 
+/// Records the end of a request that was sent as planned and has no answer.
+fn cut_whole(state: &State, admitted: &Admission, plan: &Plan, cause: Cause) {
+    let cut = Cut {
+        cause,
+        target: Some(plan.target.clone()),
+        events: 0,
+        silent_for: state.now().saturating_sub(plan.chosen_at),
+    };
+    cut_record(state, admitted, &cut);
+}
+
 /// Sends a request, again after failures where that is allowed, until there is a response to
 /// forward.
 async fn forward(
@@ -260,8 +269,15 @@
     admitted: &mut Admission,
     template: &Template,
 ) -> Result<Forwarded, Refusal> {
+    let mut last: Option<Plan> = None;
     loop {
-        let plan = waiting_plan(state, admitted).await?;
+        let planned = waiting_plan(state, admitted).await;
+        let plan = planned.inspect_err(|_| {
+            if let Some(last) = &last {
+                cut_whole(state, admitted, last, Cause::NoPlace);
+            }
+        })?;
+        last = Some(plan.clone());
         let now = state.now();
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
@@ -298,6 +314,7 @@
             Err(_) => {
                 guard.finish_send(Outcome::Cancelled);
                 drop(guard);
+                cut_whole(state, admitted, &plan, Cause::Deadline);
                 admitted.counts.runs += 1;
                 return Err(state.router().refusal(admitted, Code::DeadlinePassed));
             }
@@ -321,7 +338,16 @@
         match (decision, response) {
             (Decision::Again, _) => {}
             (Decision::End(_), Some(response)) => return Ok(Forwarded::Whole(response)),
-            (Decision::End(code), None) => return Err(waiting_refusal(state, admitted, code)),
+            (Decision::End(code), None) => {
+                let cause = match (failure, faulty_target) {
+                    (Failure::Broken, None) | (Failure::Unsent, _) => Cause::Connection,
+                    (Failure::Broken, Some(_)) => Cause::Silence,
+                    (Failure::Outdated | Failure::Limited, _) => Cause::NoPlace,
+                    (Failure::Refused, _) => Cause::Refused,
+                };
+                cut_whole(state, admitted, &plan, cause);
+                return Err(waiting_refusal(state, admitted, code));
+            }
         }
     }
 }
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         front::{
+            cut::{Cause, Cut, cut_record},
             exchange::{SendError, TargetResponse, Template, send_request},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
@@ -17,6 +18,7 @@
     bytes::Bytes,
     camphorweir_platform::response::Info,
     camphorweir_relay::{
+        ids::TargetId,
         progress::Progress,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
@@ -64,9 +66,11 @@
     deadline: Pin<Box<Sleep>>,
     /// Whether an event has been forwarded.
     event_sent: bool,
-    /// Number of events from the current target.
+    /// Target of the last send.
+    target: TargetId,
+    /// Number of events from that target.
     target_events: usize,
-    /// When a response head or a whole event last arrived from the target.
+    /// When a response head or a whole event last arrived from it.
     last_event_at: Instant,
     /// Wakes the task to check whether the stream is stalled.
     stall_timer: Pin<Box<Sleep>>,
@@ -79,7 +83,8 @@
 
 enum Phase {
     Streaming(Box<Upstream>),
-    Resuming(BoxFuture<'static, ResumeResult>),
+    /// The search for another target, with the request as it was before.
+    Resuming(BoxFuture<'static, ResumeResult>, Box<(State, Admission)>),
     Ended,
 }
 
@@ -117,6 +122,7 @@
         Self {
             deadline: Box::pin(sleep_until(Instant::now() + time_left)),
             job: Some(job),
+            target: plan.target.clone(),
             plan: Some(plan),
             phase: Phase::streaming(body, connection, info),
             splitter: Splitter::default(),
@@ -207,10 +213,20 @@
         }
     }
 
+    fn cut(&self, cause: Cause) -> Cut {
+        Cut {
+            cause,
+            target: Some(self.target.clone()),
+            events: self.target_events,
+            silent_for: self.last_event_at.elapsed(),
+        }
+    }
+
     /// Aborts the stream so that the caller sees it as truncated.
-    fn abort(&mut self, code: Code) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn abort(&mut self, cause: Cause, code: Code) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         self.phase = Phase::Ended;
         if let Some(job) = self.job.take() {
+            cut_record(&job.state, &job.request, &self.cut(cause));
             record_end(&job.state, &job.request, code.status(), Some(code));
         }
         Poll::Ready(Some(Err(io::Error::other(code.name()))))
@@ -270,7 +286,9 @@
                 self.stall_check = None;
                 let job = self.job.take().ok_or(Code::Internal)?;
                 let last_event_id = self.last_event_id.clone();
-                self.phase = Phase::Resuming(Box::pin(resume(Box::new(job), last_event_id)));
+                let interrupted = Box::new((job.state.clone(), job.request.clone()));
+                let resumed = Box::pin(resume(Box::new(job), last_event_id));
+                self.phase = Phase::Resuming(resumed, interrupted);
                 Ok(())
             }
         }
@@ -346,19 +364,20 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.deadline.as_mut().poll(cx).is_ready() && self.job.is_some() {
             self.finish_send(Outcome::Cancelled);
-            return self.abort(Code::DeadlinePassed);
+            return self.abort(Cause::Deadline, Code::DeadlinePassed);
         }
         loop {
             match &mut self.phase {
                 Phase::Ended => return Poll::Ready(None),
-                Phase::Resuming(resuming) => {
+                Phase::Resuming(resuming, _) => {
                     let (job, result) = ready!(resuming.as_mut().poll(cx));
                     self.job = Some(*job);
                     match result {
-                        Err(refusal) => return self.abort(refusal.code),
+                        Err(refusal) => return self.abort(Cause::NoPlace, refusal.code),
                         Ok((plan, reply)) => {
                             self.last_event_at = Instant::now();
                             self.target_events = 0;
+                            self.target = plan.target.clone();
                             self.plan = Some(plan);
                             let body = reply.response.into_body();
                             self.phase = Phase::streaming(body, reply.connection, &reply.info);
@@ -369,7 +388,7 @@
                     let Poll::Ready(polled) = Pin::new(&mut upstream.body).poll_frame(cx) else {
                         let faulty_target = ready!(self.poll_stall(cx));
                         if let Err(code) = self.try_resume(Some(faulty_target)) {
-                            return self.abort(code);
+                            return self.abort(Cause::Silence, code);
                         }
                         continue;
                     };
@@ -402,7 +421,7 @@
                         None => return self.finish(),
                     };
                     if failed && let Err(code) = self.try_resume(None) {
-                        return self.abort(code);
+                        return self.abort(Cause::Connection, code);
                     }
                 }
             }
@@ -415,8 +434,13 @@
         if self.plan.is_some() {
             self.finish_send(Outcome::Cancelled);
         }
-        if let Some(job) = &self.job {
-            log::info!(request:% = job.request.id; "caller disconnected from its stream");
+        let interrupted = match (&self.job, &self.phase) {
+            (Some(job), _) => Some((&job.state, &job.request)),
+            (None, Phase::Resuming(_, interrupted)) => Some((&interrupted.0, &interrupted.1)),
+            (None, Phase::Streaming(_) | Phase::Ended) => None,
+        };
+        if let Some((state, request)) = interrupted {
+            cut_record(state, request, &self.cut(Cause::Caller));
         }
     }
 }
