Tests of sound targets that fall silent, which fail as yet

Entries give up a send whose target is silent: after 0.6 s where another send is allowed, before there is a place for it, and after 1.6 s where none is. The tests silence the first target of a path, its reports included, for 1.0 and 1.9 s, in a stream and before the answer, where no other target has the layers, refuses or is dead; beside configurations, a reload and a stop; and they hold dead targets to what they are now.

--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Cuts an entry off from a target, or ends the cut with `None`.
+    pub(crate) fn cut_target(&self, entry: usize, target: &Target, cut: Option<Cut>) {
+        target.cut(self.entries[entry].source, cut);
+    }
+
     /// The address of the first entry.
     pub(crate) fn front(&self) -> SocketAddr {
         self.entries[0].callers
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -12,6 +12,7 @@
 #[path = "../support/port.rs"]
 mod port;
 mod restores;
+mod silence;
 #[path = "../support/site.rs"]
 mod site;
 mod streams;
