Release what a resumed send reserved when its caller leaves

Callers saw streams refused or cut for lack of memory at an instance whose targets had memory free. Cause: a stream that goes on elsewhere plans its send in a future of its own; if the caller left before the head came, the future was dropped with the plan in it, and what it had reserved (memory, the request in flight, the suspect that runs) stayed for good. Change: the guard that releases a first send, now in a module of its own, holds resumed sends as well.

--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -21,6 +21,7 @@
 pub mod request;
 pub mod response;
 pub mod run;
+pub mod send;
 pub mod stall;
 pub mod state;
 pub mod store;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -10,10 +10,11 @@
             response::{
                 CallerResponse, full_response, refusal_response, set_connection_close, turned_away,
             },
+            send::SendGuard,
             stall::with_stall_check,
             state::State,
             stream::{Events, Job},
-            waiting::{waiting_plan, waiting_refusal, waiting_wake},
+            waiting::{waiting_plan, waiting_refusal},
         },
         units::millis,
     },
@@ -218,41 +219,8 @@
     Stream(Box<Plan>, Box<TargetResponse>),
 }
 
-/// Releases the capacity reserved for a send when its future is dropped, as when the caller
-/// disconnects.
-struct SendGuard<'a> {
-    state: &'a State,
-    admitted: &'a mut Admission,
-    plan: Option<Plan>,
-}
-
-impl SendGuard<'_> {
-    fn finish_send(&mut self, outcome: Outcome) -> Decision {
-        let now = self.state.now();
-        match self.plan.take() {
-            Some(plan) => {
-                let mut router = self.state.router();
-                let decision = router.finish_send(self.admitted, &plan, outcome, now);
-                drop(router);
-                waiting_wake(self.state, &self.admitted.service);
-                decision
-            }
-            None => Decision::End(Code::Internal),
-        }
-    }
-}
-
-impl Drop for SendGuard<'_> {
-    fn drop(&mut self) {
-        if let Some(plan) = &self.plan {
-            cut_whole(self.state, self.admitted, plan, Cause::Caller);
-            self.finish_send(Outcome::Cancelled);
-        }
-    }
-}
-
 /// Records the end of a request that was sent as planned and has no answer.
-fn cut_whole(state: &State, admitted: &Admission, plan: &Plan, cause: Cause) {
+pub fn cut_whole(state: &State, admitted: &Admission, plan: &Plan, cause: Cause) {
     let cut = Cut {
         cause,
         target: Some(plan.target.clone()),
@@ -281,11 +249,7 @@
         let now = state.now();
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
-        let mut guard = SendGuard {
-            state,
-            plan: Some(plan.clone()),
-            admitted,
-        };
+        let mut guard = SendGuard::new(state, admitted, plan.clone(), true);
         let send = send_once(state, guard.admitted, &plan, template);
         let send = with_stall_check(state, guard.admitted, &plan, send);
         let result = timeout(time_left, send).await;
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -7,6 +7,7 @@
             exchange::{SendError, TargetResponse, Template, send_request},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
+            send::SendGuard,
             stall::{
                 STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check,
             },
@@ -308,17 +309,20 @@
         let now = job.state.now();
         let time_left = job.request.time_left(now);
         log_plan(&job.state, &job.request, &plan);
+        let mut guard = SendGuard::new(&state, &mut job.request, plan.clone(), false);
         let send = send_request(
-            &job.state,
-            &job.request,
+            &state,
+            guard.admitted,
             &plan,
             &job.template,
             last_event_id.as_deref(),
         );
-        let send = with_stall_check(&job.state, &job.request, &plan, send);
+        let send = with_stall_check(&state, guard.admitted, &plan, send);
         let result = timeout(time_left, send).await;
         let error: SendError = match result {
             Ok(Ok(reply)) if reply.response.status().is_success() => {
+                guard.plan = None;
+                drop(guard);
                 job.request.progress = Progress::Begun(job.state.now());
                 return (job, Ok((plan, reply)));
             }
@@ -328,13 +332,8 @@
             Ok(Err(error)) => error,
             Err(_) => (Failure::Broken, None),
         };
-        let now = job.state.now();
-        let outcome = Outcome::Failed(error.0, error.1);
-        let decision = job
-            .state
-            .router()
-            .finish_send(&mut job.request, &plan, outcome, now);
-        waiting_wake(&job.state, &job.request.service);
+        let decision = guard.finish_send(Outcome::Failed(error.0, error.1));
+        drop(guard);
         job.state.wake_prober();
         job.state
             .metrics()
