Give up a silent send only for an answer from elsewhere

Cause: a target that did not answer the question for its stalled streams, or named a hop, counted as failed. Where another send was allowed, the send was given up at once, before anything knew of a place elsewhere; where none was, 1.25 s after the question. Change: silence ends no send. Where the request may go elsewhere, the relay (replacement.rs) plans a place beside the send: what the silent send reserved counts as free for it, the budget is charged with the place in hand, permits are taken as for any send. The entry (elsewhere.rs) sends there, and the first to answer stays: a whole event from the silent target cancels the send elsewhere, a successful head from there ends the silent one. A refusal or failure elsewhere costs a send; one that was cancelled counts as a run, as it may have run. If the silent connection fails, the send elsewhere goes on in its place. Events of two runs are joined only at the switch, with the id of the last whole event. Targets are suspected, and so probed, when they were before: at once, or after 1.6 s under requests that can't go elsewhere; from then on no report is asked for these, so the questions are no more than before. Why it works: nothing is given up without something better in hand, so a wrong suspicion costs one send beside, and a right one as much time as before: the question, the plan and the send follow each other as they did.

--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod cut;
 pub mod demand;
+pub mod elsewhere;
 pub mod exchange;
 pub mod feed;
 pub mod follow;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -6,12 +6,11 @@
         front::{
             cut::{Cause, Cut, cut_record},
             demand,
-            exchange::{SendError, TargetResponse, Template, send_request},
+            exchange::{TargetResponse, Template},
             response::{
                 CallerResponse, full_response, refusal_response, set_connection_close, turned_away,
             },
-            send::SendGuard,
-            stall::with_stall_check,
+            send::{Reply, SendGuard, send_finish, send_start},
             state::State,
             stream::{Events, Job},
             waiting::{waiting_plan, waiting_refusal},
@@ -33,7 +32,7 @@
     camphorweir_wire::{code::Code, detour::LEAVING_TARGET_HEADER, outcome::Refusal},
     http_body_util::{BodyExt, Either, LengthLimitError, Limited},
     hyper::{Request, Response, body::Incoming},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -106,13 +105,13 @@
     let identity = [workspace, parts.method.as_str(), &head.host, &path];
     admitted.fingerprint = fingerprint(&identity, &body);
     state.router().mark_returning(&mut admitted, arrived);
-    let template = Template {
+    let template = Arc::new(Template {
         path,
         headers: head_forward_headers(&parts),
         authorization: head_authorization(&parts),
         method: parts.method,
         body,
-    };
+    });
     let is_from_peer = admitted.is_from_peer;
     let mut response = match forward(&state, &mut admitted, &template).await {
         Ok(Forwarded::Whole(response)) => {
@@ -235,7 +234,7 @@
 async fn forward(
     state: &State,
     admitted: &mut Admission,
-    template: &Template,
+    template: &Arc<Template>,
 ) -> Result<Forwarded, Refusal> {
     let mut last: Option<Plan> = None;
     loop {
@@ -245,14 +244,14 @@
                 cut_whole(state, admitted, last, Cause::NoPlace);
             }
         })?;
-        last = Some(plan.clone());
         let now = state.now();
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
         let mut guard = SendGuard::new(state, admitted, plan.clone(), true);
-        let send = send_once(state, guard.admitted, &plan, template);
-        let send = with_stall_check(state, guard.admitted, &plan, send);
-        let result = timeout(time_left, send).await;
+        let sending = send_start(state, guard.admitted, &plan, template, None);
+        let sending = send_finish(&mut guard, sending, template, None);
+        let result = timeout(time_left, sending).await;
+        let plan = guard.plan.clone().unwrap_or(plan);
         let failure = match result {
             Ok(Ok(Reply::Whole(response))) => {
                 let is_success = !response.status().is_server_error();
@@ -300,7 +299,7 @@
             "send failed"
         );
         match (decision, response) {
-            (Decision::Again, _) => {}
+            (Decision::Again, _) => last = Some(plan),
             (Decision::End(_), Some(response)) => return Ok(Forwarded::Whole(response)),
             (Decision::End(code), None) => {
                 let cause = match (failure, faulty_target) {
@@ -326,45 +325,3 @@
         Failure::Broken => "broken",
     }
 }
-
-enum Reply {
-    Whole(Response<Bytes>),
-    Stream(Box<TargetResponse>),
-}
-
-/// Sends once; returns after the whole response, or after the head of a stream.
-async fn send_once(
-    state: &State,
-    admitted: &Admission,
-    plan: &Plan,
-    template: &Template,
-) -> Result<Reply, SendError> {
-    let reply = send_request(state, admitted, plan, template, None).await?;
-    let is_stream = matches!(admitted.route.kind, Kind::Stream { .. });
-    if is_stream && reply.response.status().is_success() {
-        return Ok(Reply::Stream(Box::new(reply)));
-    }
-    let (mut parts, body) = reply.response.into_parts();
-    let body = state.collector().collect(body, &reply.connection).await;
-    let body = body.map_err(|error| {
-        log::warn!(
-            request:% = admitted.id,
-            target_name:% = plan.target,
-            reason:% = error;
-            "no whole response from the target"
-        );
-        (Failure::Broken, None)
-    })?;
-    let is_reusable = !reply.info.closes_connection && !plan.is_detour();
-    if is_reusable && admitted.route.kind != Kind::AtMostOnce {
-        let max_idle = plan.max_connections;
-        state.pool().put(
-            plan.address,
-            reply.connection,
-            reply.info.keep_alive_s,
-            max_idle,
-        );
-    }
-    parts.headers = response_forward_headers(parts.headers);
-    Ok(Reply::Whole(Response::from_parts(parts, body)))
-}
--- a/camphorweir-entry/src/front/send.rs
+++ b/camphorweir-entry/src/front/send.rs
@@ -1,14 +1,40 @@
-//! One send of a request, which releases its reservations however it ends.
+//! One send of a request with its reservations, and what takes its place while its target is silent.
 
 use {
-    crate::front::{cut::Cause, request::cut_whole, state::State, waiting::waiting_wake},
+    crate::front::{
+        cut::Cause,
+        elsewhere::{Elsewhere, Held, Won},
+        exchange::{SendError, TargetResponse, Template, send_request},
+        request::cut_whole,
+        stall::STALL_CHECK_DELAY,
+        state::State,
+        waiting::waiting_wake,
+    },
+    bytes::Bytes,
+    camphorweir_platform::response::response_forward_headers,
     camphorweir_relay::{
-        retry::Decision,
+        configuration::Kind,
+        retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
     },
     camphorweir_wire::code::Code,
+    futures::future::BoxFuture,
+    hyper::Response,
+    std::sync::Arc,
 };
 
+/// The answer to a send.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole response.
+    Whole(Response<Bytes>),
+    /// The head of a successful stream.
+    Stream(Box<TargetResponse>),
+}
+
+/// A send that is under way.
+pub type Sending = BoxFuture<'static, Result<Reply, SendError>>;
+
 /// Releases the capacity reserved for a send when its future is dropped, as when the caller
 /// disconnects.
 #[derive(Debug)]
@@ -33,6 +59,13 @@
         }
     }
 
+    /// Puts a send elsewhere in the place of this one, which ends with `failure`.
+    fn take_over(&mut self, held: Held, failure: SendError) {
+        if let Some(plan) = self.plan.take() {
+            self.plan = Some(held.take_over(self.admitted, plan, failure));
+        }
+    }
+
     /// Ends the send; returns what to do after a failed one.
     pub fn finish_send(&mut self, outcome: Outcome) -> Decision {
         let now = self.state.now();
@@ -60,3 +93,118 @@
         self.finish_send(Outcome::Cancelled);
     }
 }
+
+/// Begins a send as planned.
+pub fn send_start(
+    state: &State,
+    admitted: &Admission,
+    plan: &Plan,
+    template: &Arc<Template>,
+    last_event_id: Option<&str>,
+) -> Sending {
+    let (state, admitted, plan) = (state.clone(), admitted.clone(), plan.clone());
+    let (template, last_event_id) = (template.clone(), last_event_id.map(str::to_owned));
+    let send = async move {
+        send_once(
+            &state,
+            &admitted,
+            &plan,
+            &template,
+            last_event_id.as_deref(),
+        )
+        .await
+    };
+    Box::pin(send)
+}
+
+/// Waits for the answer to the send under a guard. While its target is silent, sends elsewhere beside it;
+/// the guard then holds the plan of the send that was answered first.
+///
+/// # Errors
+///
+/// [`SendError`] of the send under the guard.
+pub async fn send_finish(
+    guard: &mut SendGuard<'_>,
+    mut sending: Sending,
+    template: &Arc<Template>,
+    last_event_id: Option<&str>,
+) -> Result<Reply, SendError> {
+    loop {
+        let Some(plan) = guard.plan.clone() else {
+            return sending.await;
+        };
+        let mut elsewhere = Elsewhere::new(
+            guard.state,
+            guard.admitted,
+            &plan,
+            template,
+            last_event_id,
+            STALL_CHECK_DELAY,
+        );
+        let result = tokio::select! {
+            biased;
+            result = &mut sending => result,
+            Won { silent, held, reply } = elsewhere.won() => {
+                guard.take_over(held, (Failure::Broken, Some(silent)));
+                return Ok(reply);
+            }
+        };
+        let is_idempotent = guard.admitted.route.kind == Kind::Idempotent;
+        let failure = match &result {
+            Ok(Reply::Whole(response)) if is_idempotent && response.status().is_server_error() => {
+                Some((Failure::Broken, None))
+            }
+            Ok(_) => None,
+            Err(failure) => Some(*failure),
+        };
+        let Some(failure) = failure else {
+            guard.admitted.take_tried(elsewhere.cancel());
+            return result;
+        };
+        let (tried, attempt) = elsewhere.stop();
+        let Some(attempt) = attempt else {
+            guard.admitted.take_tried(tried);
+            return result;
+        };
+        guard.take_over(attempt.held, failure);
+        sending = attempt.sending;
+    }
+}
+
+/// Sends once; returns after the whole response, or after the head of a stream.
+async fn send_once(
+    state: &State,
+    admitted: &Admission,
+    plan: &Plan,
+    template: &Template,
+    last_event_id: Option<&str>,
+) -> Result<Reply, SendError> {
+    let reply = send_request(state, admitted, plan, template, last_event_id).await?;
+    let is_stream = matches!(admitted.route.kind, Kind::Stream { .. });
+    if is_stream && reply.response.status().is_success() {
+        return Ok(Reply::Stream(Box::new(reply)));
+    }
+    let (mut parts, body) = reply.response.into_parts();
+    let body = state.collector().collect(body, &reply.connection).await;
+    let body = body.map_err(|error| {
+        log::warn!(
+            request:% = admitted.id,
+            target_name:% = plan.target,
+            reason:% = error;
+            "no whole response from the target"
+        );
+        (Failure::Broken, None)
+    })?;
+    let is_reusable = !reply.info.closes_connection && !plan.is_detour();
+    if is_reusable && admitted.route.kind != Kind::AtMostOnce {
+        let max_idle = plan.max_connections;
+        state.pool().put(
+            plan.address,
+            reply.connection,
+            reply.info.keep_alive_s,
+            max_idle,
+        );
+    }
+    parts.headers = response_forward_headers(parts.headers);
+    Ok(Reply::Whole(Response::from_parts(parts, body)))
+}
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -2,15 +2,14 @@
 //! without layers are asked for a sign of life.
 
 use {
-    crate::front::{exchange::SendError, state::State},
+    crate::front::state::State,
     camphorweir_platform::control::{control_decode_stalled, control_report_call},
     camphorweir_relay::{
-        retry::Failure,
+        replacement::Step,
         router::{Admission, Plan},
     },
     std::{
         collections::HashMap,
-        future::Future,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -28,10 +27,7 @@
 /// The same delay while a hop of the path is already suspected.
 pub const SUSPECT_STALL_CHECK_DELAY: Duration = Duration::from_millis(150);
 /// Pause before the next request to a target that reported no stall.
-const RECHECK_PAUSE: Duration = Duration::from_millis(250);
-/// How long a stream that can't go on elsewhere waits for a hop that seems stalled, after the first
-/// question; a sound target may be silent for a second, and callers leave after two.
-const SILENCE_PATIENCE: Duration = Duration::from_millis(1_250);
+pub const RECHECK_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between questions to a target without layers that is late.
 const SLOW_TARGET_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a report request; within the zone the response takes a few ms.
@@ -61,38 +57,12 @@
     }
 }
 
-/// Runs `send` until the response head arrives; fails when a hop of the path is found unresponsive.
-/// A late target without layers is only asked for a sign of life.
-///
-/// # Errors
-///
-/// The error of `send`, or [`Failure::Broken`] with the address of the unresponsive hop.
-pub async fn with_stall_check<T>(
-    state: &State,
-    request: &Admission,
-    plan: &Plan,
-    send: impl Future<Output = Result<T, SendError>>,
-) -> Result<T, SendError> {
-    if plan.is_detour() {
-        return send.await;
-    }
-    let stall = async {
-        sleep(STALL_CHECK_DELAY).await;
-        match plan.path() {
-            Some(_) => wait_for_stall(state, request, plan).await,
-            None => watch_slow_target(state, plan).await,
-        }
-    };
-    tokio::select! {
-        biased;
-        result = send => result,
-        faulty_target = stall => Err((Failure::Broken, Some(faulty_target))),
-    }
-}
-
 /// Asks a target without layers, which is late, whether it is there at all; never returns, as a
 /// request that it may be running is not given up.
-async fn watch_slow_target(state: &State, plan: &Plan) -> SocketAddr {
+pub async fn watch_slow_target<T>(state: &State, plan: &Plan) -> T {
+    if plan.is_detour() {
+        return std::future::pending().await;
+    }
     loop {
         if fetch_stalled(state, plan).await.is_none() {
             state.wake_prober();
@@ -101,36 +71,52 @@
     }
 }
 
-/// Waits until a stream is found to be stalled; returns the address of the faulty hop. A stream that
-/// can't go on elsewhere is left [`SILENCE_PATIENCE`] in addition, as the hop may be silent for a
-/// moment only.
-pub async fn wait_for_stall(state: &State, request: &Admission, plan: &Plan) -> SocketAddr {
+/// Waits until a target of a plan is silent, or reported as stalled, and the request may be sent
+/// elsewhere; returns its address. While it may not, the send goes on, and the target is asked no more
+/// once it is suspected and so probed.
+pub async fn stall_wait(state: &State, request: &Admission, plan: &Plan) -> SocketAddr {
     let asked_at = Instant::now();
     loop {
-        let faulty_target = match fetch_stalled(state, plan).await {
-            None => Some(plan.address),
-            Some(stalled) => {
-                let mut stalled = stalled.into_iter();
-                let own = stalled.find(|(stream, _)| **stream == *request.id);
-                own.map(|(_, faulty_target)| faulty_target)
+        let faulty = find_stalled(state, request, plan).await;
+        while let Some(faulty) = faulty {
+            let now = state.now();
+            let step = {
+                let mut router = state.router();
+                let step = router.replacement_step(request, asked_at.elapsed(), now);
+                if step != Step::Wait {
+                    router.record_silent(plan, faulty, now);
+                }
+                step
+            };
+            match step {
+                Step::Wait => break,
+                Step::Suspect => state.wake_prober(),
+                Step::Seek => {
+                    state.wake_prober();
+                    return faulty;
+                }
             }
-        };
-        if let Some(faulty_target) = faulty_target {
+            sleep(RECHECK_PAUSE).await;
             let now = state.now();
-            let may_give_up = state.router().may_give_up(request, now);
-            if may_give_up || asked_at.elapsed() >= SILENCE_PATIENCE {
-                return faulty_target;
+            if !state.router().is_silent(plan, faulty, now) {
+                break;
             }
-            log::debug!(
-                request:% = request.id,
-                at:% = faulty_target;
-                "stalled stream waits, as it can't go on elsewhere"
-            );
         }
         sleep(RECHECK_PAUSE).await;
     }
 }
 
+/// Asks the first target of a plan; returns its address if it is silent, or that of the hop at which it
+/// reports the request as stalled.
+async fn find_stalled(state: &State, request: &Admission, plan: &Plan) -> Option<SocketAddr> {
+    let Some(stalled) = fetch_stalled(state, plan).await else {
+        return Some(plan.address);
+    };
+    let mut stalled = stalled.into_iter();
+    let own = stalled.find(|(stream, _)| **stream == *request.id);
+    own.map(|(_, faulty)| faulty)
+}
+
 /// The streams that the first target of a plan reports as stalled; `None` when there is no response.
 async fn fetch_stalled(state: &State, plan: &Plan) -> Option<StalledStreams> {
     let address = plan.address;
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -4,13 +4,12 @@
     crate::{
         front::{
             cut::{Cause, Cut, cut_record},
-            exchange::{SendError, TargetResponse, Template, send_request},
+            elsewhere::{Elsewhere, Won},
+            exchange::{SendError, TargetResponse, Template},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
-            send::SendGuard,
-            stall::{
-                STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check,
-            },
+            send::{Reply, SendGuard, Sending, send_finish, send_start},
+            stall::{STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY},
             state::{InFlightGuard, State},
             waiting::{waiting_plan_resumed, waiting_wake},
         },
@@ -32,6 +31,7 @@
         io,
         net::SocketAddr,
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll, ready},
         time::Duration,
     },
@@ -49,7 +49,7 @@
     /// The admitted request.
     pub request: Admission,
     /// The parts of the request that are sent again when another target resumes the stream.
-    pub template: Template,
+    pub template: Arc<Template>,
     /// Counts the request as in flight until the stream ends.
     pub in_flight: InFlightGuard,
 }
@@ -75,8 +75,8 @@
     last_event_at: Instant,
     /// Wakes the task to check whether the stream is stalled.
     stall_timer: Pin<Box<Sleep>>,
-    /// The running stall check, if any; completes with the address of the faulty hop.
-    stall_check: Option<BoxFuture<'static, SocketAddr>>,
+    /// What is done elsewhere while the target is silent.
+    elsewhere: Option<Elsewhere>,
 }
 
 /// A resumed request, with the plan and response head of the new target, or a refusal.
@@ -132,7 +132,7 @@
             target_events: 0,
             last_event_at: Instant::now(),
             stall_timer: Box::pin(sleep(STALL_CHECK_DELAY)),
-            stall_check: None,
+            elsewhere: None,
         }
     }
 
@@ -180,9 +180,9 @@
         }
     }
 
-    /// Checks whether the stream is stalled; ready with the address of the faulty hop.
-    fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<SocketAddr> {
-        while self.stall_check.is_none() {
+    /// Looks elsewhere while the target is silent; ready with a send there that was answered.
+    fn poll_elsewhere(&mut self, cx: &mut Context<'_>) -> Poll<Won> {
+        while self.elsewhere.is_none() {
             ready!(self.stall_timer.as_mut().poll(cx));
             let (Some(job), Some(plan)) = (&self.job, &self.plan) else {
                 return Poll::Pending;
@@ -203,17 +203,86 @@
                 self.stall_timer.as_mut().reset(next);
                 continue;
             }
-            let (state, request, plan) = (job.state.clone(), job.request.clone(), plan.clone());
-            self.stall_check = Some(Box::pin(async move {
-                wait_for_stall(&state, &request, &plan).await
-            }));
+            self.elsewhere = Some(Elsewhere::new(
+                &job.state,
+                &job.request,
+                plan,
+                &job.template,
+                self.last_event_id.as_deref(),
+                Duration::ZERO,
+            ));
         }
-        match &mut self.stall_check {
-            Some(stall_check) => stall_check.as_mut().poll(cx),
+        match &mut self.elsewhere {
+            Some(elsewhere) => elsewhere.poll(cx),
             None => Poll::Pending,
         }
     }
 
+    /// Ends what is done elsewhere, as the target goes on.
+    fn cancel_elsewhere(&mut self) {
+        if let (Some(elsewhere), Some(job)) = (self.elsewhere.take(), &mut self.job) {
+            job.request.take_tried(elsewhere.cancel());
+        }
+    }
+
+    /// Goes on at a target that was sent the request beside the silent one.
+    fn switch(&mut self, won: Won) -> Result<(), Code> {
+        let Won {
+            silent,
+            held,
+            reply,
+        } = won;
+        self.log_failed(Some(silent), Decision::Again);
+        self.elsewhere = None;
+        let (Some(job), Some(plan)) = (&mut self.job, self.plan.take()) else {
+            return Err(Code::Internal);
+        };
+        let failure = (Failure::Broken, Some(silent));
+        let plan = held.take_over(&mut job.request, plan, failure);
+        job.request.progress = Progress::Begun(job.state.now());
+        match reply {
+            Reply::Stream(reply) => {
+                self.go_on(plan, *reply);
+                Ok(())
+            }
+            // A stream is replaced by streams only.
+            Reply::Whole(_) => {
+                self.plan = Some(plan);
+                self.finish_send(Outcome::Cancelled);
+                Err(Code::Internal)
+            }
+        }
+    }
+
+    /// Takes the stream from a target whose response head has arrived.
+    fn go_on(&mut self, plan: Plan, reply: TargetResponse) {
+        self.last_event_at = Instant::now();
+        self.target_events = 0;
+        self.splitter = Splitter::default();
+        self.target = plan.target.clone();
+        self.plan = Some(plan);
+        let body = reply.response.into_body();
+        self.phase = Phase::streaming(body, reply.connection, &reply.info);
+    }
+
+    fn log_failed(&self, faulty_target: Option<SocketAddr>, next: Decision) {
+        let Some(job) = &self.job else {
+            return;
+        };
+        let now = job.state.now();
+        let begun_at = job.request.progress.begun_at();
+        log::info!(
+            request:% = job.request.id,
+            target_name:% = self.target,
+            at:? = faulty_target,
+            answered_ms = begun_at.map_or(-1, |at| millis(now.saturating_sub(at)) as i64),
+            events = self.target_events,
+            after = self.last_event_id.as_deref().unwrap_or_default(),
+            next:? = next;
+            "stream from target failed"
+        );
+    }
+
     fn cut(&self, cause: Cause) -> Cut {
         Cut {
             cause,
@@ -226,6 +295,7 @@
     /// Aborts the stream so that the caller sees it as truncated.
     fn abort(&mut self, cause: Cause, code: Code) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         self.phase = Phase::Ended;
+        self.elsewhere = None;
         if let Some(job) = self.job.take() {
             cut_record(&job.state, &job.request, &self.cut(cause));
             record_end(&job.state, &job.request, code.status(), Some(code));
@@ -234,6 +304,7 @@
     }
 
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.cancel_elsewhere();
         let plan = self.plan.clone();
         self.finish_send(Outcome::Answered { is_success: true });
         let phase = std::mem::replace(&mut self.phase, Phase::Ended);
@@ -255,80 +326,86 @@
         Poll::Ready(None)
     }
 
-    /// Resumes the stream at another target after a failure, if its route allows that.
-    fn try_resume(&mut self, faulty_target: Option<SocketAddr>) -> Result<(), Code> {
-        let target = self.plan.as_ref().map(|plan| plan.target.clone());
-        let begun_at = self
-            .job
-            .as_ref()
-            .and_then(|job| job.request.progress.begun_at());
-        let decision = self.finish_send(Outcome::Failed(Failure::Broken, faulty_target));
-        if let Some(job) = &self.job {
-            let now = job.state.now();
-            job.state
-                .metrics()
-                .record_send_failure(failure_label(Failure::Broken));
-            job.state.wake_prober();
-            log::info!(
-                request:% = job.request.id,
-                target_name = target.as_deref().unwrap_or_default(),
-                at:? = faulty_target,
-                answered_ms = begun_at.map_or(-1, |at| millis(now.saturating_sub(at)) as i64),
-                events = self.target_events,
-                after = self.last_event_id.as_deref().unwrap_or_default(),
-                next:? = decision;
-                "stream from target failed"
-            );
-        }
-        match decision {
-            Decision::End(code) => Err(code),
-            Decision::Again => {
-                self.splitter = Splitter::default();
-                self.stall_check = None;
-                let job = self.job.take().ok_or(Code::Internal)?;
-                let last_event_id = self.last_event_id.clone();
-                let interrupted = Box::new((job.state.clone(), job.request.clone()));
-                let resumed = Box::pin(resume(Box::new(job), last_event_id));
-                self.phase = Phase::Resuming(resumed, interrupted);
-                Ok(())
+    /// Resumes the stream at another target after its connection failed, if its route allows that.
+    fn try_resume(&mut self) -> Result<(), Code> {
+        let failure = (Failure::Broken, None);
+        let (tried, attempt) = match self.elsewhere.take().map(Elsewhere::stop) {
+            Some((tried, attempt)) => (Some(tried), attempt),
+            None => (None, None),
+        };
+        let under_way = match (attempt, &mut self.job, self.plan.take()) {
+            (Some(attempt), Some(job), Some(plan)) => {
+                let plan = attempt.held.take_over(&mut job.request, plan, failure);
+                self.log_failed(None, Decision::Again);
+                Some((plan, attempt.sending))
             }
-        }
+            (_, job, plan) => {
+                if let (Some(job), Some(tried)) = (job, tried) {
+                    job.request.take_tried(tried);
+                }
+                self.plan = plan;
+                let decision = self.finish_send(Outcome::Failed(failure.0, failure.1));
+                if let Some(job) = &self.job {
+                    let metrics = job.state.metrics();
+                    metrics.record_send_failure(failure_label(failure.0));
+                    job.state.wake_prober();
+                }
+                self.log_failed(None, decision);
+                if let Decision::End(code) = decision {
+                    return Err(code);
+                }
+                None
+            }
+        };
+        let job = self.job.take().ok_or(Code::Internal)?;
+        let last_event_id = self.last_event_id.clone();
+        let interrupted = Box::new((job.state.clone(), job.request.clone()));
+        let resumed = Box::pin(resume(Box::new(job), last_event_id, under_way));
+        self.phase = Phase::Resuming(resumed, interrupted);
+        Ok(())
     }
 }
 
 /// Sends the request to other targets until one returns a successful response head or no further
-/// send is allowed.
-async fn resume(mut job: Box<Job>, last_event_id: Option<String>) -> ResumeResult {
+/// send is allowed. The first may be under way.
+async fn resume(
+    mut job: Box<Job>,
+    last_event_id: Option<String>,
+    mut under_way: Option<(Plan, Sending)>,
+) -> ResumeResult {
     let interrupted_at = job.state.now();
     loop {
         let state = job.state.clone();
-        let plan = match waiting_plan_resumed(&state, &mut job.request, interrupted_at).await {
-            Ok(plan) => plan,
-            Err(refusal) => return (job, Err(refusal)),
+        let last_event_id = last_event_id.as_deref();
+        let (plan, sending) = match under_way.take() {
+            Some(under_way) => under_way,
+            None => {
+                let plan = waiting_plan_resumed(&state, &mut job.request, interrupted_at).await;
+                let plan = match plan {
+                    Ok(plan) => plan,
+                    Err(refusal) => return (job, Err(refusal)),
+                };
+                log_plan(&state, &job.request, &plan);
+                let (request, template) = (&job.request, &job.template);
+                let sending = send_start(&state, request, &plan, template, last_event_id);
+                (plan, sending)
+            }
         };
-        let now = job.state.now();
-        let time_left = job.request.time_left(now);
-        log_plan(&job.state, &job.request, &plan);
+        let time_left = job.request.time_left(state.now());
         let mut guard = SendGuard::new(&state, &mut job.request, plan.clone(), false);
-        let send = send_request(
-            &state,
-            guard.admitted,
-            &plan,
-            &job.template,
-            last_event_id.as_deref(),
-        );
-        let send = with_stall_check(&state, guard.admitted, &plan, send);
-        let result = timeout(time_left, send).await;
+        let sending = send_finish(&mut guard, sending, &job.template, last_event_id);
+        let result = timeout(time_left, sending).await;
+        let plan = guard.plan.clone().unwrap_or(plan);
         let error: SendError = match result {
-            Ok(Ok(reply)) if reply.response.status().is_success() => {
+            Ok(Ok(Reply::Stream(reply))) => {
                 guard.plan = None;
                 drop(guard);
-                job.request.progress = Progress::Begun(job.state.now());
-                return (job, Ok((plan, reply)));
+                job.request.progress = Progress::Begun(state.now());
+                return (job, Ok((plan, *reply)));
             }
             // A peer that serves for this instance refuses what it can't place either.
-            Ok(Ok(_)) if plan.is_detour() => (Failure::Refused, None),
-            Ok(Ok(_)) => (Failure::Broken, None),
+            Ok(Ok(Reply::Whole(_))) if plan.is_detour() => (Failure::Refused, None),
+            Ok(Ok(Reply::Whole(_))) => (Failure::Broken, None),
             Ok(Err(error)) => error,
             Err(_) => (Failure::Broken, None),
         };
@@ -373,20 +450,13 @@
                     self.job = Some(*job);
                     match result {
                         Err(refusal) => return self.abort(Cause::NoPlace, refusal.code),
-                        Ok((plan, reply)) => {
-                            self.last_event_at = Instant::now();
-                            self.target_events = 0;
-                            self.target = plan.target.clone();
-                            self.plan = Some(plan);
-                            let body = reply.response.into_body();
-                            self.phase = Phase::streaming(body, reply.connection, &reply.info);
-                        }
+                        Ok((plan, reply)) => self.go_on(plan, reply),
                     }
                 }
                 Phase::Streaming(upstream) => {
                     let Poll::Ready(polled) = Pin::new(&mut upstream.body).poll_frame(cx) else {
-                        let faulty_target = ready!(self.poll_stall(cx));
-                        if let Err(code) = self.try_resume(Some(faulty_target)) {
+                        let won = ready!(self.poll_elsewhere(cx));
+                        if let Err(code) = self.switch(won) {
                             return self.abort(Cause::Silence, code);
                         }
                         continue;
@@ -402,7 +472,7 @@
                             // Bytes that complete no event are no progress.
                             if events.count > 0 {
                                 self.last_event_at = Instant::now();
-                                self.stall_check = None;
+                                self.cancel_elsewhere();
                                 self.record_progress();
                             }
                             if events.last_id.is_some() {
@@ -419,7 +489,7 @@
                         None if self.splitter.buffered_bytes() > 0 => true,
                         None => return self.finish(),
                     };
-                    if failed && let Err(code) = self.try_resume(None) {
+                    if failed && let Err(code) = self.try_resume() {
                         return self.abort(Cause::Connection, code);
                     }
                 }
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -185,6 +185,22 @@
     plan_or_wait(state, request, described).await
 }
 
+/// Chooses where a request could go on whose target is silent; it waits for capacity like any other of
+/// its standing, for no longer than an interrupted stream.
+///
+/// # Errors
+///
+/// The refusal when no target can take it in time.
+pub async fn waiting_plan_beside(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
+    let now = state.now();
+    let until = (now + RESUMED_WAIT).min(request.deadline);
+    let described = state.router().waiting_request(request, until);
+    match described {
+        Some(described) => plan_or_wait(state, request, described).await,
+        None => state.router().plan(request, now),
+    }
+}
+
 /// Plans without ranks: again after pauses, for as long as memory may become free.
 async fn poll_plan(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
     loop {
@@ -213,7 +229,7 @@
 
 /// Says in a refusal for lack of capacity when to return, unless the request may have run.
 fn with_return(state: &State, request: &Admission, rank: usize, mut refusal: Refusal) -> Refusal {
-    if refusal.ran != Ran::No {
+    if refusal.ran != Ran::No || request.is_beside() {
         return refusal;
     }
     let now = state.now();
@@ -439,12 +455,16 @@
         {
             let waited = now.saturating_sub(self.began);
             let metrics = self.state.metrics();
-            metrics.record_wait(&request, self.rank, "left", waited);
-            log::info!(
-                request:% = request.id,
-                waited_ms = millis(waited);
-                "caller left while its request waited for capacity"
-            );
+            if request.is_beside() {
+                metrics.record_wait(&request, self.rank, "went_on", waited);
+            } else {
+                metrics.record_wait(&request, self.rank, "left", waited);
+                log::info!(
+                    request:% = request.id,
+                    waited_ms = millis(waited);
+                    "caller left while its request waited for capacity"
+                );
+            }
         }
         // What was reserved for a caller that left goes to the next.
         if is_cancelled {
--- a/camphorweir-relay/src/budget.rs
+++ b/camphorweir-relay/src/budget.rs
@@ -1,13 +1,20 @@
 //! Retry budget of each service: a share of its requests, and an allowance for times of low load.
 
 use {
-    crate::ids::{ServiceName, Time},
+    crate::{
+        ids::{ServiceName, Time},
+        router::Router,
+    },
     std::{
         collections::{HashMap, VecDeque},
         time::Duration,
     },
 };
 
+/// Number of instances that may run before the store lists them or they send a digest: one spare in
+/// each zone.
+const MAX_UNKNOWN_INSTANCES: usize = 3;
+
 /// Part of the policy's retries that is used. The rest makes up for requests that count here and not
 /// for the users, such as their checks of which configuration is in force, and for retries that
 /// reach their targets in another window than they were allowed in.
@@ -81,6 +88,26 @@
     }
 }
 
+impl Router {
+    /// This instance's share of the retry budget; [`MAX_UNKNOWN_INSTANCES`] shares are left to
+    /// instances that may have been added and are not counted yet.
+    fn retry_share(&self) -> f64 {
+        1.0 / (self.instance_count() + MAX_UNKNOWN_INSTANCES) as f64
+    }
+
+    /// Takes a retry of a service from the budget; `false` when none is left.
+    pub(crate) fn try_retry(&mut self, service: &ServiceName, now: Time) -> bool {
+        let share = self.retry_share();
+        self.budget.try_retry(service, now, share)
+    }
+
+    /// Whether the budget has a retry of a service left.
+    pub(crate) fn has_retry(&mut self, service: &ServiceName, now: Time) -> bool {
+        let share = self.retry_share();
+        self.budget.has_retry(service, now, share)
+    }
+}
+
 /// Drops times before `since`. Each time is added and dropped once, so the total work is linear.
 fn drop_before(times: &mut VecDeque<Time>, since: Time) {
     while times.front().is_some_and(|time| *time < since) {
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod progress;
 pub mod projection;
+pub mod replacement;
 mod reports;
 pub mod retry;
 pub mod roles;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -48,10 +48,6 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Least time left with which a request is sent; no target could respond in less.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
-/// Number of instances that may run before the store lists them or they send a digest: one spare in
-/// each zone.
-const MAX_UNKNOWN_INSTANCES: usize = 3;
-
 /// What no zone has for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Lack {
@@ -102,6 +98,8 @@
     pub(crate) is_offered: bool,
     /// Whether a peer sent it, which reaches no target itself.
     pub is_from_peer: bool,
+    /// Plan of the send that this one may replace; what it reserves counts as free.
+    pub(crate) replaces: Option<Arc<Plan>>,
     /// Targets that failed or refused this request, and are not tried again.
     pub(crate) excluded: Vec<TargetId>,
 }
@@ -202,7 +200,7 @@
     pub suspects: Suspects,
     /// Demand of workspaces, where ranks are ordered.
     pub fairness: Fairness,
-    budget: Budget,
+    pub(crate) budget: Budget,
     /// Load that peers report.
     pub peers: Peers,
     /// Number of instances that the store lists, this one included.
@@ -220,12 +218,6 @@
         self.listed_instances.max(self.peers.count() + 1)
     }
 
-    /// This instance's share of the retry budget; [`MAX_UNKNOWN_INSTANCES`] shares are left to
-    /// instances that may have been added and are not counted yet.
-    fn retry_share(&self) -> f64 {
-        1.0 / (self.instance_count() + MAX_UNKNOWN_INSTANCES) as f64
-    }
-
     /// A router without a configuration, targets or peers. At least `min_sharers` instances are
     /// assumed to use the same targets; `seed` starts the random numbers.
     pub fn new(zone: Zone, bounds: Bounds, min_sharers: f64, seed: u64) -> Self {
@@ -367,6 +359,7 @@
             admission_share: 1.0,
             is_offered: false,
             is_from_peer: false,
+            replaces: None,
             excluded: Vec::new(),
             route: permit.route,
         })
@@ -401,7 +394,15 @@
             (0, None) => Code::NoTarget,
             _ => Code::TargetRefused,
         };
-        let Some(plan) = self.plan_apart(request, engine.as_ref(), now) else {
+        let replaced = request.replaces.clone();
+        if let Some(replaced) = &replaced {
+            self.tracker.release_plan(replaced);
+        }
+        let plan = self.plan_apart(request, engine.as_ref(), now);
+        if let Some(replaced) = &replaced {
+            self.tracker.reserve_plan(replaced);
+        }
+        let Some(plan) = plan else {
             let mut refusal = self.refusal(request, no_plan_code);
             let (detail, any_full) = self.explain_no_plan(request, now);
             refusal.detail = detail;
@@ -417,10 +418,7 @@
             }
             return Err(refusal);
         };
-        self.tracker.start_request(&plan.target);
-        if let Some((path, _)) = plan.path() {
-            self.tracker.reserve(path, plan.reserved_tokens);
-        }
+        self.tracker.reserve_plan(&plan);
         if matches!(plan.destination, Destination::Target) {
             self.suspects.start(request.fingerprint, &plan.target);
         }
@@ -468,11 +466,7 @@
         if plan.is_detour() {
             return self.finish_detour(request, plan, outcome, now);
         }
-        self.tracker.end_request(&plan.target);
-        if let Some((path, _)) = plan.path() {
-            self.tracker.release(path, plan.reserved_tokens);
-        }
-        self.suspects.end(request.fingerprint, &plan.target);
+        self.release(request, plan);
         let latency = now.saturating_sub(plan.chosen_at);
         match outcome {
             Outcome::Cancelled => Decision::End(Code::CallerGone),
@@ -490,19 +484,27 @@
                 Decision::End(Code::TargetFailed)
             }
             Outcome::Failed(failure, address) => {
-                self.finish_failed_send(request, plan, failure, address, now)
+                self.record_failed_send(request, plan, failure, address, now);
+                self.decide_after_failure(request, failure, now)
             }
         }
     }
 
-    fn finish_failed_send(
+    /// Releases what a send has reserved.
+    pub(crate) fn release(&mut self, request: &Admission, plan: &Plan) {
+        self.tracker.release_plan(plan);
+        self.suspects.end(request.fingerprint, &plan.target);
+    }
+
+    /// Records what a failed send says of its targets.
+    pub(crate) fn record_failed_send(
         &mut self,
         request: &mut Admission,
         plan: &Plan,
         failure: Failure,
         address: Option<SocketAddr>,
         now: Time,
-    ) -> Decision {
+    ) {
         let reported = address
             .and_then(|address| self.fleet.by_address(address))
             .map(|target| target.id.clone());
@@ -530,7 +532,6 @@
         if failure != Failure::Limited {
             request.excluded.push(faulty);
         }
-        self.decide_after_failure(request, failure, now)
     }
 
     /// Counts a failed send and decides what follows.
@@ -553,27 +554,12 @@
             Failure::Refused => !self.needs_detour(&request.service),
             Failure::Broken => true,
         };
-        let share = self.retry_share();
-        if decision == Decision::Again
-            && was_sent
-            && !self.budget.try_retry(&request.service, now, share)
-        {
+        if decision == Decision::Again && was_sent && !self.try_retry(&request.service, now) {
             return Decision::End(retry_final_code(&request.counts, failure));
         }
         decision
     }
 
-    /// Whether a request could go elsewhere if the send under way were given up. If not, a target that
-    /// is silent may still go on, and the request has to wait for that.
-    pub fn may_give_up(&mut self, request: &Admission, now: Time) -> bool {
-        let mut counts = request.counts;
-        counts.runs += 1;
-        let route = &request.route;
-        let decision = retry_decide(route.kind, route.max_runs, &counts, Failure::Broken);
-        let share = self.retry_share();
-        decision == Decision::Again && self.budget.has_retry(&request.service, now, share)
-    }
-
     /// Retry-After while targets of a service take no requests from this instance: the time until the
     /// first takes some, spread so that callers don't all return then; `None` if none is closed.
     fn wait_for_closed(&mut self, service: &str, now: Time) -> Option<Duration> {
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -4,6 +4,7 @@
     crate::{
         ids::{TargetId, Time},
         path::Path,
+        router::Plan,
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -245,6 +246,22 @@
         }
     }
 
+    /// Counts a request sent as planned, and reserves memory for it.
+    pub(crate) fn reserve_plan(&mut self, plan: &Plan) {
+        self.start_request(&plan.target);
+        if let Some((path, _)) = plan.path() {
+            self.reserve(path, plan.reserved_tokens);
+        }
+    }
+
+    /// Releases what [`Tracker::reserve_plan`] reserved.
+    pub(crate) fn release_plan(&mut self, plan: &Plan) {
+        self.end_request(&plan.target);
+        if let Some((path, _)) = plan.path() {
+            self.release(path, plan.reserved_tokens);
+        }
+    }
+
     /// Records a successful request, and its latency if one is given.
     pub fn record_success(&mut self, target: &TargetId, latency: Option<Duration>) {
         let state = self.state_mut(target);
@@ -273,6 +290,11 @@
         }
     }
 
+    /// Suspects a target to be unresponsive, so that it is probed.
+    pub fn record_suspicion(&mut self, target: &TargetId, now: Time) {
+        self.state_mut(target).suspect(now);
+    }
+
     /// Whether a probe of some target is due.
     pub fn has_due_probe(&self, now: Time) -> bool {
         let mut states = self.states.values();
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -21,6 +21,7 @@
 mod permit_play;
 mod progress;
 mod projection;
+mod replacement;
 mod retry;
 mod roles;
 mod router;
--- a/camphorweir-standin/tests/front/silence.rs
+++ b/camphorweir-standin/tests/front/silence.rs
@@ -224,6 +224,22 @@
     memory_is_free(&bench).await;
 }
 
+/// Guards against a stream that is cut as its connection fails, though it was sent elsewhere already.
+#[tokio::test]
+async fn a_silent_stream_whose_connection_fails_goes_on_at_the_target_it_was_sent_to() {
+    let bench = Bench::start(1).await;
+    let (caller, first) = start_slow(&bench, "/text/a", "s1", "10,24").await;
+    bench.cut(0, Some(Cut::Paused));
+    sleep(SILENCES[0]).await;
+    bench.cut_target(0, first, Some(Cut::Reset));
+    sleep(VERSION_PAUSE).await;
+    let others = bench.parts.iter().filter(|part| part.id() != first.id());
+    others.for_each(|part| bench.cut_target(0, part, None));
+    let answer = caller.await.unwrap();
+    assert!(is_whole(&answer), "{answer:?}");
+    assert_eq!(bench.runs("s1"), 2);
+}
+
 /// Guards against memory that stays reserved for a stream whose caller left as it went on elsewhere.
 #[tokio::test]
 async fn a_caller_that_leaves_a_silent_stream_leaves_no_memory_reserved() {
