--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -4,7 +4,9 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod cut;
 pub mod demand;
+pub mod elsewhere;
 pub mod exchange;
 pub mod feed;
 pub mod follow;
@@ -20,6 +22,7 @@
 pub mod request;
 pub mod response;
 pub mod run;
+pub mod send;
 pub mod stall;
 pub mod state;
 pub mod store;
