Name the requests and connections that the end of an instance cuts

Change: no decision. Each request in flight is recorded with its phase, arrival and the projected time of its plan; those that are left at the end of the process are logged (25 at most) and counted.

Ran: clippy of the workspace; tests of front over loopback: 60 passed.

--- /dev/null
+++ b/camphorweir-entry/src/front/connections.rs
@@ -0,0 +1,325 @@
+//! Callers' open connections: what each still holds, and whether one ends with a request on it that was
+//! not answered.
+
+use {
+    crate::front::{metrics::Metrics, response::Body, state::State},
+    bytes::Bytes,
+    hyper::body::{Body as HttpBody, Frame, SizeHint},
+    rustix::{
+        io::ioctl_fionread,
+        net::{Shutdown, shutdown},
+    },
+    std::{
+        collections::BTreeMap,
+        io::{self, IoSlice},
+        pin::Pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        task::{Context, Poll, ready},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+/// Limit on the lines that name the connections which the end of the process cuts.
+const MAX_CUT_LINES: usize = 25;
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// By the caller, by a fault of the connection, or after its last answer.
+    Caller,
+    /// No whole request came within the idle limit.
+    IdleLimit,
+    /// It was idle as the instance stopped.
+    IdleClose,
+    /// With the process.
+    Process,
+}
+
+impl End {
+    /// The `cause` of log lines and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::IdleLimit => "idle_limit",
+            Self::IdleClose => "idle_close",
+            Self::Process => "process",
+        }
+    }
+}
+
+/// The open connections.
+#[derive(Debug, Default)]
+pub struct Connections(Mutex<Open>);
+
+#[derive(Debug, Default)]
+struct Open {
+    next: u64,
+    connections: BTreeMap<u64, Connection>,
+}
+
+impl Connections {
+    fn open(&self) -> MutexGuard<'_, Open> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of open connections.
+    pub fn count(&self) -> usize {
+        self.open().connections.len()
+    }
+
+    /// Logs and counts the connections that the end of the process cuts while they hold a request.
+    pub fn report_cut(&self, metrics: &Metrics) {
+        let open = self.open();
+        let held = open.connections.values();
+        let held = held.filter(|connection| connection.holds_request());
+        for (index, connection) in held.enumerate() {
+            metrics.record_unanswered(End::Process.label());
+            if index < MAX_CUT_LINES {
+                connection.log_end(End::Process);
+            }
+        }
+    }
+}
+
+/// Counts a connection as open until dropped.
+#[derive(Debug)]
+pub struct Entry {
+    state: State,
+    key: u64,
+    connection: Connection,
+}
+
+impl Entry {
+    /// A connection that was just accepted.
+    pub fn new(state: &State, stream: TcpStream) -> Self {
+        let connection = Connection(Arc::new(Inner {
+            stream,
+            activity: Mutex::default(),
+        }));
+        let mut open = state.connections().open();
+        let key = open.next;
+        open.next += 1;
+        open.connections.insert(key, connection.clone());
+        drop(open);
+        Self {
+            state: state.clone(),
+            key,
+            connection,
+        }
+    }
+
+    /// The connection.
+    pub fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
+    /// Logs and counts the end of the connection if a request on it was not answered.
+    pub fn report(&self, end: End) {
+        if self.connection.holds_request() {
+            self.state.metrics().record_unanswered(end.label());
+            self.connection.log_end(end);
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.state
+            .connections()
+            .open()
+            .connections
+            .remove(&self.key);
+    }
+}
+
+/// An open connection; clones share it.
+#[derive(Clone, Debug)]
+pub struct Connection(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    stream: TcpStream,
+    activity: Mutex<Activity>,
+}
+
+/// What a connection holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Activity {
+    /// Bytes read of a request head that is not whole.
+    head_bytes: usize,
+    /// Requests whose answers are not handed over whole.
+    unanswered: usize,
+}
+
+impl Connection {
+    fn activity(&self) -> MutexGuard<'_, Activity> {
+        let activity = &self.0.activity;
+        activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The bytes of the connection.
+    pub fn io(&self) -> Io {
+        Io(self.clone())
+    }
+
+    /// Records that the head of a request is whole; the request is unanswered until the guard is
+    /// dropped.
+    pub fn begin_request(&self) -> Unanswered {
+        let mut activity = self.activity();
+        activity.head_bytes = 0;
+        activity.unanswered += 1;
+        drop(activity);
+        Unanswered(self.clone())
+    }
+
+    /// Bytes that have arrived and were not read.
+    fn unread_bytes(&self) -> u64 {
+        // An error means that the connection has ended, with nothing to read.
+        ioctl_fionread(&self.0.stream).unwrap_or_default()
+    }
+
+    /// Whether a request, or a part of one, has arrived and was not answered.
+    fn holds_request(&self) -> bool {
+        let Activity {
+            head_bytes,
+            unanswered,
+        } = *self.activity();
+        head_bytes > 0 || unanswered > 0 || self.unread_bytes() > 0
+    }
+
+    fn log_end(&self, end: End) {
+        let Activity {
+            head_bytes,
+            unanswered,
+        } = *self.activity();
+        log::info!(
+            cause = end.label(),
+            head_bytes = head_bytes,
+            unread_bytes = self.unread_bytes(),
+            in_flight = unanswered;
+            "connection ended with a request that was not answered"
+        );
+    }
+}
+
+/// Counts a request of a connection as unanswered until dropped.
+#[derive(Debug)]
+pub struct Unanswered(Connection);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let mut activity = self.0.activity();
+        activity.unanswered = activity.unanswered.saturating_sub(1);
+    }
+}
+
+/// The body of a response, whose request is unanswered until it ends.
+#[derive(Debug)]
+pub struct Answer {
+    body: Body,
+    _unanswered: Unanswered,
+}
+
+impl Answer {
+    /// The body of the response to the request that `unanswered` counts.
+    pub fn new(body: Body, unanswered: Unanswered) -> Self {
+        Self {
+            body,
+            _unanswered: unanswered,
+        }
+    }
+}
+
+impl HttpBody for Answer {
+    type Data = Bytes;
+    type Error = <Body as HttpBody>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The bytes of a connection.
+#[derive(Debug)]
+pub struct Io(Connection);
+
+impl Io {
+    fn stream(&self) -> &TcpStream {
+        &self.0.0.stream
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream().poll_read_ready(cx))?;
+            match self.stream().try_read(buffer.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(count) => {
+                    buffer.advance(count);
+                    let mut activity = self.0.activity();
+                    // Between requests, bytes begin a head.
+                    if activity.unanswered == 0 {
+                        activity.head_bytes += count;
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream().poll_write_ready(cx))?;
+            match self.stream().try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(shutdown(self.stream(), Shutdown::Write).map_err(io::Error::from))
+    }
+}
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -1,7 +1,11 @@
 //! Listeners for callers and for the load balancer's readiness check.
 
 use {
-    crate::front::{request::handle_request, response::CallerResponse, state::State},
+    crate::front::{
+        connections::{Answer, End, Entry},
+        request::handle_request,
+        state::State,
+    },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
     camphorweir_relay::ids::Time,
@@ -98,24 +102,34 @@
     let _ = stream.set_nodelay(true);
     let limits = state.limits();
     let mut stop_receiver = state.subscribe_stop();
+    let entry = Entry::new(&state, stream);
+    let caller = entry.connection().clone();
     let service = service_fn(move |request| {
-        let state = state.clone();
-        async move { Ok::<CallerResponse, Infallible>(handle_request(state, request).await) }
+        let (state, unanswered) = (state.clone(), caller.begin_request());
+        async move {
+            let response = handle_request(state, request).await;
+            Ok::<_, Infallible>(response.map(|body| Answer::new(body, unanswered)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Also limits the time that a connection is idle.
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes + HEAD_MARGIN_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(entry.connection().io()), service);
     tokio::pin!(connection);
+    // Other errors of a connection concern only the caller.
+    let end = |result: hyper::Result<()>| match result {
+        Err(error) if error.is_timeout() => End::IdleLimit,
+        _ => End::Caller,
+    };
     tokio::select! {
-        // Connection errors concern only the caller.
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => return entry.report(end(result)),
         () = wait_for_idle_close(&mut stop_receiver) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
+    entry.report(End::IdleClose);
 }
 
 async fn wait_for_idle_close(stop_receiver: &mut watch::Receiver<Option<Time>>) {
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -47,6 +47,8 @@
     quarantines: Counter<u64>,
     permits: Counter<u64>,
     unread: Counter<u64>,
+    cuts: Counter<u64>,
+    unanswered: Counter<u64>,
     admission: Counter<u64>,
     duration: DurationHistogram,
     first_event: DurationHistogram,
@@ -120,6 +122,14 @@
                 "camphorweir.peer.messages.unread",
                 "Messages of peers that can't be read, by kind",
             ),
+            cuts: counter(
+                "camphorweir.stop.cut",
+                "Requests cut by the end of the process, by phase",
+            ),
+            unanswered: counter(
+                "camphorweir.connections.unanswered",
+                "Callers' connections that ended with a request that was not answered, by cause",
+            ),
             admission: counter(
                 "camphorweir.admission",
                 "Requests to services with ordered ranks that were served, or refused for lack of \
@@ -261,6 +271,16 @@
         self.unread.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that the end of the process cuts in this phase.
+    pub fn record_cut(&self, phase: &'static str) {
+        self.cuts.add(1, &[KeyValue::new("phase", phase)]);
+    }
+
+    /// Counts a caller's connection that ended with a request that was not answered.
+    pub fn record_unanswered(&self, cause: &'static str) {
+        self.unanswered.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts an answer to a question for a permit to send to a target.
     pub fn record_permit(&self, target: &str, outcome: &'static str) {
         let labels = [
@@ -361,7 +381,7 @@
             let label = KeyValue::new("formats", i64::from(formats));
             self.formats.record(instances, &[label]);
         }
-        self.in_flight.record(state.in_flight() as u64, &[]);
+        self.in_flight.record(state.requests().count() as u64, &[]);
         self.lease.record(u64::from(state.holds_lease()), &[]);
         self.left_out.record(dropped_lines(), &[]);
     }
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod connections;
 pub mod demand;
 pub mod exchange;
 pub mod feed;
@@ -18,6 +19,7 @@
 pub mod probe;
 pub mod reload;
 pub mod request;
+pub mod requests;
 pub mod response;
 pub mod run;
 pub mod stall;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -6,6 +6,7 @@
         front::{
             demand,
             exchange::{SendError, TargetResponse, Template, send_request},
+            requests::{InFlight, Phase},
             response::{
                 CallerResponse, full_response, refusal_response, set_connection_close, turned_away,
             },
@@ -57,9 +58,9 @@
     request: Request<Incoming>,
     runs_at_peer: Option<u32>,
 ) -> CallerResponse {
-    let in_flight = state.track_request();
     let (parts, body) = request.into_parts();
     let head = head_decode(&parts);
+    let in_flight = InFlight::new(&state, head.id.clone());
     let arrived = state.now();
     let admission = match state.stopping_for() {
         Some(time) if time > STOP_ACCEPT_PERIOD => {
@@ -112,7 +113,7 @@
         body,
     };
     let is_from_peer = admitted.is_from_peer;
-    let mut response = match forward(&state, &mut admitted, &template).await {
+    let mut response = match forward(&state, &mut admitted, &template, &in_flight).await {
         Ok(Forwarded::Whole(response)) => {
             demand::record_served(&state, &admitted);
             let status = response.status().as_u16();
@@ -121,6 +122,7 @@
         }
         Ok(Forwarded::Stream(plan, reply)) => {
             demand::record_served(&state, &admitted);
+            in_flight.enter(Phase::Streaming);
             let (mut parts, body) = reply.response.into_parts();
             parts.headers = response_forward_headers(parts.headers);
             let job = Job {
@@ -259,9 +261,12 @@
     state: &State,
     admitted: &mut Admission,
     template: &Template,
+    in_flight: &InFlight,
 ) -> Result<Forwarded, Refusal> {
     loop {
+        in_flight.enter(Phase::Waiting);
         let plan = waiting_plan(state, admitted).await?;
+        in_flight.send(&plan);
         let now = state.now();
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -113,7 +113,7 @@
         () = stop => {}
         _ = fatal.recv() => return Err("a task failed repeatedly".to_owned()),
     }
-    log::info!(requests = state.in_flight(); "shutting down; waiting for requests in flight");
+    log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
     let stop_began = Instant::now();
     let grace = state.router().bounds().stop_grace;
@@ -125,14 +125,16 @@
         wait_until_idle(&state).await;
     };
     let drained = timeout_at(stop_began + grace.saturating_sub(GRACE_MARGIN), drained).await;
-    log::info!(drained = drained.is_ok(), requests = state.in_flight(); "shutdown complete");
+    log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
+    state.requests().report_cut(&state);
+    state.connections().report_cut(state.metrics());
     log::logger().flush();
     Ok(())
 }
 
 /// Waits until no request is in flight.
 async fn wait_until_idle(state: &State) {
-    while state.in_flight() > 0 {
+    while state.requests().count() > 0 {
         sleep(DRAIN_CHECK_PAUSE).await;
     }
 }
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         front::{
-            body::Collector, client::Client, clock::Clock, feed::Feed, instances::Instances,
-            metrics::Metrics, permits::Permits, pool::Pool, stall::Reports, waiting::Waiting,
+            body::Collector, client::Client, clock::Clock, connections::Connections, feed::Feed,
+            instances::Instances, metrics::Metrics, permits::Permits, pool::Pool,
+            requests::Requests, stall::Reports, waiting::Waiting,
         },
         units::millis,
     },
@@ -24,7 +25,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -58,17 +59,8 @@
     roles: Mutex<Roles>,
     eras: Mutex<Eras>,
     stopping: watch::Sender<Option<Time>>,
-    in_flight: AtomicUsize,
-}
-
-/// Counts a request as in flight until dropped.
-#[derive(Debug)]
-pub struct InFlightGuard(State);
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
+    requests: Requests,
+    connections: Connections,
 }
 
 impl State {
@@ -100,7 +92,8 @@
             roles: Mutex::new(roles),
             eras: Mutex::default(),
             stopping: watch::channel(None).0,
-            in_flight: AtomicUsize::new(0),
+            requests: Requests::default(),
+            connections: Connections::default(),
         }))
     }
 
@@ -468,15 +461,14 @@
         self.0.stopping.subscribe()
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub fn track_request(&self) -> InFlightGuard {
-        self.0.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard(self.clone())
+    /// The requests in flight.
+    pub fn requests(&self) -> &Requests {
+        &self.0.requests
     }
 
-    /// Number of requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.0.in_flight.load(Ordering::Relaxed)
+    /// Callers' open connections.
+    pub fn connections(&self) -> &Connections {
+        &self.0.connections
     }
 }
 
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -6,10 +6,11 @@
             exchange::{SendError, TargetResponse, Template, send_request},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
+            requests::InFlight,
             stall::{
                 STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY, wait_for_stall, with_stall_check,
             },
-            state::{InFlightGuard, State},
+            state::State,
             waiting::{waiting_plan_resumed, waiting_wake},
         },
         units::millis,
@@ -48,7 +49,7 @@
     /// The parts of the request that are sent again when another target resumes the stream.
     pub template: Template,
     /// Counts the request as in flight until the stream ends.
-    pub in_flight: InFlightGuard,
+    pub in_flight: InFlight,
 }
 
 /// The body of a streamed response.
