Admit during a shutdown what ends before the instance does

Cause: admission during a shutdown went by a fixed time since SIGTERM, whatever a request would take.

Change: relay::shutdown decides on each plan of a request that has not run: its projected time, stretched by the 0.95 quantile of observed over projected times of the service (classes of 9 %, half-life 30 s, one assumed observation of 2.5; 1 kB a service, 256 services at most), or its deadline if that comes first, and 150 ms to write the answer, have to lie before the end (grace less 0.4 s). Otherwise the plan is released, nothing is sent, and the caller gets 503, Stopping, not run, connection: close and Retry-After 0.050; a peer is told to turn elsewhere. The end is fixed when the shutdown begins: a second signal and reloaded settings don't move it. Requests that wait when the shutdown begins are refused at once, as before.

--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -8,7 +8,7 @@
     },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
-    camphorweir_relay::ids::Time,
+    camphorweir_relay::shutdown::Stop,
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode,
@@ -132,7 +132,7 @@
     entry.report(End::IdleClose);
 }
 
-async fn wait_for_idle_close(stop_receiver: &mut watch::Receiver<Option<Time>>) {
+async fn wait_for_idle_close(stop_receiver: &mut watch::Receiver<Option<Stop>>) {
     // A dropped sender means that the process is ending.
     let _ = stop_receiver.wait_for(Option::is_some).await;
     sleep(STOP_IDLE_PERIOD).await;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -36,13 +36,6 @@
     tokio::time::timeout,
 };
 
-/// Requests that arrive later than this after shutdown began are refused, as a stream could not
-/// finish before the process has to end; the load balancer has sent new connections elsewhere by
-/// then.
-const STOP_ACCEPT_PERIOD: Duration = Duration::from_millis(2800);
-/// Retry delay for requests refused during shutdown; the retry should reach another instance.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Handles a request from a caller.
 pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
     handle(state, request, None).await
@@ -62,12 +55,7 @@
     let head = head_decode(&parts);
     let in_flight = InFlight::new(&state, head.id.clone());
     let arrived = state.now();
-    let admission = match state.stopping_for() {
-        Some(time) if time > STOP_ACCEPT_PERIOD => {
-            Err(Refusal::not_run(Code::Stopping, "").with_retry_after(STOP_RETRY_AFTER))
-        }
-        _ => state.router().admit(&head, arrived),
-    };
+    let admission = state.router().admit(&head, arrived);
     let mut admitted = match admission {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -144,6 +132,9 @@
             }
             demand::record_refused(&state, &admitted, &refusal);
             record_end(&state, &admitted, refusal.code.status(), Some(refusal.code));
+            if is_from_peer && refusal.code == Code::Stopping {
+                return turned_away();
+            }
             refusal_response(&admitted.id, &refusal)
         }
     };
--- a/camphorweir-entry/src/front/requests.rs
+++ b/camphorweir-entry/src/front/requests.rs
@@ -74,7 +74,7 @@
     /// Logs and counts the requests that the end of the process cuts.
     pub fn report_cut(&self, state: &State) {
         let now = state.now();
-        let stopping_since = now.saturating_sub(state.stopping_for().unwrap_or_default());
+        let since = state.stop().map_or(now, |stop| stop.since);
         for (index, record) in self.open().records.values().enumerate() {
             state.metrics().record_cut(record.phase.label());
             if index >= MAX_CUT_LINES {
@@ -85,7 +85,7 @@
                 request:% = record.id,
                 phase = record.phase.label(),
                 age_ms = millis(now.saturating_sub(record.arrived_at)),
-                after_stop_ms = arrived_ms - stopping_since.as_millis() as i64,
+                after_stop_ms = arrived_ms - since.as_millis() as i64,
                 cost_ms = record.cost.map_or(-1, |cost| millis(cost) as i64);
                 "request cut by the end of the process"
             );
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -19,7 +19,7 @@
     std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        time::{Instant, sleep, timeout_at},
+        time::{sleep, timeout},
     },
 };
 
@@ -31,8 +31,6 @@
 /// Connections accepted just before the listener closed have this long to send a request: a few
 /// scheduling turns of a caller on a busy machine.
 const LAST_REQUESTS_WAIT: Duration = Duration::from_millis(150);
-/// The shutdown ends this long before the process would be killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between removals of connections that were idle for too long.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -115,8 +113,7 @@
     }
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
-    let stop_began = Instant::now();
-    let grace = state.router().bounds().stop_grace;
+    let left = state.stop().map(|stop| stop.ends_at - stop.since);
     let drained = async {
         sleep(MIN_DRAIN).await;
         wait_until_idle(&state).await;
@@ -124,7 +121,7 @@
         sleep(LAST_REQUESTS_WAIT).await;
         wait_until_idle(&state).await;
     };
-    let drained = timeout_at(stop_began + grace.saturating_sub(GRACE_MARGIN), drained).await;
+    let drained = timeout(left.unwrap_or_default(), drained).await;
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -18,6 +18,7 @@
         roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
+        shutdown::Stop,
         store::{Cursor, Era, Eras, Observation},
         suspects::Quarantine,
     },
@@ -58,7 +59,7 @@
     instances: Mutex<Instances>,
     roles: Mutex<Roles>,
     eras: Mutex<Eras>,
-    stopping: watch::Sender<Option<Time>>,
+    stopping: watch::Sender<Option<Stop>>,
     requests: Requests,
     connections: Connections,
 }
@@ -440,24 +441,28 @@
             .map_or_else(Limits::default, |configuration| configuration.limits)
     }
 
-    /// Starts the shutdown.
+    /// Starts the shutdown; later calls change nothing.
     pub fn begin_stop(&self) {
-        self.0.stopping.send_replace(Some(self.now()));
+        let stop = Stop::new(self.now(), self.router().bounds().stop_grace);
+        self.0.stopping.send_if_modified(|current| {
+            let is_first = current.is_none();
+            current.get_or_insert(stop);
+            is_first
+        });
     }
 
     /// Whether the instance is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopping_for().is_some()
+        self.stop().is_some()
     }
 
-    /// Time since the shutdown began; `None` before it.
-    pub fn stopping_for(&self) -> Option<Duration> {
-        let since = *self.0.stopping.borrow();
-        since.map(|since| self.now().saturating_sub(since))
+    /// The shutdown; `None` before it.
+    pub fn stop(&self) -> Option<Stop> {
+        *self.0.stopping.borrow()
     }
 
     /// A receiver that is notified when the shutdown begins.
-    pub fn subscribe_stop(&self) -> watch::Receiver<Option<Time>> {
+    pub fn subscribe_stop(&self) -> watch::Receiver<Option<Stop>> {
         self.0.stopping.subscribe()
     }
 
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -30,7 +30,7 @@
 
 /// Pause between attempts to plan where the requests of a service are not ordered by rank.
 const CAPACITY_RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// Retry delay for requests that wait when shutdown begins; the retry should reach another instance.
+/// Retry delay for requests refused during shutdown; the retry should reach another instance.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// The waiting requests of all services.
@@ -150,8 +150,32 @@
 ///
 /// # Errors
 ///
-/// The refusal when no target can take the request in time.
+/// The refusal when no target can take the request in time, or this instance would end before it.
 pub async fn waiting_plan(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
+    let plan = choose(state, request).await?;
+    let Some(stop) = state.stop() else {
+        return Ok(plan);
+    };
+    let now = state.now();
+    let mut router = state.router();
+    if router.ends_in_time(request, &plan, &stop, now) {
+        return Ok(plan);
+    }
+    log::info!(
+        request:% = request.id,
+        target_name:% = plan.target,
+        cost_ms = plan.path().map_or(0, |(path, _)| path.cost_ms() as u64),
+        left_ms = millis(stop.ends_at.saturating_sub(now));
+        "request can't end before this instance does"
+    );
+    router.finish_send(request, &plan, Outcome::Cancelled, now);
+    let refusal = router.refusal(request, Code::Stopping);
+    drop(router);
+    waiting_wake(state, &request.service);
+    Err(refusal.with_retry_after(STOP_RETRY_AFTER))
+}
+
+async fn choose(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
     let now = state.now();
     let described = state.router().waiting_request(request, now);
     let Some(mut described) = described else {
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod router;
 mod selection;
 pub mod settings;
+pub mod shutdown;
 pub mod span;
 pub mod sse;
 pub mod store;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -19,6 +19,7 @@
         progress::Progress,
         retry::{Counts, Decision, Failure, retry_decide, retry_final_code},
         settings::Bounds,
+        shutdown::Pace,
         suspects::Suspects,
         tracker::Tracker,
     },
@@ -205,6 +206,8 @@
     budget: Budget,
     /// Load that peers report.
     pub peers: Peers,
+    /// How long requests have lately taken.
+    pub(crate) pace: Pace,
     /// Number of instances that the store lists, this one included.
     pub listed_instances: usize,
     /// Least number of instances assumed to use the same targets, this one included.
@@ -245,6 +248,7 @@
             fairness: Fairness::default(),
             budget: Budget::new(bounds.retry_budget),
             peers: Peers::default(),
+            pace: Pace::default(),
             listed_instances: 0,
             min_sharers,
             rng: SmallRng::seed_from_u64(seed),
@@ -477,6 +481,7 @@
         match outcome {
             Outcome::Cancelled => Decision::End(Code::CallerGone),
             Outcome::Answered { is_success } => {
+                self.record_pace(request, plan, is_success, now);
                 let latency = plan.path().is_none().then_some(latency);
                 self.tracker
                     .record_success(&plan.target, latency.filter(|_| is_success));
@@ -495,6 +500,17 @@
         }
     }
 
+    /// Records how long an answer took, unless an earlier target had begun it.
+    fn record_pace(&mut self, request: &Admission, plan: &Plan, is_success: bool, now: Time) {
+        if is_success
+            && request.standing != Standing::Resumed
+            && let Some(projected) = self.projected_time(plan)
+        {
+            let observed = now.saturating_sub(plan.chosen_at);
+            self.pace.record(&request.service, projected, observed, now);
+        }
+    }
+
     fn finish_failed_send(
         &mut self,
         request: &mut Admission,
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -24,6 +24,7 @@
 mod retry;
 mod roles;
 mod router;
+mod shutdown;
 mod sse;
 mod store;
 mod storm;
--- /dev/null
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -0,0 +1,118 @@
+//! What an instance still takes while it shuts down.
+
+use {
+    crate::router::{admit_request, router},
+    camphorweir_relay::{
+        router::{Admission, Outcome, Router},
+        shutdown::{Pace, Stop},
+    },
+    std::time::Duration,
+};
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// The end of the shutdown in the tests, with a grace of 8 s from 100 s on.
+fn stop() -> Stop {
+    Stop::new(ms(100_000), ms(8_000))
+}
+
+/// Whether a request that is planned at `at` can end in time.
+fn ends_in_time(router: &mut Router, path: &str, at: u64) -> bool {
+    let mut request = admit_request(router, path, ms(at));
+    let plan = router.plan(&mut request, ms(at)).unwrap();
+    let ends = router.ends_in_time(&request, &plan, &stop(), ms(at));
+    router.finish_send(&mut request, &plan, Outcome::Cancelled, ms(at));
+    ends
+}
+
+/// Serves requests that take `took` ms each, before the shutdown.
+fn serve(router: &mut Router, path: &str, took: u64) {
+    for index in 0..40 {
+        let at = ms(98_000 + index);
+        let mut request = admit_request(router, path, at);
+        let plan = router.plan(&mut request, at).unwrap();
+        let outcome = Outcome::Answered { is_success: true };
+        router.finish_send(&mut request, &plan, outcome, at + ms(took));
+    }
+}
+
+#[test]
+fn a_shutdown_ends_before_the_process_would_be_killed() {
+    assert!(stop().ends_at < ms(108_000) && stop().ends_at > ms(107_000));
+    let short = Stop::new(ms(100_000), ms(100));
+    assert_eq!(short.ends_at, ms(100_000));
+}
+
+#[test]
+fn requests_are_taken_while_what_they_lately_took_is_left() {
+    // Path, what requests lately took in ms, when one arrives after the begin, and whether it is taken.
+    let table = [
+        ("/text/a", 5_000, 0, true),
+        ("/text/a", 5_000, 1_000, true),
+        ("/text/a", 5_000, 2_700, false),
+        ("/text/a", 1_000, 2_700, true),
+        ("/text/a", 1_000, 5_500, true),
+        ("/text/a", 1_000, 6_700, false),
+        ("/text/a", 9_000, 0, false),
+        ("/seal/a", 20, 7_000, true),
+        ("/seal/a", 20, 7_550, false),
+        ("/seal/a", 2_000, 6_000, false),
+    ];
+    for (path, took, after, expected) in table {
+        let mut router = router();
+        serve(&mut router, path, took);
+        let taken = ends_in_time(&mut router, path, 100_000 + after);
+        assert_eq!(taken, expected, "{path}, {took} ms, after {after} ms");
+    }
+}
+
+#[test]
+fn a_request_whose_deadline_comes_first_is_taken() {
+    let mut router = router();
+    serve(&mut router, "/text/a", 9_000);
+    let arrived = ms(100_000);
+    let plan_at = |router: &mut Router, at: Duration| {
+        let mut request: Admission = admit_request(router, "/text/a", arrived);
+        request.deadline = at;
+        let plan = router.plan(&mut request, arrived).unwrap();
+        router.ends_in_time(&request, &plan, &stop(), arrived)
+    };
+    assert!(plan_at(&mut router, ms(107_000)));
+    assert!(!plan_at(&mut router, ms(108_000)));
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_in_any_case() {
+    let mut router = router();
+    serve(&mut router, "/text/a", 9_000);
+    let at = ms(105_000);
+    let mut request = admit_request(&mut router, "/text/a", at);
+    request.counts.runs = 1;
+    let plan = router.plan(&mut request, at).unwrap();
+    assert!(router.ends_in_time(&request, &plan, &stop(), at));
+}
+
+#[test]
+fn nearly_all_requests_end_within_the_projection_and_old_ones_are_forgotten() {
+    let mut pace = Pace::default();
+    let service = "scribe".into();
+    let longest = |pace: &Pace, at: u64| pace.longest("scribe", ms(1_000), ms(at));
+    let unknown = longest(&pace, 0);
+    assert!(unknown >= ms(2_000) && unknown <= ms(3_000), "{unknown:?}");
+    // Most take as long as projected, one in ten four times as long.
+    for index in 0..100 {
+        let observed = if index % 10 == 0 { 4_000 } else { 1_000 };
+        pace.record(&service, ms(1_000), ms(observed), ms(index));
+    }
+    let slow = longest(&pace, 100);
+    assert!(slow >= ms(4_000) && slow <= ms(4_800), "{slow:?}");
+    for index in 0..100 {
+        pace.record(&service, ms(1_000), ms(1_000), ms(120_000 + index));
+    }
+    let fast = longest(&pace, 120_100);
+    assert!(fast >= ms(1_000) && fast <= ms(1_200), "{fast:?}");
+    // Another service has not been seen.
+    assert_eq!(pace.longest("ledger", ms(1_000), ms(0)), unknown);
+}
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -58,6 +58,8 @@
     TrickleAfter(usize),
     /// Sends the events of a stream slowly.
     Slow,
+    /// Sends the events of a stream with a pause of so many ms after each.
+    SlowBy(u64),
     /// Executes the call and answers 500.
     Fail,
 }
@@ -459,6 +461,7 @@
     let mut steps = Vec::new();
     let pause = match fault {
         Some(ResponseFault::Slow) => SLOW_EVENT_PAUSE,
+        Some(ResponseFault::SlowBy(ms)) => Duration::from_millis(ms),
         _ => EVENT_PAUSE,
     };
     for number in after + 1..=STREAM_EVENTS {
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -14,7 +14,7 @@
         platform_target::{Setup, Target},
     },
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, client::conn::http1},
+    hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
@@ -38,7 +38,7 @@
 pub(crate) const KEYS: [&str; 2] = ["key-of-one", "key-of-two"];
 
 /// An answer to a caller.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
     pub(crate) headers: HeaderMap,
@@ -298,22 +298,39 @@
     request.map(|_| Full::new(Bytes::from_static(body.as_bytes())))
 }
 
+/// A connection of a caller, which may send several requests on it.
+pub(crate) struct Channel(http1::SendRequest<Full<Bytes>>);
+
+impl Channel {
+    pub(crate) async fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(connection);
+        Self(sender)
+    }
+
+    /// The answer to a request, with status 0 if there is none; `None` if the connection was closed
+    /// before the request was sent.
+    pub(crate) async fn call(&mut self, request: &Request<Full<Bytes>>) -> Option<Answer> {
+        let sent = timeout(GUARD, self.0.try_send_request(request.clone())).await;
+        match sent.unwrap() {
+            Ok(response) => Some(collect(response).await),
+            Err(mut error) => match error.take_message() {
+                Some(_) => None,
+                None => Some(Answer::default()),
+            },
+        }
+    }
+}
+
 /// Sends a request on a connection of its own.
 pub(crate) async fn call(address: SocketAddr, request: &Request<Full<Bytes>>) -> Answer {
-    let stream = TcpStream::connect(address).await.unwrap();
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
-    tokio::spawn(connection);
-    let sent = timeout(GUARD, sender.send_request(request.clone()))
-        .await
-        .unwrap();
-    let Ok(response) = sent else {
-        return Answer {
-            status: 0,
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            whole: false,
-        };
-    };
+    let mut channel = Channel::open(address).await;
+    let answer = channel.call(request).await;
+    answer.unwrap_or_default()
+}
+
+async fn collect(response: Response<Incoming>) -> Answer {
     let (parts, mut body) = response.into_parts();
     let (mut bytes, mut whole) = (Vec::new(), true);
     while let Some(frame) = timeout(GUARD, body.frame()).await.unwrap() {
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -14,5 +14,6 @@
 mod restores;
 #[path = "../support/site.rs"]
 mod site;
+mod stops;
 mod streams;
 mod waiting;
