--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -7,6 +7,7 @@
             cut::{Cause, Cut, cut_record},
             demand,
             exchange::{TargetResponse, Template},
+            requests::{InFlight, Phase},
             response::{
                 CallerResponse, full_response, refusal_response, set_connection_close, turned_away,
             },
@@ -36,13 +37,6 @@
     tokio::time::timeout,
 };
 
-/// Requests that arrive later than this after shutdown began are refused, as a stream could not
-/// finish before the process has to end; the load balancer has sent new connections elsewhere by
-/// then.
-const STOP_ACCEPT_PERIOD: Duration = Duration::from_millis(2800);
-/// Retry delay for requests refused during shutdown; the retry should reach another instance.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Handles a request from a caller.
 pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
     handle(state, request, None).await
@@ -58,16 +52,11 @@
     request: Request<Incoming>,
     runs_at_peer: Option<u32>,
 ) -> CallerResponse {
-    let in_flight = state.track_request();
     let (parts, body) = request.into_parts();
     let head = head_decode(&parts);
+    let in_flight = InFlight::new(&state, head.id.clone());
     let arrived = state.now();
-    let admission = match state.stopping_for() {
-        Some(time) if time > STOP_ACCEPT_PERIOD => {
-            Err(Refusal::not_run(Code::Stopping, "").with_retry_after(STOP_RETRY_AFTER))
-        }
-        _ => state.router().admit(&head, arrived),
-    };
+    let admission = state.router().admit(&head, arrived);
     let mut admitted = match admission {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -113,7 +102,7 @@
         body,
     });
     let is_from_peer = admitted.is_from_peer;
-    let mut response = match forward(&state, &mut admitted, &template).await {
+    let mut response = match forward(&state, &mut admitted, &template, &in_flight).await {
         Ok(Forwarded::Whole(response)) => {
             demand::record_served(&state, &admitted);
             let status = response.status().as_u16();
@@ -122,6 +111,7 @@
         }
         Ok(Forwarded::Stream(plan, reply)) => {
             demand::record_served(&state, &admitted);
+            in_flight.enter(Phase::Streaming);
             let (mut parts, body) = reply.response.into_parts();
             parts.headers = response_forward_headers(parts.headers);
             let job = Job {
@@ -143,6 +133,9 @@
             }
             demand::record_refused(&state, &admitted, &refusal);
             record_end(&state, &admitted, refusal.code.status(), Some(refusal.code));
+            if is_from_peer && refusal.code == Code::Stopping {
+                return turned_away();
+            }
             refusal_response(&admitted.id, &refusal)
         }
     };
@@ -235,15 +228,18 @@
     state: &State,
     admitted: &mut Admission,
     template: &Arc<Template>,
+    in_flight: &InFlight,
 ) -> Result<Forwarded, Refusal> {
     let mut last: Option<Plan> = None;
     loop {
+        in_flight.enter(Phase::Waiting);
         let planned = waiting_plan(state, admitted).await;
         let plan = planned.inspect_err(|_| {
             if let Some(last) = &last {
                 cut_whole(state, admitted, last, Cause::NoPlace);
             }
         })?;
+        in_flight.send(&plan);
         let now = state.now();
         let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         front::{
-            body::Collector, client::Client, clock::Clock, feed::Feed, instances::Instances,
-            metrics::Metrics, permits::Permits, pool::Pool, stall::Reports, waiting::Waiting,
+            body::Collector, client::Client, clock::Clock, connections::Connections, feed::Feed,
+            instances::Instances, metrics::Metrics, permits::Permits, pool::Pool,
+            requests::Requests, stall::Reports, waiting::Waiting,
         },
         units::millis,
     },
@@ -17,6 +18,7 @@
         roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
+        shutdown::Stop,
         store::{Cursor, Era, Eras, Observation},
         suspects::Quarantine,
     },
@@ -24,7 +26,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -57,18 +59,9 @@
     instances: Mutex<Instances>,
     roles: Mutex<Roles>,
     eras: Mutex<Eras>,
-    stopping: watch::Sender<Option<Time>>,
-    in_flight: AtomicUsize,
-}
-
-/// Counts a request as in flight until dropped.
-#[derive(Debug)]
-pub struct InFlightGuard(State);
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
+    stopping: watch::Sender<Option<Stop>>,
+    requests: Requests,
+    connections: Connections,
 }
 
 impl State {
@@ -100,7 +93,8 @@
             roles: Mutex::new(roles),
             eras: Mutex::default(),
             stopping: watch::channel(None).0,
-            in_flight: AtomicUsize::new(0),
+            requests: Requests::default(),
+            connections: Connections::default(),
         }))
     }
 
@@ -447,36 +441,39 @@
             .map_or_else(Limits::default, |configuration| configuration.limits)
     }
 
-    /// Starts the shutdown.
+    /// Starts the shutdown; later calls change nothing.
     pub fn begin_stop(&self) {
-        self.0.stopping.send_replace(Some(self.now()));
+        let stop = Stop::new(self.now(), self.router().bounds().stop_grace);
+        self.0.stopping.send_if_modified(|current| {
+            let is_first = current.is_none();
+            current.get_or_insert(stop);
+            is_first
+        });
     }
 
     /// Whether the instance is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopping_for().is_some()
+        self.stop().is_some()
     }
 
-    /// Time since the shutdown began; `None` before it.
-    pub fn stopping_for(&self) -> Option<Duration> {
-        let since = *self.0.stopping.borrow();
-        since.map(|since| self.now().saturating_sub(since))
+    /// The shutdown; `None` before it.
+    pub fn stop(&self) -> Option<Stop> {
+        *self.0.stopping.borrow()
     }
 
     /// A receiver that is notified when the shutdown begins.
-    pub fn subscribe_stop(&self) -> watch::Receiver<Option<Time>> {
+    pub fn subscribe_stop(&self) -> watch::Receiver<Option<Stop>> {
         self.0.stopping.subscribe()
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub fn track_request(&self) -> InFlightGuard {
-        self.0.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard(self.clone())
+    /// The requests in flight.
+    pub fn requests(&self) -> &Requests {
+        &self.0.requests
     }
 
-    /// Number of requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.0.in_flight.load(Ordering::Relaxed)
+    /// Callers' open connections.
+    pub fn connections(&self) -> &Connections {
+        &self.0.connections
     }
 }
 
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -8,9 +8,10 @@
             exchange::{SendError, TargetResponse, Template},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
+            requests::InFlight,
             send::{Reply, SendGuard, Sending, send_finish, send_start},
             stall::{STALL_CHECK_DELAY, SUSPECT_STALL_CHECK_DELAY},
-            state::{InFlightGuard, State},
+            state::State,
             waiting::{waiting_plan_resumed, waiting_wake},
         },
         units::millis,
@@ -51,7 +52,7 @@
     /// The parts of the request that are sent again when another target resumes the stream.
     pub template: Arc<Template>,
     /// Counts the request as in flight until the stream ends.
-    pub in_flight: InFlightGuard,
+    pub in_flight: InFlight,
 }
 
 /// The body of a streamed response.
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -19,6 +19,7 @@
         progress::Progress,
         retry::{Counts, Decision, Failure, retry_decide, retry_final_code},
         settings::Bounds,
+        shutdown::Pace,
         suspects::Suspects,
         tracker::Tracker,
     },
@@ -203,6 +204,8 @@
     pub(crate) budget: Budget,
     /// Load that peers report.
     pub peers: Peers,
+    /// How long requests have lately taken.
+    pub(crate) pace: Pace,
     /// Number of instances that the store lists, this one included.
     pub listed_instances: usize,
     /// Least number of instances assumed to use the same targets, this one included.
@@ -237,6 +240,7 @@
             fairness: Fairness::default(),
             budget: Budget::new(bounds.retry_budget),
             peers: Peers::default(),
+            pace: Pace::default(),
             listed_instances: 0,
             min_sharers,
             rng: SmallRng::seed_from_u64(seed),
@@ -471,6 +475,7 @@
         match outcome {
             Outcome::Cancelled => Decision::End(Code::CallerGone),
             Outcome::Answered { is_success } => {
+                self.record_pace(request, plan, is_success, now);
                 let latency = plan.path().is_none().then_some(latency);
                 self.tracker
                     .record_success(&plan.target, latency.filter(|_| is_success));
@@ -490,6 +495,17 @@
         }
     }
 
+    /// Records how long an answer took, unless an earlier target had begun it.
+    fn record_pace(&mut self, request: &Admission, plan: &Plan, is_success: bool, now: Time) {
+        if is_success
+            && request.standing != Standing::Resumed
+            && let Some(projected) = self.projected_time(plan)
+        {
+            let observed = now.saturating_sub(plan.chosen_at);
+            self.pace.record(&request.service, projected, observed, now);
+        }
+    }
+
     /// Releases what a send has reserved.
     pub(crate) fn release(&mut self, request: &Admission, plan: &Plan) {
         self.tracker.release_plan(plan);
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod roles;
 mod router;
+mod shutdown;
 mod sse;
 mod store;
 mod storm;
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -62,6 +62,8 @@
     TrickleAfter(usize),
     /// Sends the events of a stream slowly.
     Slow,
+    /// Sends the events of a stream with a pause of so many ms after each.
+    SlowBy(u64),
     /// Executes the call and answers 500.
     Fail,
 }
@@ -485,6 +487,7 @@
     let mut steps = Vec::new();
     let pause = match (fault, pause) {
         (Some(ResponseFault::Slow), _) => SLOW_EVENT_PAUSE,
+        (Some(ResponseFault::SlowBy(ms)), _) => Duration::from_millis(ms),
         (_, Ok(pause)) => Duration::from_millis(pause),
         (_, Err(_)) => EVENT_PAUSE,
     };
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -15,5 +15,6 @@
 mod silence;
 #[path = "../support/site.rs"]
 mod site;
+mod stops;
 mod streams;
 mod waiting;
