Close callers' connections with no request left on them

Callers saw: requests without an answer or a refusal that no log line names, in the moment in which a stopping instance closes idle connections and in that of its end; answers that broke off as the process ended; and connections that were closed at the idle limit that was in force when they were opened, although the configuration had raised it.

Cause, three of one kind, as nothing knew what a connection holds: (1) hyper's graceful_shutdown closes a connection between two requests without a look at the socket or at a head of which a part was read, and tokio reports bytes only after the next poll of the kernel, so a request that came with the timer was left unread; (2) the process ended when no request was in flight, although hyper or a slow caller still held the answer, and with connections open that were opened after SIGTERM; (3) the idle limit was given to hyper once for each connection.

Change: front::idle says when a connection is idle and when an idle one is closed, from the bytes read and written, the requests whose answers are not handed over, and the terms in force. Before a close the socket is asked for unread bytes (FIONREAD); nothing else runs between the look and the close. A head that has begun has headerTimeoutMs. The end of the process waits for connections too: 0.5 s before the grace ends at the latest, the listener closes and idle connections close at once; those with an answer to write are waited for, within the grace. The idle limit is the longest in force since the connection became idle, and 2 s more, as callers may know of a raised limit before this instance does.

Ruled out: a second look after the close of the own side, as nothing can be answered then; a request that crosses the close remains, as on any connection of HTTP/1.1.

--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -2,8 +2,14 @@
 //! not answered.
 
 use {
-    crate::front::{metrics::Metrics, response::Body, state::State},
+    crate::front::{
+        idle::{Activity, Terms},
+        metrics::Metrics,
+        response::Body,
+        state::State,
+    },
     bytes::Bytes,
+    camphorweir_relay::configuration::Limits,
     hyper::body::{Body as HttpBody, Frame, SizeHint},
     rustix::{
         io::ioctl_fionread,
@@ -19,6 +25,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        sync::watch,
     },
 };
 
@@ -51,8 +58,11 @@
 }
 
 /// The open connections.
-#[derive(Debug, Default)]
-pub struct Connections(Mutex<Open>);
+#[derive(Debug)]
+pub struct Connections {
+    open: Mutex<Open>,
+    terms: watch::Sender<Terms>,
+}
 
 #[derive(Debug, Default)]
 struct Open {
@@ -61,8 +71,37 @@
 }
 
 impl Connections {
+    /// No connections yet; new ones may be idle as the limits say.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            open: Mutex::default(),
+            terms: watch::channel(Terms::new(limits)).0,
+        }
+    }
+
     fn open(&self) -> MutexGuard<'_, Open> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is asked of connections, and a notice of each change.
+    pub fn terms(&self) -> watch::Receiver<Terms> {
+        self.terms.subscribe()
+    }
+
+    /// Puts other limits in force.
+    pub fn set_limits(&self, limits: Limits) {
+        self.terms
+            .send_if_modified(|terms| terms.set_limits(limits));
+    }
+
+    /// Lets connections that are idle close some time after the shutdown has begun.
+    pub fn begin_stop(&self) {
+        self.terms.send_if_modified(Terms::begin_stop);
+    }
+
+    /// Lets connections that are idle close at once, as the process is about to end.
+    pub fn begin_close(&self) {
+        self.terms.send_if_modified(Terms::begin_close);
     }
 
     /// Number of open connections.
@@ -97,7 +136,7 @@
     pub fn new(state: &State, stream: TcpStream) -> Self {
         let connection = Connection(Arc::new(Inner {
             stream,
-            activity: Mutex::default(),
+            activity: Mutex::new(Activity::new()),
         }));
         let mut open = state.connections().open();
         let key = open.next;
@@ -145,15 +184,6 @@
     activity: Mutex<Activity>,
 }
 
-/// What a connection holds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Activity {
-    /// Bytes read of a request head that is not whole.
-    head_bytes: usize,
-    /// Requests whose answers are not handed over whole.
-    unanswered: usize,
-}
-
 impl Connection {
     fn activity(&self) -> MutexGuard<'_, Activity> {
         let activity = &self.0.activity;
@@ -169,32 +199,34 @@
     /// dropped.
     pub fn begin_request(&self) -> Unanswered {
         let mut activity = self.activity();
-        activity.head_bytes = 0;
-        activity.unanswered += 1;
+        activity.begin_request();
         drop(activity);
         Unanswered(self.clone())
     }
 
+    /// What the connection holds now.
+    pub fn snapshot(&self) -> Activity {
+        *self.activity()
+    }
+
     /// Bytes that have arrived and were not read.
-    fn unread_bytes(&self) -> u64 {
+    pub fn unread_bytes(&self) -> u64 {
         // An error means that the connection has ended, with nothing to read.
         ioctl_fionread(&self.0.stream).unwrap_or_default()
     }
 
     /// Whether a request, or a part of one, has arrived and was not answered.
     fn holds_request(&self) -> bool {
-        let Activity {
-            head_bytes,
-            unanswered,
-        } = *self.activity();
-        head_bytes > 0 || unanswered > 0 || self.unread_bytes() > 0
+        let activity = self.snapshot();
+        activity.is_busy() || activity.head_bytes > 0 || self.unread_bytes() > 0
     }
 
     fn log_end(&self, end: End) {
         let Activity {
             head_bytes,
             unanswered,
-        } = *self.activity();
+            ..
+        } = self.snapshot();
         log::info!(
             cause = end.label(),
             head_bytes = head_bytes,
@@ -211,8 +243,7 @@
 
 impl Drop for Unanswered {
     fn drop(&mut self) {
-        let mut activity = self.0.activity();
-        activity.unanswered = activity.unanswered.saturating_sub(1);
+        self.0.activity().end_request();
     }
 }
 
@@ -276,11 +307,7 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
                     buffer.advance(count);
-                    let mut activity = self.0.activity();
-                    // Between requests, bytes begin a head.
-                    if activity.unanswered == 0 {
-                        activity.head_bytes += count;
-                    }
+                    self.0.activity().record_read(count);
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -303,7 +330,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream().poll_write_ready(cx))?;
+            let is_ready = self.stream().poll_write_ready(cx);
+            self.0.activity().record_write(is_ready.is_pending());
+            ready!(is_ready)?;
             match self.stream().try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -3,12 +3,12 @@
 use {
     crate::front::{
         connections::{Answer, End, Entry},
+        idle::Limit,
         request::handle_request,
         state::State,
     },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
-    camphorweir_relay::shutdown::Stop,
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode,
@@ -16,7 +16,7 @@
         server::conn::http1,
         service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     rustix::net::{Shutdown, shutdown},
     std::{
         convert::Infallible,
@@ -28,8 +28,8 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, watch},
-        time::sleep,
+        sync::Semaphore,
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -41,9 +41,10 @@
 /// Fraction of the file descriptors for callers' connections; the rest is for targets, the store
 /// and checks.
 const CALLER_SOCKET_FRACTION: f64 = 0.6;
-/// Idle connections are kept open for this long after the shutdown began: the load balancer needs
-/// two checks, a second apart, to send callers elsewhere.
-const STOP_IDLE_PERIOD: Duration = Duration::from_millis(2200);
+/// Pause before another look at a connection that is due to close, and holds bytes not yet read.
+const UNREAD_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before another look at one that was idle for long before a request that is not yet answered.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Serves callers; never returns.
 pub async fn listen_callers(state: State, listener: Arc<TcpListener>) {
@@ -100,42 +101,60 @@
 async fn serve_caller(state: State, stream: TcpStream) {
     // Without TCP_NODELAY responses are only slower.
     let _ = stream.set_nodelay(true);
-    let limits = state.limits();
-    let mut stop_receiver = state.subscribe_stop();
+    let head_bytes = state.limits().head_bytes;
+    let mut terms = state.connections().terms();
     let entry = Entry::new(&state, stream);
     let caller = entry.connection().clone();
+    let mut limit = Limit::new(&terms.borrow(), &caller.snapshot());
+    let requests = caller.clone();
     let service = service_fn(move |request| {
-        let (state, unanswered) = (state.clone(), caller.begin_request());
+        let (state, unanswered) = (state.clone(), requests.begin_request());
         async move {
             let response = handle_request(state, request).await;
             Ok::<_, Infallible>(response.map(|body| Answer::new(body, unanswered)))
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Also limits the time that a connection is idle.
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes + HEAD_MARGIN_BYTES)
-        .serve_connection(TokioIo::new(entry.connection().io()), service);
+        // The limits of a connection may change while it is open.
+        .header_read_timeout(None)
+        .max_buf_size(head_bytes + HEAD_MARGIN_BYTES)
+        .serve_connection(TokioIo::new(caller.io()), service);
     tokio::pin!(connection);
-    // Other errors of a connection concern only the caller.
-    let end = |result: hyper::Result<()>| match result {
-        Err(error) if error.is_timeout() => End::IdleLimit,
-        _ => End::Caller,
+    let mut look_at = Instant::now();
+    let end = loop {
+        let current = *terms.borrow_and_update();
+        let close_at = limit.close_at(&current, &caller.snapshot());
+        tokio::select! {
+            // Errors of a connection concern only the caller.
+            _ = connection.as_mut() => return entry.report(End::Caller),
+            _ = terms.changed() => {
+                look_at = Instant::now();
+                continue;
+            }
+            () = sleep_until(close_at.max(look_at)) => {}
+        }
+        // What follows has no await, so that nothing arrives between the look and the close.
+        let activity = caller.snapshot();
+        look_at = Instant::now();
+        if limit.close_at(&current, &activity) > Instant::now() {
+            continue;
+        }
+        let stop_close = current.stop_close(&activity);
+        let is_stop = stop_close.is_some_and(|at| at <= Instant::now());
+        match (activity.is_busy(), caller.unread_bytes()) {
+            (true, _) if is_stop => break End::IdleClose,
+            (true, _) => look_at += BUSY_PAUSE,
+            // The caller has left, or a request has arrived and is read next.
+            (false, 1..) if activity.head_bytes == 0 => look_at += UNREAD_PAUSE,
+            // A head that is not whole in its time.
+            (false, _) if activity.head_bytes > 0 => return entry.report(End::IdleLimit),
+            (false, _) if is_stop => break End::IdleClose,
+            (false, _) => break End::IdleLimit,
+        }
     };
-    tokio::select! {
-        result = connection.as_mut() => return entry.report(end(result)),
-        () = wait_for_idle_close(&mut stop_receiver) => {}
-    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
-    entry.report(End::IdleClose);
-}
-
-async fn wait_for_idle_close(stop_receiver: &mut watch::Receiver<Option<Stop>>) {
-    // A dropped sender means that the process is ending.
-    let _ = stop_receiver.wait_for(Option::is_some).await;
-    sleep(STOP_IDLE_PERIOD).await;
+    entry.report(end);
 }
 
 /// Serves the load balancer's readiness check; never returns.
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -10,6 +10,7 @@
 pub mod feed;
 pub mod follow;
 pub mod gossip;
+pub mod idle;
 pub mod instances;
 pub mod listen;
 pub mod metrics;
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -5,6 +5,7 @@
         front::{
             follow::{follow_run, follow_serve},
             gossip::{bind_digests, bind_followers, gossip_run},
+            idle::LAST_REQUESTS_WAIT,
             listen::{listen_callers, listen_ready},
             metrics::{Metrics, metrics_serve},
             placement::placement_run,
@@ -19,7 +20,7 @@
     std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -28,13 +29,13 @@
 /// New requests may still arrive for this long after the shutdown began: two checks of the load
 /// balancer, a second apart, and the network delay.
 const MIN_DRAIN: Duration = Duration::from_millis(2600);
-/// Connections accepted just before the listener closed have this long to send a request: a few
-/// scheduling turns of a caller on a busy machine.
-const LAST_REQUESTS_WAIT: Duration = Duration::from_millis(150);
+/// The listener closes at the latest this long before the end, so that what arrives last is answered.
+const LAST_CLOSE: Duration = Duration::from_millis(500);
 /// Pause between removals of connections that were idle for too long.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
-/// Runs the instance until `stop` completes, and then until the requests in flight have ended.
+/// Runs the instance until `stop` completes, and then until the requests in flight have ended, their
+/// answers are written and callers' connections are closed.
 /// Metrics are served on `metrics_port` if given; `settings_source` loads changed settings.
 ///
 /// # Errors
@@ -114,14 +115,21 @@
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
     let left = state.stop().map(|stop| stop.ends_at - stop.since);
-    let drained = async {
+    let ends_at = Instant::now() + left.unwrap_or_default();
+    let quiet = async {
         sleep(MIN_DRAIN).await;
         wait_until_idle(&state).await;
+    };
+    let _ = timeout_at(ends_at - LAST_CLOSE, quiet).await;
+    let closed = async {
         state.listener_close().notify_one();
         sleep(LAST_REQUESTS_WAIT).await;
-        wait_until_idle(&state).await;
+        state.connections().begin_close();
+        while state.requests().count() > 0 || state.connections().count() > 0 {
+            sleep(DRAIN_CHECK_PAUSE).await;
+        }
     };
-    let drained = timeout(left.unwrap_or_default(), drained).await;
+    let drained = timeout_at(ends_at, closed).await;
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -94,7 +94,7 @@
             eras: Mutex::default(),
             stopping: watch::channel(None).0,
             requests: Requests::default(),
-            connections: Connections::default(),
+            connections: Connections::new(Limits::default()),
         }))
     }
 
@@ -449,6 +449,7 @@
             current.get_or_insert(stop);
             is_first
         });
+        self.connections().begin_stop();
     }
 
     /// Whether the instance is shutting down.
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -151,6 +151,7 @@
         .set_configuration(Arc::new(configuration), confirmed_at)
     {
         state.feed().set_configuration(version, value.clone());
+        state.connections().set_limits(state.limits());
         log::info!(version = version, routes = routes, keys = keys; "configuration in force");
     }
     Some(version)
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -60,6 +60,8 @@
     Slow,
     /// Sends the events of a stream with a pause of so many ms after each.
     SlowBy(u64),
+    /// Answers a call with a body of so many bytes.
+    Large(usize),
     /// Executes the call and answers 500.
     Fail,
 }
@@ -425,6 +427,7 @@
                 stream_body(request, fault),
                 self.state().stream_guard.clone(),
             ),
+            (Some(ResponseFault::Large(bytes)), false) => ScriptedBody::whole(vec![b'.'; bytes]),
             (_, false) => {
                 ScriptedBody::whole(format!("{} by {}", request.path, self.setup.id).into())
             }
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -238,6 +238,11 @@
         drop(self.stop.take());
     }
 
+    /// Whether it has ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Waits for its end.
     pub(crate) async fn ended(mut self) -> Result<(), String> {
         timeout(GUARD, &mut self.task).await.unwrap().unwrap()
--- a/camphorweir-standin/tests/front/stops.rs
+++ b/camphorweir-standin/tests/front/stops.rs
@@ -1,13 +1,22 @@
 //! Instances that stop while callers use their connections.
 
 use {
-    crate::bench::{Bench, Channel, KEYS, call, plain, stream, until},
+    crate::{
+        bench::{Answer, Bench, Channel, KEYS, call, plain, stream, until},
+        site::site,
+    },
     bytes::Bytes,
     camphorweir_standin::platform_target::{ResponseFault, STREAM_EVENTS, event},
     http_body_util::Full,
     hyper::Request,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        io::{ErrorKind, Read, Write},
+        net::{SocketAddr, TcpStream},
+        time::Duration,
+    },
     tokio::{
+        io::AsyncReadExt,
+        net::TcpSocket,
         task::JoinSet,
         time::{Instant, sleep, sleep_until},
     },
@@ -21,6 +30,12 @@
 const SHORT_S: f64 = 0.5;
 /// Time within which a refusal counts as given at once.
 const AT_ONCE: Duration = Duration::from_millis(500);
+/// Time from the stop at which idle connections are closed.
+const IDLE_CLOSE: Duration = Duration::from_millis(2_200);
+/// Size of a body that fits into no buffers of sockets.
+const LARGE: usize = 7 << 20;
+/// Guards against a hang; no promise is measured by it.
+const GUARD: Duration = Duration::from_secs(10);
 
 fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -65,6 +80,79 @@
     }
 }
 
+/// A request on a connection that is used as the operating system has it, with no task of its own.
+struct Socket {
+    stream: TcpStream,
+    received: Vec<u8>,
+    sent: bool,
+}
+
+impl Socket {
+    async fn open(front: SocketAddr) -> Self {
+        let stream = TcpStream::connect(front).unwrap();
+        // The instance accepts it before the next is opened.
+        sleep(ms(1)).await;
+        stream.set_nonblocking(true).unwrap();
+        Self {
+            stream,
+            received: Vec::new(),
+            sent: false,
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Sends a call unless the connection is closed; nothing else runs between the two.
+    fn send(&mut self, id: &str) {
+        if self.is_closed() {
+            return;
+        }
+        let text = format!(
+            "POST /look/b HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: {id}\r\n\
+             x-deadline-ms: 3000\r\nauthorization: Bearer {}\r\ncontent-length: 2\r\n\r\nab",
+            KEYS[0]
+        );
+        self.sent = self.stream.write(text.as_bytes()).unwrap() == text.len();
+        self.received.clear();
+    }
+
+    /// Reads until an answer is whole; returns whether it is.
+    async fn is_answered(&mut self) -> bool {
+        let until = Instant::now() + GUARD;
+        while Instant::now() < until {
+            let mut buffer = [0; 4096];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => self.received.extend(&buffer[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => sleep(ms(2)).await,
+                Err(_) => break,
+            }
+            if self.is_whole() {
+                return true;
+            }
+        }
+        self.is_whole()
+    }
+
+    fn is_whole(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.received);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            return false;
+        };
+        let length = head.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            let is_length = name.eq_ignore_ascii_case("content-length");
+            is_length.then(|| value.trim().parse::<usize>().ok())?
+        });
+        length == Some(body.len())
+    }
+}
+
 /// Guards against streams that a stopping instance admits and cuts, and against reloads that move its end.
 #[tokio::test]
 async fn a_stream_that_arrives_during_a_stop_is_served_whole_or_refused_at_once() {
@@ -153,3 +241,133 @@
     assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
     assert!(long.await.unwrap().whole);
 }
+
+/// Guards against idle connections that are closed with a request on them.
+#[tokio::test]
+async fn a_request_in_the_moment_of_the_idle_close_is_answered() {
+    let mut bench = Bench::start(1).await;
+    let mut sockets = Vec::new();
+    for index in 0..240 {
+        let mut socket = Socket::open(bench.front()).await;
+        socket.send(&format!("w{index}"));
+        assert!(socket.is_answered().await);
+        sockets.push(socket);
+    }
+    let begun = Instant::now();
+    bench.entries[0].stop();
+    let mut calls = JoinSet::new();
+    for (index, mut socket) in sockets.into_iter().enumerate() {
+        calls.spawn(async move {
+            socket.sent = false;
+            let at = IDLE_CLOSE + Duration::from_micros(200) * index as u32;
+            sleep_until(begun + at - ms(20)).await;
+            socket.send(&format!("a{index}"));
+            let is_answered = !socket.sent || socket.is_answered().await;
+            (socket.sent, is_answered)
+        });
+    }
+    let ends = calls.join_all().await;
+    let sent = ends.iter().filter(|(sent, _)| *sent).count();
+    let lost = ends.iter().filter(|(_, answered)| !answered).count();
+    assert_eq!(lost, 0, "{sent} sent");
+    assert!(sent > 0 && sent < ends.len(), "{sent} sent");
+}
+
+/// Guards against a process that ends with connections open on which callers may send.
+#[tokio::test]
+async fn a_request_in_the_moment_of_the_end_is_answered_and_no_connection_outlives_it() {
+    let mut bench = Bench::start(1).await;
+    let front = bench.front();
+    let mut entry = bench.entries.remove(0);
+    let begun = Instant::now();
+    entry.stop();
+    // Connections that are opened during the stop are kept for some time.
+    sleep(ms(1_500)).await;
+    let mut calls = JoinSet::new();
+    for index in 0..200 {
+        let mut socket = Socket::open(front).await;
+        calls.spawn(async move {
+            sleep_until(begun + ms(2_550 + 3 * index)).await;
+            socket.send(&format!("a{index}"));
+            let is_answered = !socket.sent || socket.is_answered().await;
+            (socket.sent, is_answered)
+        });
+    }
+    let mut idle = Vec::new();
+    for _ in 0..20 {
+        idle.push(Socket::open(front).await);
+    }
+    entry.ended().await.unwrap();
+    let open = idle.iter_mut().filter(|socket| !socket.is_closed()).count();
+    let ends = calls.join_all().await;
+    let lost = ends.iter().filter(|(_, answered)| !answered).count();
+    assert_eq!((open, lost), (0, 0), "open at the end, lost");
+}
+
+/// Guards against a process that ends before an answer is written.
+#[tokio::test]
+async fn an_answer_to_a_caller_that_reads_slowly_is_written_before_the_end() {
+    let mut bench = Bench::start(1).await;
+    let front = bench.front();
+    bench
+        .calls
+        .iter()
+        .for_each(|target| target.inject(ResponseFault::Large(LARGE)));
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let stream = socket.connect(front).await.unwrap();
+    let stream = stream.into_std().unwrap();
+    let mut caller = Socket {
+        stream,
+        received: Vec::new(),
+        sent: false,
+    };
+    caller.send("a1");
+    until("the run", || async {
+        (bench.runs("a1") == 1).then_some(())
+    })
+    .await;
+    let mut entry = bench.entries.remove(0);
+    let begun = Instant::now();
+    entry.stop();
+    sleep_until(begun + ms(4_500)).await;
+    assert!(!entry.is_over(), "ended with an answer that is not written");
+    let mut stream = tokio::net::TcpStream::from_std(caller.stream).unwrap();
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.unwrap();
+    assert!(received.len() > LARGE, "{}", received.len());
+    entry.ended().await.unwrap();
+    assert!(begun.elapsed() < GRACE);
+}
+
+/// Guards against connections that close earlier than the configuration in force lets callers expect.
+#[tokio::test]
+async fn a_connection_that_was_idle_for_four_fifths_of_a_raised_limit_is_open() {
+    let bench = Bench::start(1).await;
+    let limit = async |version: u64, idle_ms: u64| {
+        let mut site = site(version, &KEYS);
+        site["limits"]["idleTimeoutMs"] = idle_ms.into();
+        bench
+            .store
+            .put("keyed.op", "config", site.to_string().as_bytes());
+        sleep(ms(1_000)).await;
+    };
+    limit(2, 2_000).await;
+    let mut used = used_channels(bench.front(), 4).await;
+    let mut unused = Vec::new();
+    for _ in 0..4 {
+        unused.push(Channel::open(bench.front()).await);
+    }
+    limit(3, 5_000).await;
+    sleep(ms(3_000)).await;
+    let answers = async |channels: &mut Vec<Channel>| -> Vec<Option<u16>> {
+        let mut answers = Vec::new();
+        for channel in channels {
+            let answer: Option<Answer> = channel.call(&plain("/look/b", "a1", KEYS[0])).await;
+            answers.push(answer.map(|answer| answer.status));
+        }
+        answers
+    };
+    let (used, unused) = (answers(&mut used).await, answers(&mut unused).await);
+    assert_eq!((used, unused), (vec![Some(200); 4], vec![Some(200); 4]));
+}
