Soak: longer streams, and more of them at a stop

A stream that begins as an entry stops has to last for most of the grace to be cut at its end; hardly one did. A third of the streams of the callers that keep their connections now last 3.6 to 6.5 s, and a stop is drawn twice as often among the planned work.

--- a/camphorweir-standin/tests/soak/fault.rs
+++ b/camphorweir-standin/tests/soak/fault.rs
@@ -121,7 +121,7 @@
     while at < PLANNED {
         let entry = rng.random_range(0..ENTRIES);
         let lasts = millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
-        match rng.random_range(0..8) {
+        match rng.random_range(0..9) {
             0..3 => script.extend(silences(rng, at)),
             3..5 => {
                 let mut next = at;
--- a/camphorweir-standin/tests/soak/keeper.rs
+++ b/camphorweir-standin/tests/soak/keeper.rs
@@ -15,10 +15,12 @@
 
 /// How long these callers say to wait.
 const PATIENCE: Duration = Duration::from_secs(9);
-/// Events of their streams, and the pause after each in ms; those of the long ones.
+/// Events of their streams, and the pause after each in ms.
 const EVENTS: (usize, usize) = (4, 20);
-const LONG_EVENTS: (usize, usize) = (20, 36);
 const EVENT_PAUSE_MS: (u64, u64) = (20, 180);
+/// The same of long ones, which take most of the time for which an entry stops.
+const LONG_EVENTS: (usize, usize) = (28, 36);
+const LONG_EVENT_PAUSE_MS: (u64, u64) = (130, 180);
 /// Part of the streams that are long.
 const LONG: f64 = 0.3;
 /// Longest pause between two requests of one that does not let its connection idle.
@@ -72,11 +74,11 @@
         Kind::Once,
         Kind::Once,
     ];
-    let pause = rng.random_range(EVENT_PAUSE_MS.0..EVENT_PAUSE_MS.1);
-    let events = match rng.random_bool(LONG) {
-        true => LONG_EVENTS,
-        false => EVENTS,
+    let (events, pause) = match rng.random_bool(LONG) {
+        true => (LONG_EVENTS, LONG_EVENT_PAUSE_MS),
+        false => (EVENTS, EVENT_PAUSE_MS),
     };
+    let pause = rng.random_range(pause.0..pause.1);
     Ask {
         id,
         kind: kinds[rng.random_range(0..kinds.len())],
