Tell of refused requests in digests and summaries

Cause: callers come back 0.25 s and more after a refusal, nearly always at another instance, while the tags of refused requests went once a second to the aggregator and once a second from it.

Change: an instance names the requests that it refused within 350 ms in its digests (at most 16), and the aggregator those that it refused or heard of within 500 ms in the summaries of its own zone (at most 40). The field `refused` is by name, and only in messages that have some; all others have the bytes of before, so that nothing changes where ranks are not ordered. Earlier releases pass over the field. No datagram is added.

Tests: the list of the messages that does not have takes the two new cases; its check that all others are unchanged is as before.

--- a/camphorweir-entry/src/front/demand.rs
+++ b/camphorweir-entry/src/front/demand.rs
@@ -68,6 +68,26 @@
     }
 }
 
+/// Encodes a datagram, without the refusals that do not fit, which are longest ago; `refused` is where it has
+/// them.
+pub fn encode_refused<T: Clone>(
+    message: &T,
+    datagram: impl Fn(T) -> Datagram,
+    refused: impl Fn(&mut T) -> &mut Vec<u32>,
+) -> Vec<u8> {
+    let mut message = message.clone();
+    loop {
+        let bytes = codec::encode(&datagram(message.clone()));
+        let excess = bytes.len().saturating_sub(MAX_DATAGRAM_BYTES);
+        let told = refused(&mut message);
+        if excess == 0 || told.is_empty() {
+            return bytes;
+        }
+        // A tag takes up to 5 bytes.
+        told.truncate(told.len().saturating_sub(excess.div_ceil(5)));
+    }
+}
+
 /// Applies what another instance of the zone reports.
 pub fn receive_demand(state: &State, demand: Demand) {
     let now = state.now();
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         front::{
-            demand::{self, DEMAND_ROUNDS, receive_demand},
+            demand::{self, DEMAND_ROUNDS, encode_refused, receive_demand},
             permits::{permits_run, receive_account, receive_ask, receive_grant, receive_news},
             state::State,
             store::Store,
@@ -303,7 +303,7 @@
             configuration_version: self.state.configuration_version(),
             ..self.state.router().digest(now)
         };
-        let bytes = codec::encode(&Datagram::Digest(digest.clone()));
+        let bytes = encode_refused(&digest, Datagram::Digest, |digest| &mut digest.refused);
         self.state.router().peers.record_own_digest(digest);
         let recipients = self.state.roles().digest_recipients(now);
         let addresses = self.zone_addresses();
@@ -378,7 +378,8 @@
             summary.newest = newest.clone();
             for (name, address) in &recipients {
                 summary.included_sequence = sequences.get(name).copied();
-                let bytes = codec::encode(&Datagram::Summary(summary.clone()));
+                let bytes =
+                    encode_refused(&summary, Datagram::Summary, |summary| &mut summary.refused);
                 self.send(&bytes, *address);
             }
         }
--- a/camphorweir-relay/src/fairness.rs
+++ b/camphorweir-relay/src/fairness.rs
@@ -25,6 +25,11 @@
 const MAX_REFUSED: usize = 4_096;
 /// Refused requests in one message; with the largest tags they take less than half of a datagram.
 const MAX_REFUSED_SENT: usize = 120;
+/// Time for which an instance tells of a request that it refused in its digests, and the aggregator in its
+/// summaries: at least two of them, so that one may be lost.
+const TELL: (Duration, Duration) = (Duration::from_millis(350), Duration::from_millis(500));
+/// Refused requests in a digest and in a summary, of 5 bytes each.
+const MAX_TOLD: (usize, usize) = (16, 40);
 /// Workspaces and classes that are told apart; those beyond it count as within their share.
 const MAX_WORKS: usize = 4_096;
 /// Capacity is short for a class where it is offered this much more work than is admitted.
@@ -116,6 +121,8 @@
     arrived_at: Time,
     /// Requests that this instance refused, by tag.
     refused: HashMap<u32, Time>,
+    /// Requests that digests and summaries name as refused, by tag, and when they first did.
+    heard: HashMap<u32, Time>,
     /// What other instances report to this one while it is the aggregator.
     reports: BTreeMap<String, (Time, Demand)>,
     /// The last sum of the zone.
@@ -146,20 +153,40 @@
 
     /// Records that a request was refused and its caller told when to return.
     pub fn record_refused(&mut self, fingerprint: Fingerprint, now: Time) {
-        if self.refused.len() >= MAX_REFUSED {
-            self.refused
-                .retain(|_, at| is_younger(*at, REFUSED_TTL, now));
-        }
-        if self.refused.len() < MAX_REFUSED {
-            self.refused.insert(refused_tag(fingerprint), now);
+        remember(&mut self.refused, refused_tag(fingerprint), now);
+    }
+
+    /// Records requests that other instances of the zone refused.
+    pub fn record_heard(&mut self, refused: &[u32], now: Time) {
+        for tag in refused {
+            match self.heard.get(tag) {
+                Some(at) if is_younger(*at, REFUSED_TTL, now) => {}
+                _ => remember(&mut self.heard, *tag, now),
+            }
         }
     }
 
-    /// Whether a request was refused lately, here or as the zone's sum says.
+    /// Tags of the requests that this instance refused lately, for a digest.
+    pub fn refused_for_digest(&self, now: Time) -> Vec<u32> {
+        newest(self.refused.iter(), TELL.0, MAX_TOLD.0, now)
+    }
+
+    /// Tags of the requests that the zone refused lately, for a summary of the aggregator.
+    pub fn refused_for_summary(&self, now: Time) -> Vec<u32> {
+        newest(
+            self.refused.iter().chain(&self.heard),
+            TELL.1,
+            MAX_TOLD.1,
+            now,
+        )
+    }
+
+    /// Whether a request was refused lately, here or as another instance of the zone says.
     pub fn is_returning(&self, fingerprint: Fingerprint, now: Time) -> bool {
         let tag = refused_tag(fingerprint);
-        let own = self.refused.get(&tag);
-        own.is_some_and(|at| is_younger(*at, REFUSED_TTL, now))
+        let known = [&self.refused, &self.heard].into_iter();
+        let mut known = known.filter_map(|refused| refused.get(&tag));
+        known.any(|at| is_younger(*at, REFUSED_TTL, now))
             || self
                 .fresh_sum(now)
                 .is_some_and(|sum| sum.refused.contains(&tag))
@@ -189,15 +216,13 @@
 
     /// What this instance reports to the aggregator, for `entry` as the sender.
     pub fn report(&mut self, entry: &str, now: Time) -> Demand {
-        self.refused
-            .retain(|_, at| is_younger(*at, REFUSED_TTL, now));
+        for refused in [&mut self.refused, &mut self.heard] {
+            refused.retain(|_, at| is_younger(*at, REFUSED_TTL, now));
+        }
         // Less than one unit of work in a datagram.
         self.own.retain(|_, (offered, _)| offered.get(now) >= 1.0);
-        let mut refused: Vec<(Time, u32)> =
-            self.refused.iter().map(|(tag, at)| (*at, *tag)).collect();
-        refused.sort_unstable_by(|a, b| b.cmp(a));
-        let refused = refused.into_iter().map(|(_, tag)| tag);
-        encode(entry, false, &self.own_rates(now), refused.collect())
+        let refused = newest(self.refused.iter(), REFUSED_TTL, MAX_REFUSED_SENT, now);
+        encode(entry, false, &self.own_rates(now), refused)
     }
 
     /// Records the report of an instance to this one as the aggregator, or a sum of the zone from it.
@@ -256,6 +281,30 @@
     }
 }
 
+/// Adds a tag to refused requests, if there is room.
+fn remember(refused: &mut HashMap<u32, Time>, tag: u32, now: Time) {
+    if refused.len() >= MAX_REFUSED {
+        refused.retain(|_, at| is_younger(*at, REFUSED_TTL, now));
+    }
+    if refused.len() < MAX_REFUSED {
+        refused.insert(tag, now);
+    }
+}
+
+/// Tags of at most `most` requests that were refused less than `limit` ago, the newest first.
+fn newest<'a>(
+    refused: impl Iterator<Item = (&'a u32, &'a Time)>,
+    limit: Duration,
+    most: usize,
+    now: Time,
+) -> Vec<u32> {
+    let lately = refused.filter(|(_, at)| is_younger(**at, limit, now));
+    let mut lately: Vec<(Time, u32)> = lately.map(|(tag, at)| (*at, *tag)).collect();
+    lately.sort_unstable_by(|a, b| b.cmp(a));
+    lately.truncate(most);
+    lately.into_iter().map(|(_, tag)| tag).collect()
+}
+
 fn is_younger(at: Time, limit: Duration, now: Time) -> bool {
     now.saturating_sub(at) < limit
 }
--- a/camphorweir-relay/src/reports.rs
+++ b/camphorweir-relay/src/reports.rs
@@ -42,6 +42,7 @@
         Digest {
             loads,
             failing,
+            refused: self.fairness.refused_for_digest(now),
             ..Digest::default()
         }
     }
@@ -84,11 +85,12 @@
     /// Applies the digest of a peer; returns the targets that are unresponsive here from now on
     /// because that peer says so.
     pub fn apply_digest(&mut self, digest: Digest, now: Time) -> Vec<TargetId> {
-        let failing = digest.failing.clone();
-        match self.peers.apply_digest(digest, now) {
-            true => self.record_failing(&failing, now),
-            false => Vec::new(),
+        let (failing, refused) = (digest.failing.clone(), digest.refused.clone());
+        if !self.peers.apply_digest(digest, now) {
+            return Vec::new();
         }
+        self.fairness.record_heard(&refused, now);
+        self.record_failing(&failing, now)
     }
 
     /// Applies a summary of the load of many instances; returns the targets that are unresponsive
@@ -101,6 +103,7 @@
             self.peers.use_summaries(now);
             self.clear_recovered(zone, &summary);
         }
+        self.fairness.record_heard(&summary.refused, now);
         self.record_failing(&summary.failing, now)
     }
 
--- a/camphorweir-relay/src/summary.rs
+++ b/camphorweir-relay/src/summary.rs
@@ -36,7 +36,16 @@
     let mut failing = with_own_failing(router.peers.failing(now), &own.failing);
     failing.retain(|tag, _| is_in_zone(*tag));
     let scope = Scope::TargetsOf(zone.to_string());
-    split(scope, &loads, &failing, router.peers.count() + 1)
+    let mut parts = split(scope, &loads, &failing, router.peers.count() + 1);
+    if *zone == router.zone {
+        let refused = router.fairness.refused_for_summary(now);
+        for summary in &mut parts {
+            let in_part = refused.iter().copied();
+            let in_part = in_part.filter(|tag| tag % summary.parts == summary.part);
+            summary.refused = in_part.collect();
+        }
+    }
+    parts
 }
 
 /// The load of the own zone's instances on all targets, for the aggregators of other zones.
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -22,6 +22,7 @@
 mod progress;
 mod projection;
 mod retry;
+mod returning;
 mod roles;
 mod router;
 mod sse;
--- a/camphorweir-wire/src/digest.rs
+++ b/camphorweir-wire/src/digest.rs
@@ -9,7 +9,7 @@
         crash::Suspect,
         demand::Demand,
         limit::{Account, Ask, Grant, News},
-        map_serde::serialize_as_map,
+        map_serde::{serialize_as_map, serialize_with_added},
     },
     serde::{Deserialize, Serialize},
 };
@@ -48,7 +48,7 @@
 });
 
 /// The load of one entry; it fits in one datagram.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 pub struct Digest {
     /// The sender's name.
     pub entry: String,
@@ -74,8 +74,27 @@
     /// Version of the configuration in force at the sender; 0 before any.
     #[serde(default)]
     pub configuration_version: u64,
+    /// Tags of the fingerprints of requests that the sender refused and told when to return, the newest
+    /// first.
+    #[serde(default)]
+    pub refused: Vec<u32>,
 }
 
+serialize_with_added!(
+    Digest {
+        entry,
+        incarnation,
+        sequence,
+        loads,
+        failing,
+        store_read_ms,
+        store_failed_ms,
+        store_era,
+        configuration_version,
+    },
+    refused
+);
+
 /// Any datagram between entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
@@ -98,7 +117,7 @@
 }
 
 /// The load of many entries on some targets; it fits in one datagram.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 pub struct Summary {
     /// The sender's name.
     pub entry: String,
@@ -141,8 +160,33 @@
     /// Highest era of the store that the sender has heard of; `None` for none.
     #[serde(default)]
     pub store_era: Option<u64>,
+    /// Tags of the fingerprints of requests that the entries of the zone refused and told when to return,
+    /// the newest first; only in summaries for the own zone.
+    #[serde(default)]
+    pub refused: Vec<u32>,
 }
 
+serialize_with_added!(
+    Summary {
+        entry,
+        incarnation,
+        sequence,
+        scope,
+        part,
+        parts,
+        link_mbps,
+        entries,
+        included_sequence,
+        loads,
+        failing,
+        readers,
+        source,
+        newest,
+        store_era,
+    },
+    refused
+);
+
 /// What a summary covers.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Scope {
--- a/camphorweir-wire/src/map_serde.rs
+++ b/camphorweir-wire/src/map_serde.rs
@@ -21,4 +21,27 @@
     };
 }
 
-pub(crate) use serialize_as_map;
+/// Implements `Serialize` for a struct that gained the field `added`: by position and without it while it is
+/// empty, as earlier releases write it, else as a map from the names of all its fields.
+macro_rules! serialize_with_added {
+    ($type:ident { $($field:ident),* $(,)? }, $added:ident) => {
+        impl serde::Serialize for $type {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                use serde::ser::{SerializeMap, SerializeStruct};
+                let Self { $($field,)* $added } = self;
+                let count = [$(stringify!($field)),*].len();
+                if $added.is_empty() {
+                    let mut fields = serializer.serialize_struct(stringify!($type), count)?;
+                    $(fields.serialize_field(stringify!($field), $field)?;)*
+                    return fields.end();
+                }
+                let mut map = serializer.serialize_map(Some(count + 1))?;
+                $(map.serialize_entry(stringify!($field), $field)?;)*
+                map.serialize_entry(stringify!($added), $added)?;
+                map.end()
+            }
+        }
+    };
+}
+
+pub(crate) use {serialize_as_map, serialize_with_added};
--- a/camphorweir-wire/tests/formats/main.rs
+++ b/camphorweir-wire/tests/formats/main.rs
@@ -59,6 +59,14 @@
             "summary_of_zone",
             datagram(Datagram::Summary(samples::summary_of_zone())),
         ),
+        (
+            "digest_with_refused",
+            datagram(Datagram::Digest(samples::digest_with_refused())),
+        ),
+        (
+            "summary_with_refused",
+            datagram(Datagram::Summary(samples::summary_with_refused())),
+        ),
         ("request", codec::encode(&samples::request(true))),
         ("request_again", codec::encode(&samples::request(false))),
         ("response", codec::encode(&samples::response())),
@@ -136,7 +144,7 @@
 
 /// Guards against an upgrade in which instances of 350e1b6 are sent something in place of what they know.
 #[test]
-fn all_messages_of_350e1b6_are_unchanged_and_demand_is_one_of_its_own() {
+fn all_messages_of_350e1b6_are_unchanged_without_demand_and_refused_requests() {
     let (written, cases) = (written(), cases(R350E1B6));
     for (name, bytes) in &cases {
         assert_eq!(&written[name], bytes, "{name}");
@@ -146,12 +154,33 @@
         .into_iter()
         .filter(|name| !cases.contains_key(name))
         .collect();
-    assert_eq!(added, ["demand"]);
+    assert_eq!(
+        added,
+        ["demand", "digest_with_refused", "summary_with_refused"]
+    );
     let demand = codec::decode::<Datagram>(&written["demand"]).unwrap();
     assert_eq!(demand, Datagram::Demand(samples::demand()));
     assert!(from_slice::<earlier::Datagram>(&written["demand"]).is_err());
 }
 
+/// Guards against an upgrade in which earlier instances lose the load in digests and summaries that name
+/// refused requests.
+#[test]
+fn earlier_releases_read_digests_and_summaries_without_the_refused_requests() {
+    let written = written();
+    for (name, without) in [
+        ("digest_with_refused", "digest"),
+        ("summary_with_refused", "summary_in_zone"),
+    ] {
+        let read: earlier::Datagram = from_slice(&written[name]).unwrap();
+        assert_eq!(hex(&to_vec(&read).unwrap()), hex(&written[without]));
+    }
+    let digest = codec::decode::<Datagram>(&written["digest_with_refused"]).unwrap();
+    assert_eq!(digest, Datagram::Digest(samples::digest_with_refused()));
+    let summary = codec::decode::<Datagram>(&written["summary_with_refused"]).unwrap();
+    assert_eq!(summary, Datagram::Summary(samples::summary_with_refused()));
+}
+
 #[test]
 fn messages_of_63c8192_are_read() {
     let cases = cases(R63C8192);
--- a/camphorweir-wire/tests/formats/samples.rs
+++ b/camphorweir-wire/tests/formats/samples.rs
@@ -65,6 +65,14 @@
         store_failed_ms: None,
         store_era: Some(3),
         configuration_version: 13,
+        refused: Vec::new(),
+    }
+}
+
+pub(crate) fn digest_with_refused() -> Digest {
+    Digest {
+        refused: vec![0xfeed, u32::MAX],
+        ..digest()
     }
 }
 
@@ -92,6 +100,14 @@
             follow: "10.1.2.5:9001".to_owned(),
         }),
         store_era: Some(3),
+        refused: Vec::new(),
+    }
+}
+
+pub(crate) fn summary_with_refused() -> Summary {
+    Summary {
+        refused: vec![0xfeed, u32::MAX],
+        ..summary_in_zone()
     }
 }
 
