--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -23,6 +23,7 @@
 mod projection;
 mod replacement;
 mod retry;
+mod returning;
 mod roles;
 mod router;
 mod shutdown;
