Take back the lower quantile for resumable streams during a shutdown

Cause: 0.75 admits streams later than 3 s after SIGTERM of which one in four is cut when the instance ends. Streams that are cut are worse for callers than a refusal that comes at once.

--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        configuration::Kind,
         ids::{ServiceName, Time},
         router::{Admission, Destination, Plan, Router},
     },
@@ -23,9 +22,6 @@
 const CLASS_STEP: f64 = 1.090_507_733;
 /// Share of requests that end within the ratio by which projected times are stretched.
 const QUANTILE: f64 = 0.95;
-/// The same for streams that their callers may resume elsewhere: one that is cut costs a pause, while one
-/// that is refused may meet another instance that stops.
-const RESUMABLE_QUANTILE: f64 = 0.75;
 /// Time after which an observation counts half.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// Ratio that is assumed beside what was observed, as one observation.
@@ -107,13 +103,8 @@
         ratios.weights[class(observed.as_secs_f64() / projected.as_secs_f64())] += 1.0;
     }
 
-    /// Time within which nearly all requests of a service end that are projected to take `projected`;
-    /// most of them if they are streams that may be resumed.
-    pub fn longest(&self, service: &str, kind: Kind, projected: Duration, now: Time) -> Duration {
-        let quantile = match kind {
-            Kind::Stream { resumable: true } => RESUMABLE_QUANTILE,
-            Kind::AtMostOnce | Kind::Idempotent | Kind::Stream { resumable: false } => QUANTILE,
-        };
+    /// Time within which nearly all requests of a service end that are projected to take `projected`.
+    pub fn longest(&self, service: &str, projected: Duration, now: Time) -> Duration {
         let assumed = class(ASSUMED_RATIO);
         let weight = |class: usize| {
             let ratios = self.0.get(service);
@@ -124,7 +115,7 @@
         let mut below = 0.0;
         let within = (0..CLASSES).find(|class| {
             below += weight(*class);
-            below >= quantile * total
+            below >= QUANTILE * total
         });
         let class = within.unwrap_or(CLASSES - 1);
         let ratio = FIRST_RATIO * CLASS_STEP.powi(class as i32 + 1);
@@ -148,9 +139,7 @@
     pub fn ends_in_time(&self, request: &Admission, plan: &Plan, stop: &Stop, now: Time) -> bool {
         let deadline = request.time_left(now);
         let longest = self.projected_time(plan).map_or(deadline, |projected| {
-            let longest = self
-                .pace
-                .longest(&request.service, request.route.kind, projected, now);
+            let longest = self.pace.longest(&request.service, projected, now);
             longest.min(deadline)
         });
         request.counts.runs > 0 || stop.fits(longest, now)
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -3,7 +3,6 @@
 use {
     crate::router::{admit_request, router},
     camphorweir_relay::{
-        configuration::Kind,
         router::{Admission, Outcome, Router},
         shutdown::{Pace, Stop},
     },
@@ -99,9 +98,7 @@
 fn nearly_all_requests_end_within_the_projection_and_old_ones_are_forgotten() {
     let mut pace = Pace::default();
     let service = "scribe".into();
-    let once = Kind::Stream { resumable: false };
-    let resumable = Kind::Stream { resumable: true };
-    let longest = |pace: &Pace, at: u64| pace.longest("scribe", once, ms(1_000), ms(at));
+    let longest = |pace: &Pace, at: u64| pace.longest("scribe", ms(1_000), ms(at));
     let unknown = longest(&pace, 0);
     assert!(unknown >= ms(2_000) && unknown <= ms(3_000), "{unknown:?}");
     // Most take as long as projected, one in ten four times as long.
@@ -111,14 +108,11 @@
     }
     let slow = longest(&pace, 100);
     assert!(slow >= ms(4_000) && slow <= ms(4_800), "{slow:?}");
-    // A cut costs one that may be resumed less than a refusal that is not needed.
-    let most = pace.longest("scribe", resumable, ms(1_000), ms(100));
-    assert!(most >= ms(1_000) && most <= ms(1_200), "{most:?}");
     for index in 0..100 {
         pace.record(&service, ms(1_000), ms(1_000), ms(120_000 + index));
     }
     let fast = longest(&pace, 120_100);
     assert!(fast >= ms(1_000) && fast <= ms(1_200), "{fast:?}");
     // Another service has not been seen.
-    assert_eq!(pace.longest("ledger", once, ms(1_000), ms(0)), unknown);
+    assert_eq!(pace.longest("ledger", ms(1_000), ms(0)), unknown);
 }
