Soak: a route timeout excuses a loss only where it ends

A loss after any time above the least route timeout of the play was excused, so that a stream that was cut at the end of a stop hardly ever was at fault once a timeout of 4 s had been published. Now it has to end within a second of a timeout that may hold for its request, or of its caller's deadline.

--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -4,8 +4,8 @@
     crate::{
         caller::{Call, End, Kind},
         deployment::{ANNEX, Deployment},
-        entry::{GRACE, OLD_BUILD},
-        variant::least_timeout,
+        entry::{GRACE, OLD_BUILD, REVOKE},
+        variant::timeouts,
     },
     camphorweir_standin::platform_target::RESTART_TIME,
     std::{collections::BTreeMap, time::Duration},
@@ -222,8 +222,10 @@
     if status.is_none() && ran.is_empty() && time < READ {
         return Some(Loss::Unread);
     }
-    let timeout = least_timeout(&deployment.published.borrow(), call.to);
-    if time >= timeout.min(call.ask.patience) {
+    let published = deployment.published.borrow();
+    let mut timeouts = timeouts(&published, call.from + SEEN, REVOKE + SLACK);
+    let is_end = |timeout: Duration| (timeout..timeout + SLACK).contains(&time);
+    if is_end(call.ask.patience) || timeouts.any(is_end) {
         return Some(Loss::Deadline);
     }
     if is_ended_by_grace(call, &entry.stops, &ran) {
--- a/camphorweir-standin/tests/soak/variant.rs
+++ b/camphorweir-standin/tests/soak/variant.rs
@@ -112,9 +112,17 @@
     least.unwrap_or_default().mul_f64(IDLE_PART)
 }
 
-/// The least route timeout of the configurations that were published before a time.
-pub(crate) fn least_timeout(published: &Published, at: Instant) -> Duration {
-    let before = published.iter().filter(|(time, _)| *time <= at);
-    let least = before.map(|(_, variant)| variant.timeout).min();
-    least.unwrap_or_default()
+/// Route timeouts that may hold for a request that an entry admitted until a time. Keys are not trusted for
+/// longer than `oldest` after a configuration was last confirmed, so no request is admitted by an older one.
+pub(crate) fn timeouts(
+    published: &Published,
+    until: Instant,
+    oldest: Duration,
+) -> impl Iterator<Item = Duration> {
+    let later = published.iter().skip(1).map(|(at, _)| Some(*at));
+    let ends = later.chain([None]);
+    let held = published.iter().zip(ends);
+    let held = held
+        .filter(move |((from, _), to)| *from <= until && to.is_none_or(|to| until <= to + oldest));
+    held.map(|((_, variant), _)| variant.timeout)
 }
