--- a/camphorweir-entry/src/front/cut.rs
+++ b/camphorweir-entry/src/front/cut.rs
@@ -11,8 +11,6 @@
 pub enum Cause {
     /// The connection to the target failed, or its answer was none that can be passed on.
     Connection,
-    /// The target was silent.
-    Silence,
     /// The target refused the request, which it did not run.
     Refused,
     /// No other target had a place for the request.
@@ -28,7 +26,6 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Connection => "connection",
-            Self::Silence => "silence",
             Self::Refused => "refused",
             Self::NoPlace => "no_place",
             Self::Deadline => "deadline",
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -37,6 +37,9 @@
     tokio::time::timeout,
 };
 
+/// Limit on the wait for the rest of a request that is refused by its head.
+const REFUSED_BODY_TIME: Duration = Duration::from_millis(500);
+
 /// Handles a request from a caller.
 pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
     handle(state, request, None).await
@@ -66,6 +69,8 @@
                 path = head.path;
                 "request refused on admission"
             );
+            // A connection that is closed with bytes of a body under way may take the answer with it.
+            let _ = read_body(body, state.limits(), REFUSED_BODY_TIME).await;
             return close_if_stopping(&state, refusal_response(&head.id, &refusal));
         }
     };
@@ -298,11 +303,10 @@
             (Decision::Again, _) => last = Some(plan),
             (Decision::End(_), Some(response)) => return Ok(Forwarded::Whole(response)),
             (Decision::End(code), None) => {
-                let cause = match (failure, faulty_target) {
-                    (Failure::Broken, None) | (Failure::Unsent, _) => Cause::Connection,
-                    (Failure::Broken, Some(_)) => Cause::Silence,
-                    (Failure::Outdated | Failure::Limited, _) => Cause::NoPlace,
-                    (Failure::Refused, _) => Cause::Refused,
+                let cause = match failure {
+                    Failure::Broken | Failure::Unsent => Cause::Connection,
+                    Failure::Outdated | Failure::Limited => Cause::NoPlace,
+                    Failure::Refused => Cause::Refused,
                 };
                 cut_whole(state, admitted, &plan, cause);
                 return Err(waiting_refusal(state, admitted, code));
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -138,6 +138,8 @@
     }
 
     fn finish_send(&mut self, outcome: Outcome) -> Decision {
+        // A send that waits beside this one counts what this one reserved as free.
+        self.elsewhere = None;
         match (self.plan.take(), &mut self.job) {
             (Some(plan), Some(job)) => {
                 let now = job.state.now();
@@ -458,7 +460,7 @@
                     let Poll::Ready(polled) = Pin::new(&mut upstream.body).poll_frame(cx) else {
                         let won = ready!(self.poll_elsewhere(cx));
                         if let Err(code) = self.switch(won) {
-                            return self.abort(Cause::Silence, code);
+                            return self.abort(Cause::NoPlace, code);
                         }
                         continue;
                     };
--- a/camphorweir-entry/src/rate_limited_log.rs
+++ b/camphorweir-entry/src/rate_limited_log.rs
@@ -9,6 +9,7 @@
         record::{FilterCriteria, Level},
     },
     std::{
+        panic,
         sync::{
             Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -98,5 +99,9 @@
         .try_apply();
     if started.is_ok() {
         log::set_max_level(level);
+        // A task that panics ends its connection without an answer.
+        panic::set_hook(Box::new(
+            |panic| log::error!(reason:% = panic; "a task panicked"),
+        ));
     }
 }
--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        configuration::Kind,
         ids::{ServiceName, Time},
         router::{Admission, Destination, Plan, Router},
     },
@@ -10,6 +11,9 @@
 
 /// The shutdown ends this long before the process would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Streams that arrive later than this after the shutdown began are taken by their deadline alone: the load
+/// balancer sends new connections elsewhere by then, so that a refusal finds another instance.
+const PROJECTED_PERIOD: Duration = Duration::from_millis(2_800);
 /// Time left for the end of an answer to reach its caller.
 const WRITE_RESERVE: Duration = Duration::from_millis(150);
 /// Least projected time of a request; below it the network decides.
@@ -138,7 +142,10 @@
     /// ends. A request that may have run is sent in any case, as a refusal would come too late for it.
     pub fn ends_in_time(&self, request: &Admission, plan: &Plan, stop: &Stop, now: Time) -> bool {
         let deadline = request.time_left(now);
-        let longest = self.projected_time(plan).map_or(deadline, |projected| {
+        let is_stream = matches!(request.route.kind, Kind::Stream { .. });
+        let is_late = is_stream && request.arrived_at > stop.since + PROJECTED_PERIOD;
+        let projected = self.projected_time(plan).filter(|_| !is_late);
+        let longest = projected.map_or(deadline, |projected| {
             let longest = self.pace.longest(&request.service, projected, now);
             longest.min(deadline)
         });
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -53,7 +53,9 @@
         ("/text/a", 5_000, 1_000, true),
         ("/text/a", 5_000, 2_700, false),
         ("/text/a", 1_000, 2_700, true),
-        ("/text/a", 1_000, 5_500, true),
+        // A longer one among them would be cut, and others are free to take it.
+        ("/text/a", 1_000, 2_900, false),
+        ("/text/a", 1_000, 5_500, false),
         ("/text/a", 1_000, 6_700, false),
         ("/text/a", 9_000, 0, false),
         ("/seal/a", 20, 7_000, true),
@@ -81,6 +83,12 @@
     };
     assert!(plan_at(&mut router, ms(107_000)));
     assert!(!plan_at(&mut router, ms(108_000)));
+    // Also late, when nothing else counts.
+    let late = ms(104_000);
+    let mut request = admit_request(&mut router, "/text/a", late);
+    request.deadline = ms(107_000);
+    let plan = router.plan(&mut request, late).unwrap();
+    assert!(router.ends_in_time(&request, &plan, &stop(), late));
 }
 
 #[test]
--- a/camphorweir-standin/tests/front/calls.rs
+++ b/camphorweir-standin/tests/front/calls.rs
@@ -6,7 +6,11 @@
     camphorweir_standin::platform_target::{ResponseFault, Target},
     http_body_util::Full,
     std::time::Duration,
-    tokio::time::{Instant, sleep},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, sleep},
+    },
 };
 
 #[tokio::test]
@@ -258,3 +262,28 @@
         assert!(answer.body.starts_with(b"/look/b by ledger-"));
     }
 }
+
+/// Guards against a refusal that is lost as the connection is closed with a body under way.
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_whose_body_is_under_way() {
+    let bench = Bench::start(1).await;
+    for (path, status) in [("/gone/a", "404"), ("/look/a", "401")] {
+        let mut caller = TcpStream::connect(bench.front()).await.unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: r1\r\nauthorization: Bearer none\r\n\
+             content-length: 4000\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..40 {
+            sleep(Duration::from_millis(5)).await;
+            caller.write_all(&[b'x'; 100]).await.unwrap();
+        }
+        let mut answer = Vec::new();
+        let read = caller.read_buf(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{path}: {read:?} {answer}"
+        );
+    }
+}
--- a/camphorweir-standin/tests/front/silence.rs
+++ b/camphorweir-standin/tests/front/silence.rs
@@ -258,6 +258,32 @@
     memory_is_free(&bench).await;
 }
 
+/// Guards against memory that is reserved twice for a stream whose caller left as it waited for a place
+/// elsewhere.
+#[tokio::test]
+async fn a_caller_that_leaves_while_its_stream_waits_elsewhere_leaves_no_memory_reserved() {
+    let bench = Bench::start(1).await;
+    let mut ranked = site(2, &KEYS);
+    ranked["routes"][3]["priority"] = 2.into();
+    bench
+        .store
+        .put("keyed.op", "config", ranked.to_string().as_bytes());
+    metric(&bench, &["camphorweir_configuration{"], " 2").await;
+    keep_one_path(&bench).await;
+    let (caller, first) = start_slow(&bench, "/text/a", "s1", LARGE).await;
+    sleep(Duration::from_millis(100)).await;
+    bench.cut_target(0, first, Some(Cut::Paused));
+    sleep(Duration::from_millis(1_200)).await;
+    caller.abort();
+    sleep(Duration::from_millis(100)).await;
+    bench.cut_target(0, first, None);
+    until("memory", || async {
+        let answer = call(bench.front(), &patient("/text/a", "after", LARGE)).await;
+        is_whole(&answer).then_some(())
+    })
+    .await;
+}
+
 /// Guards against answers that end while configurations, settings and instances change beside a silence.
 #[tokio::test]
 async fn answers_outlive_a_silence_beside_changes_of_the_configuration() {
