--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -75,7 +75,13 @@
     fn breaks_answer(self) -> bool {
         !matches!(
             self,
-            Self::Refuse | Self::RefuseFor(_) | Self::Unframed | Self::Slow | Self::Fail
+            Self::Refuse
+                | Self::RefuseFor(_)
+                | Self::Unframed
+                | Self::Slow
+                | Self::SlowBy(_)
+                | Self::Large(_)
+                | Self::Fail
         )
     }
 }
