Keep a target's whole answer until there is a better one

Seen in 10 lookups of a service that had one target left. Cause: a whole failure under a request that may be repeated leads to a try elsewhere, and the answer was dropped as that was decided, before anything was known of another target. The same where two sends are under way at a time: the failure of a silent target was dropped for the send elsewhere, and that of a send elsewhere for the silent target. No answer before the caller left: a next target that is dead or silent, also at a peer and while the process ends; of two sends at a time, one that never answers (either, calls and streams). Change: the front keeps the whole answer (front/answer.rs) as the relay decides (answer.rs): of failures the latest stays, an answer below 500 ends the request at once as before, and what an instance may have made up is never kept. Whatever ends the request without a better answer delivers the one in hand: no target, no room or permit, the budget, a failed or refused send, a peer's own refusal, the deadline, the end of the process. A peer's 503 with a target's seal counts as a target's failure beside a silent send. An answer from a target or a send elsewhere clears it of having ended under the request. Streams: a whole failure is kept until the caller has the head of one; a stream that is resumed has no use for it. Why it works: nothing sound is given up before something better is in hand, and no refusal that promises no run can follow a run that was answered. Not bounded anew: an answer in hand stays in memory until the request ends; one body has 8 MiB at most, as before.

--- /dev/null
+++ b/camphorweir-entry/src/front/answer.rs
@@ -0,0 +1,134 @@
+//! The whole answer in hand of a request that is tried again.
+
+use {
+    crate::front::state::State,
+    bytes::Bytes,
+    camphorweir_relay::{
+        answer::{Choice, Grade, answer_choose, answer_is_kept, answer_tries_end},
+        ids::{TargetId, Time},
+        router::Admission,
+    },
+    camphorweir_wire::outcome::CODE_HEADER,
+    hyper::Response,
+    std::future::pending,
+    tokio::time::sleep,
+};
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status, headers to forward and body.
+    pub response: Response<Bytes>,
+    /// The target or peer that sent it.
+    pub target: TargetId,
+    /// How good it is.
+    pub grade: Grade,
+}
+
+impl Answer {
+    /// Whether its status is that of a failure.
+    pub fn is_failure(&self) -> bool {
+        self.response.status().is_server_error()
+    }
+}
+
+/// The best whole answer so far to a request whose caller has no part of an answer.
+#[derive(Debug)]
+pub struct Kept {
+    /// Deadline of the request, whose tries end sooner while an answer is in hand.
+    deadline: Time,
+    answer: Option<Answer>,
+}
+
+impl Kept {
+    /// No answer to a request that was not sent yet.
+    pub fn new(request: &Admission) -> Self {
+        Self {
+            deadline: request.deadline,
+            answer: None,
+        }
+    }
+
+    /// Grade of the answer in hand.
+    pub fn grade(&self) -> Option<Grade> {
+        self.answer.as_ref().map(|answer| answer.grade)
+    }
+
+    /// Keeps an answer unless a better one is in hand.
+    pub fn keep(&mut self, latest: Answer) {
+        if answer_is_kept(self.grade(), latest.grade) {
+            self.answer = Some(latest);
+        }
+    }
+
+    /// Lets the tries of the request end soon enough for the answer in hand.
+    pub fn limit(&self, request: &mut Admission) {
+        request.deadline = answer_tries_end(self.grade(), self.deadline);
+    }
+
+    /// Gives the request its own deadline back, as no further try is made.
+    pub fn restore(&self, request: &mut Admission) {
+        request.deadline = self.deadline;
+    }
+
+    /// The answer that ends the request: the latest, or a better one in hand.
+    pub fn settle(
+        &mut self,
+        state: &State,
+        request: &Admission,
+        latest: Answer,
+    ) -> Response<Bytes> {
+        if answer_choose(self.grade(), latest.grade) == Choice::Latest {
+            return latest.response;
+        }
+        let code = latest.response.headers().get(CODE_HEADER);
+        let code = code.and_then(|code| code.to_str().ok()?.parse().ok());
+        let kept = self.deliver(state, request, code.unwrap_or_default());
+        kept.unwrap_or(latest.response)
+    }
+
+    /// The answer in hand, if any, in place of a refusal with the code.
+    pub fn deliver(
+        &mut self,
+        state: &State,
+        request: &Admission,
+        code: u16,
+    ) -> Option<Response<Bytes>> {
+        if answer_choose(self.grade(), Grade::Refusal) == Choice::Latest {
+            return None;
+        }
+        let answer = self.answer.take()?;
+        state.metrics().record_kept(request, code);
+        log::info!(
+            request:% = request.id,
+            target_name:% = answer.target,
+            status = answer.response.status().as_u16(),
+            code = code,
+            sends = request.counts.sends;
+            "answer of a target delivered in place of a refusal"
+        );
+        Some(answer.response)
+    }
+}
+
+/// Completes when the tries of a request end: at its deadline, and where an answer is in hand in time before
+/// the process ends.
+pub async fn tries_end(state: &State, deadline: Time, kept: Option<Grade>) {
+    let mut stop = state.subscribe_stop();
+    let stopped = async {
+        match kept {
+            Some(_) => _ = stop.wait_for(Option::is_some).await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        () = sleep(deadline.saturating_sub(state.now())) => return,
+        () = stopped => {}
+    }
+    let ends_at = state
+        .stop()
+        .map(|stop| answer_tries_end(kept, stop.ends_at));
+    let until = ends_at.map_or(deadline, |ends_at| ends_at.min(deadline));
+    sleep(until.saturating_sub(state.now())).await;
+}
--- a/camphorweir-entry/src/front/elsewhere.rs
+++ b/camphorweir-entry/src/front/elsewhere.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::front::{
+        answer::Answer,
         exchange::{SendError, Template},
         request::{failure_label, log_plan},
         send::{Reply, Sending, send_start},
@@ -10,6 +11,7 @@
         waiting::{waiting_plan_beside, waiting_wake},
     },
     camphorweir_relay::{
+        answer::Grade,
         configuration::Kind,
         replacement::Replacement,
         retry::Failure,
@@ -138,6 +140,14 @@
     pub reply: Reply,
 }
 
+/// What comes of sends elsewhere.
+pub enum News {
+    /// One was answered with success.
+    Won(Box<Won>),
+    /// One was answered with a whole failure; the send at the silent target goes on.
+    Failed(Box<Answer>),
+}
+
 enum Stage {
     /// Waits until the target is silent, and looks for a place then.
     Seeking(BoxFuture<'static, Place>),
@@ -193,12 +203,12 @@
     }
 
     /// Waits for an answer from elsewhere; nothing is lost if this is dropped and called again.
-    pub async fn won(&mut self) -> Won {
+    pub async fn news(&mut self) -> News {
         poll_fn(|cx| self.poll(cx)).await
     }
 
-    /// Ready when a send elsewhere was answered with success.
-    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Won> {
+    /// Ready when a send elsewhere was answered; none is under way after a success.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<News> {
         loop {
             match &mut self.stage {
                 Stage::Ended => return Poll::Pending,
@@ -223,13 +233,20 @@
                     } = *attempt;
                     match self.judge(&held, result) {
                         Ok(reply) => {
-                            return Poll::Ready(Won {
+                            let won = Won {
                                 silent,
                                 held,
                                 reply,
-                            });
+                            };
+                            return Poll::Ready(News::Won(Box::new(won)));
+                        }
+                        Err((failure, answer)) => {
+                            self.seek_again(silent, held.fail(failure));
+                            if let Some(answer) = answer {
+                                self.state.router().suspects.record_alive(&answer.target);
+                                return Poll::Ready(News::Failed(answer));
+                            }
                         }
-                        Err(failure) => self.seek_again(silent, held.fail(failure)),
                     }
                 }
             }
@@ -262,24 +279,28 @@
         }))
     }
 
-    /// Whether the answer to a send elsewhere is a success, which ends the send at the silent target.
-    fn judge(&self, held: &Held, result: Result<Reply, SendError>) -> Result<Reply, SendError> {
+    /// Whether the answer to a send elsewhere is a success, which ends the send at the silent target; else
+    /// how the send failed, with a whole answer if there is one.
+    fn judge(
+        &self,
+        held: &Held,
+        result: Result<Reply, SendError>,
+    ) -> Result<Reply, (SendError, Option<Box<Answer>>)> {
         let is_detour = held
             .planned
             .as_ref()
             .is_some_and(|(_, plan)| plan.is_detour());
-        match result? {
-            Reply::Whole(response) => {
-                let status = response.status();
-                let is_answer =
-                    self.request.route.kind == Kind::Idempotent && !status.is_server_error();
+        match result.map_err(|error| (error, None))? {
+            Reply::Whole(answer) => {
+                let is_answer = self.request.route.kind == Kind::Idempotent && !answer.is_failure();
+                let is_refusal = is_detour
+                    && answer.grade == Grade::Refusal
+                    && answer.response.status() == StatusCode::SERVICE_UNAVAILABLE;
                 match is_answer {
-                    true => Ok(Reply::Whole(response)),
+                    true => Ok(Reply::Whole(answer)),
                     // A peer refuses what it can't place either.
-                    false if is_detour && status == StatusCode::SERVICE_UNAVAILABLE => {
-                        Err((Failure::Refused, None))
-                    }
-                    false => Err((Failure::Broken, None)),
+                    false if is_refusal => Err(((Failure::Refused, None), None)),
+                    false => Err(((Failure::Broken, None), Some(answer))),
                 }
             }
             stream => Ok(stream),
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -43,6 +43,7 @@
     requests: Counter<u64>,
     send_failures: Counter<u64>,
     cuts: Counter<u64>,
+    kept_answers: Counter<u64>,
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     quarantines: Counter<u64>,
@@ -110,6 +111,10 @@
                 "camphorweir.answers.cut",
                 "Answers ended before they were complete, by class and cause",
             ),
+            kept_answers: counter(
+                "camphorweir.answers.kept",
+                "Whole answers of targets delivered in place of a refusal, by class and code of the refusal",
+            ),
             store_calls: counter("camphorweir.store.calls", "Calls to the store, by kind"),
             store_restores: counter(
                 "camphorweir.store.restores",
@@ -270,6 +275,15 @@
         self.cuts.add(1, &labels);
     }
 
+    /// Counts a whole answer that was kept and delivered in place of a refusal with this code.
+    pub fn record_kept(&self, request: &Admission, code: u16) {
+        let labels = [
+            KeyValue::new("class", class(request.route.kind)),
+            KeyValue::new("code", i64::from(code)),
+        ];
+        self.kept_answers.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, kind: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Opaque forwarding: callers' requests pass unchanged to the targets that the platform's store
 //! lists.
 
+pub mod answer;
 pub mod body;
 pub mod client;
 pub mod clock;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -4,6 +4,7 @@
     crate::{
         fingerprint::fingerprint,
         front::{
+            answer::Kept,
             cut::{Cause, Cut, cut_record},
             demand,
             exchange::{TargetResponse, Template},
@@ -227,66 +228,95 @@
     cut_record(state, admitted, &cut);
 }
 
+/// A request that ends without an answer to its last send.
+struct Unanswered {
+    refusal: Refusal,
+    /// The last send that got none, and why; `None` if nothing was sent.
+    cut: Option<(Plan, Cause)>,
+}
+
 /// Sends a request, again after failures where that is allowed, until there is a response to
-/// forward.
+/// forward: the answer in hand where the last try came to nothing.
 async fn forward(
     state: &State,
     admitted: &mut Admission,
     template: &Arc<Template>,
     in_flight: &InFlight,
 ) -> Result<Forwarded, Refusal> {
+    let mut kept = Kept::new(admitted);
+    let result = try_targets(state, admitted, template, in_flight, &mut kept).await;
+    kept.restore(admitted);
+    let Unanswered { refusal, cut } = match result {
+        Ok(forwarded) => return Ok(forwarded),
+        Err(unanswered) => unanswered,
+    };
+    if let Some(response) = kept.deliver(state, admitted, refusal.code.number()) {
+        return Ok(Forwarded::Whole(response));
+    }
+    if let Some((plan, cause)) = cut {
+        cut_whole(state, admitted, &plan, cause);
+    }
+    Err(refusal)
+}
+
+async fn try_targets(
+    state: &State,
+    admitted: &mut Admission,
+    template: &Arc<Template>,
+    in_flight: &InFlight,
+    kept: &mut Kept,
+) -> Result<Forwarded, Unanswered> {
     let mut last: Option<Plan> = None;
     loop {
         in_flight.enter(Phase::Waiting);
+        kept.limit(admitted);
         let planned = waiting_plan(state, admitted).await;
-        let plan = planned.inspect_err(|_| {
-            if let Some(last) = &last {
-                cut_whole(state, admitted, last, Cause::NoPlace);
-            }
+        let plan = planned.map_err(|refusal| Unanswered {
+            refusal,
+            cut: last.take().map(|last| (last, Cause::NoPlace)),
         })?;
         in_flight.send(&plan);
-        let now = state.now();
-        let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
-        let mut guard = SendGuard::new(state, admitted, plan.clone(), true);
+        let mut guard = SendGuard::new(state, admitted, plan.clone(), Some(kept));
         let sending = send_start(state, guard.admitted, &plan, template, None);
-        let sending = send_finish(&mut guard, sending, template, None);
-        let result = timeout(time_left, sending).await;
+        let result = send_finish(&mut guard, sending, template, None).await;
         let plan = guard.plan.clone().unwrap_or(plan);
         let failure = match result {
-            Ok(Ok(Reply::Whole(response))) => {
-                let is_success = !response.status().is_server_error();
+            Some(Ok(Reply::Whole(answer))) => {
+                let is_success = !answer.is_failure();
                 // A peer has tried again by itself.
                 let retry = !is_success
                     && !plan.is_detour()
                     && guard.admitted.route.kind == Kind::Idempotent;
                 match retry {
                     // The target ran the request and failed; another may succeed.
-                    true => (Failure::Broken, None, Some(response)),
+                    true => (Failure::Broken, None, Some(answer)),
                     false => {
                         guard.finish_send(Outcome::Answered { is_success });
-                        return Ok(Forwarded::Whole(response));
+                        drop(guard);
+                        return Ok(Forwarded::Whole(kept.settle(state, admitted, *answer)));
                     }
                 }
             }
-            Ok(Ok(Reply::Stream(reply))) => {
+            Some(Ok(Reply::Stream(reply))) => {
                 guard.plan = None;
                 guard.admitted.progress = Progress::Begun(state.now());
                 return Ok(Forwarded::Stream(Box::new(plan), reply));
             }
-            Ok(Err((failure, faulty_target))) => (failure, faulty_target, None),
-            Err(_) => {
+            Some(Err((failure, faulty_target))) => (failure, faulty_target, None),
+            None => {
                 guard.finish_send(Outcome::Cancelled);
                 drop(guard);
-                cut_whole(state, admitted, &plan, Cause::Deadline);
                 admitted.counts.runs += 1;
-                return Err(state.router().refusal(admitted, Code::DeadlinePassed));
+                let refusal = state.router().refusal(admitted, Code::DeadlinePassed);
+                let cut = Some((plan, Cause::Deadline));
+                return Err(Unanswered { refusal, cut });
             }
         };
-        let (failure, faulty_target, response) = failure;
+        let (failure, faulty_target, answer) = failure;
         let decision = guard.finish_send(Outcome::Failed(failure, faulty_target));
         drop(guard);
-        if response.is_some() {
+        if answer.is_some() {
             state.router().suspects.record_alive(&plan.target);
         }
         state.wake_prober();
@@ -299,17 +329,23 @@
             next:? = decision;
             "send failed"
         );
-        match (decision, response) {
-            (Decision::Again, _) => last = Some(plan),
-            (Decision::End(_), Some(response)) => return Ok(Forwarded::Whole(response)),
+        match (decision, answer) {
+            (Decision::Again, answer) => {
+                answer.into_iter().for_each(|answer| kept.keep(*answer));
+                last = Some(plan);
+            }
+            (Decision::End(_), Some(answer)) => {
+                return Ok(Forwarded::Whole(kept.settle(state, admitted, *answer)));
+            }
             (Decision::End(code), None) => {
                 let cause = match failure {
                     Failure::Broken | Failure::Unsent => Cause::Connection,
                     Failure::Outdated | Failure::Limited => Cause::NoPlace,
                     Failure::Refused => Cause::Refused,
                 };
-                cut_whole(state, admitted, &plan, cause);
-                return Err(waiting_refusal(state, admitted, code));
+                let refusal = waiting_refusal(state, admitted, code);
+                let cut = Some((plan, cause));
+                return Err(Unanswered { refusal, cut });
             }
         }
     }
--- a/camphorweir-entry/src/front/send.rs
+++ b/camphorweir-entry/src/front/send.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::front::{
+        answer::{Answer, Kept, tries_end},
         cut::Cause,
-        elsewhere::{Elsewhere, Held, Won},
+        elsewhere::{Elsewhere, Held, News, Won},
         exchange::{SendError, TargetResponse, Template, send_request},
         request::cut_whole,
         stall::STALL_CHECK_DELAY,
         state::State,
         waiting::waiting_wake,
     },
-    bytes::Bytes,
     camphorweir_platform::response::response_forward_headers,
     camphorweir_relay::{
+        answer::answer_grade,
         configuration::Kind,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
@@ -21,13 +22,14 @@
     futures::future::BoxFuture,
     hyper::Response,
     std::sync::Arc,
+    tokio::time::timeout,
 };
 
 /// The answer to a send.
 #[derive(Debug)]
 pub enum Reply {
     /// A whole response.
-    Whole(Response<Bytes>),
+    Whole(Box<Answer>),
     /// The head of a successful stream.
     Stream(Box<TargetResponse>),
 }
@@ -44,18 +46,24 @@
     pub admitted: &'a mut Admission,
     /// `None` once the send has ended, or goes on under another guard.
     pub plan: Option<Plan>,
-    /// Whether a caller that leaves during the send is recorded here.
-    is_first: bool,
+    /// What is in hand where the caller has no part of an answer yet; one that leaves is then recorded here.
+    kept: Option<&'a mut Kept>,
 }
 
 impl<'a> SendGuard<'a> {
-    /// Guards the reservations of a plan. `is_first` where the caller has no part of an answer yet.
-    pub fn new(state: &'a State, admitted: &'a mut Admission, plan: Plan, is_first: bool) -> Self {
+    /// Guards the reservations of a plan. `kept` is what is in hand where the caller has no part of an
+    /// answer yet.
+    pub fn new(
+        state: &'a State,
+        admitted: &'a mut Admission,
+        plan: Plan,
+        kept: Option<&'a mut Kept>,
+    ) -> Self {
         Self {
             state,
             admitted,
             plan: Some(plan),
-            is_first,
+            kept,
         }
     }
 
@@ -64,6 +72,17 @@
         if let Some(plan) = self.plan.take() {
             self.plan = Some(held.take_over(self.admitted, plan, failure));
         }
+        if let Some(kept) = &self.kept {
+            kept.limit(self.admitted);
+        }
+    }
+
+    /// Keeps the answer to a send that has ended as failed.
+    fn keep(&mut self, answer: Answer) {
+        if let Some(kept) = &mut self.kept {
+            kept.keep(answer);
+            kept.limit(self.admitted);
+        }
     }
 
     /// Ends the send; returns what to do after a failed one.
@@ -87,7 +106,7 @@
         let Some(plan) = &self.plan else {
             return;
         };
-        if self.is_first {
+        if self.kept.is_some() {
             cut_whole(self.state, self.admitted, plan, Cause::Caller);
         }
         self.finish_send(Outcome::Cancelled);
@@ -117,8 +136,9 @@
     Box::pin(send)
 }
 
-/// Waits for the answer to the send under a guard. While its target is silent, sends elsewhere beside it;
-/// the guard then holds the plan of the send that was answered first.
+/// Waits for the answer to the send under a guard, until the tries of the request end; `None` then. While its
+/// target is silent, sends elsewhere beside it; the guard then holds the plan of the send that was answered
+/// first.
 ///
 /// # Errors
 ///
@@ -128,10 +148,11 @@
     mut sending: Sending,
     template: &Arc<Template>,
     last_event_id: Option<&str>,
-) -> Result<Reply, SendError> {
+) -> Option<Result<Reply, SendError>> {
     loop {
         let Some(plan) = guard.plan.clone() else {
-            return sending.await;
+            let time_left = guard.admitted.time_left(guard.state.now());
+            return timeout(time_left, sending).await.ok();
         };
         let mut elsewhere = Elsewhere::new(
             guard.state,
@@ -141,17 +162,33 @@
             last_event_id,
             STALL_CHECK_DELAY,
         );
-        let result = tokio::select! {
-            biased;
-            result = &mut sending => result,
-            Won { silent, held, reply } = elsewhere.won() => {
-                guard.take_over(held, (Failure::Broken, Some(silent)));
-                return Ok(reply);
+        let result = loop {
+            let kept = guard.kept.as_ref().and_then(|kept| kept.grade());
+            let news = tokio::select! {
+                biased;
+                result = &mut sending => break result,
+                news = elsewhere.news() => news,
+                () = tries_end(guard.state, guard.admitted.deadline, kept) => {
+                    guard.admitted.take_tried(elsewhere.cancel());
+                    return None;
+                }
+            };
+            match news {
+                News::Won(won) => {
+                    let Won {
+                        silent,
+                        held,
+                        reply,
+                    } = *won;
+                    guard.take_over(held, (Failure::Broken, Some(silent)));
+                    return Some(Ok(reply));
+                }
+                News::Failed(answer) => guard.keep(*answer),
             }
         };
         let is_idempotent = guard.admitted.route.kind == Kind::Idempotent;
         let failure = match &result {
-            Ok(Reply::Whole(response)) if is_idempotent && response.status().is_server_error() => {
+            Ok(Reply::Whole(answer)) if is_idempotent && answer.is_failure() => {
                 Some((Failure::Broken, None))
             }
             Ok(_) => None,
@@ -159,14 +196,18 @@
         };
         let Some(failure) = failure else {
             guard.admitted.take_tried(elsewhere.cancel());
-            return result;
+            return Some(result);
         };
         let (tried, attempt) = elsewhere.stop();
         let Some(attempt) = attempt else {
             guard.admitted.take_tried(tried);
-            return result;
+            return Some(result);
         };
         guard.take_over(attempt.held, failure);
+        if let Ok(Reply::Whole(answer)) = result {
+            guard.state.router().suspects.record_alive(&plan.target);
+            guard.keep(*answer);
+        }
         sending = attempt.sending;
     }
 }
@@ -206,5 +247,10 @@
         );
     }
     parts.headers = response_forward_headers(parts.headers);
-    Ok(Reply::Whole(Response::from_parts(parts, body)))
+    let status = parts.status.as_u16();
+    Ok(Reply::Whole(Box::new(Answer {
+        response: Response::from_parts(parts, body),
+        target: plan.target.clone(),
+        grade: answer_grade(status, reply.info.is_sealed, plan.is_detour()),
+    })))
 }
--- a/camphorweir-entry/src/front/stream.rs
+++ b/camphorweir-entry/src/front/stream.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{
             cut::{Cause, Cut, cut_record},
-            elsewhere::{Elsewhere, Won},
+            elsewhere::{Elsewhere, News, Won},
             exchange::{SendError, TargetResponse, Template},
             pool::Connection,
             request::{failure_label, log_plan, record_end},
@@ -36,7 +36,7 @@
         task::{Context, Poll, ready},
         time::Duration,
     },
-    tokio::time::{Instant, Sleep, sleep, sleep_until, timeout},
+    tokio::time::{Instant, Sleep, sleep, sleep_until},
 };
 
 /// Shortest pause between checks for a stalled stream.
@@ -215,10 +215,14 @@
                 Duration::ZERO,
             ));
         }
-        match &mut self.elsewhere {
-            Some(elsewhere) => elsewhere.poll(cx),
-            None => Poll::Pending,
+        while let Some(elsewhere) = &mut self.elsewhere {
+            match ready!(elsewhere.poll(cx)) {
+                News::Won(won) => return Poll::Ready(*won),
+                // The caller has the head of a stream, which no whole answer can end.
+                News::Failed(_) => {}
+            }
         }
+        Poll::Pending
     }
 
     /// Ends what is done elsewhere, as the target goes on.
@@ -394,23 +398,20 @@
                 (plan, sending)
             }
         };
-        let time_left = job.request.time_left(state.now());
-        let mut guard = SendGuard::new(&state, &mut job.request, plan.clone(), false);
-        let sending = send_finish(&mut guard, sending, &job.template, last_event_id);
-        let result = timeout(time_left, sending).await;
+        let mut guard = SendGuard::new(&state, &mut job.request, plan.clone(), None);
+        let result = send_finish(&mut guard, sending, &job.template, last_event_id).await;
         let plan = guard.plan.clone().unwrap_or(plan);
         let error: SendError = match result {
-            Ok(Ok(Reply::Stream(reply))) => {
+            Some(Ok(Reply::Stream(reply))) => {
                 guard.plan = None;
                 drop(guard);
                 job.request.progress = Progress::Begun(state.now());
                 return (job, Ok((plan, *reply)));
             }
             // A peer that serves for this instance refuses what it can't place either.
-            Ok(Ok(Reply::Whole(_))) if plan.is_detour() => (Failure::Refused, None),
-            Ok(Ok(Reply::Whole(_))) => (Failure::Broken, None),
-            Ok(Err(error)) => error,
-            Err(_) => (Failure::Broken, None),
+            Some(Ok(Reply::Whole(_))) if plan.is_detour() => (Failure::Refused, None),
+            Some(Ok(Reply::Whole(_))) | None => (Failure::Broken, None),
+            Some(Err(error)) => error,
         };
         let decision = guard.finish_send(Outcome::Failed(error.0, error.1));
         drop(guard);
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod access;
 pub mod admission;
+pub mod answer;
 pub mod balance;
 pub mod budget;
 pub mod changes;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -83,7 +83,7 @@
     pub standing: Standing,
     /// Time of arrival.
     pub arrived_at: Time,
-    /// Deadline of the request.
+    /// Deadline of the request; earlier while an answer is in hand, which still has to reach the caller.
     pub deadline: Time,
     /// Tokens of the prompt, and the limit on tokens of the answer.
     pub tokens: (u32, u32),
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod admission;
+mod answer;
 mod budget;
 mod changes;
 mod contact;
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -68,6 +68,10 @@
     Large(usize),
     /// Executes the call and answers 500.
     Fail,
+    /// Executes the call and answers 500, with a body that ends after so many ms.
+    FailAfter(u64),
+    /// Executes the call and never answers.
+    Hang,
 }
 
 impl ResponseFault {
@@ -82,6 +86,7 @@
                 | Self::SlowBy(_)
                 | Self::Large(_)
                 | Self::Fail
+                | Self::FailAfter(_)
         )
     }
 }
@@ -444,6 +449,14 @@
         let streaming = request.headers.contains_key("x-token-usage");
         let body = match (fault, streaming) {
             (Some(ResponseFault::Lose), _) => return Reply::Close,
+            (Some(ResponseFault::Hang), _) => return Reply::Hang,
+            (Some(ResponseFault::FailAfter(ms)), _) => ScriptedBody::stream(
+                vec![
+                    BodyStep::Pause(Duration::from_millis(ms)),
+                    BodyStep::Bytes(format!("failed at {}", self.setup.id).into()),
+                ],
+                self.state().stream_guard.clone(),
+            ),
             (_, true) if crashes => {
                 ScriptedBody::stream(begun_body(), self.state().stream_guard.clone())
             }
@@ -465,7 +478,7 @@
         let mut response = Response::builder()
             .header("x-attempt-id", response_attempt)
             .header("x-response-seal", &self.setup.id);
-        if fault == Some(ResponseFault::Fail) {
+        if let Some(ResponseFault::Fail | ResponseFault::FailAfter(_)) = fault {
             response = response.status(500);
         }
         if let Some(ResponseFault::Unframed | ResponseFault::UnframedCutIn(_)) = fault {
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -1,5 +1,6 @@
 //! Entries on the users' platform, against stand-ins for its store and targets, over loopback.
 
+mod answers;
 mod bench;
 mod calls;
 mod copies;
