Close connections of the other front with no request left on them

What callers saw: without `--platform`, a request that had reached the entry when its kept connection was closed ended without an answer: at a shutdown, at the idle limit, and when only a part of its head had arrived. A caller whose stream ended during a shutdown lost the next request on that connection, of whose close it had not been told. A connection was closed after `limits.head_time` (10 s) without a request, though `limits.idle` (60 s) says otherwise.

Cause: a shutdown ended every connection older than a second by `graceful_shutdown`, which over HTTP/1 closes an idle one at once; neither that nor the idle limit looked at bytes that had arrived and were not read. hyper's limit on heads runs on idle connections.

Change: what a connection holds, and the look at unread bytes, is one module for both fronts (`activity`), as is the body that counts its request as unanswered until it ends (`answer`). The decision when to close is in `monitor`: over HTTP/1 only with nothing held, a second after the last answer or the opening at a shutdown; a head that has begun has its own time; an answer that is not written is waited for while its caller reads. Over HTTP/2 the notice goes out at once: streams that cross it are served, since hyper counts them in until the caller has acknowledged it, and the caller knows of later ones that they did not begin.

--- a/camphorweir-entry/src/call.rs
+++ b/camphorweir-entry/src/call.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         clock,
-        conn::Activity,
         core_task::{Arrival, DisconnectGuard, Handle, Input, Payload, Responder, TOKEN_QUEUE_LEN},
         fingerprint::fingerprint,
+        monitor::Activity,
         openai::{self, Api, ResponseTemplate, TokenRequest},
         refusal,
         routing::{self, Endpoint},
--- a/camphorweir-entry/src/conn.rs
+++ b/camphorweir-entry/src/conn.rs
@@ -1,25 +1,22 @@
-//! A caller's connection: detects stalls, and replaces the error responses that `hyper` writes on
-//! its own by ones with a result code.
+//! A caller's connection: reports what is read and written, and replaces the error responses that
+//! `hyper` writes on its own by ones with a result code.
 
 use {
-    crate::refusal,
+    crate::{monitor::Activity, refusal},
     camphorweir_wire::{code::Code, outcome::Refusal},
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
         io,
         pin::Pin,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-        },
+        sync::Arc,
         task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
         net::TcpStream,
-        time::{Instant, timeout},
+        time::timeout,
     },
 };
 
@@ -33,106 +30,20 @@
     (b"HTTP/1.1 431 ", Code::HeadTooLarge),
     (b"HTTP/1.1 505 ", Code::Malformed),
 ];
-/// Start of the HTTP/2 preface; a lone `P` counts as HTTP/2 too.
+/// Start of the HTTP/2 preface.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 /// Name of a header in every response of the entry; responses without it come from `hyper`.
 const RAN_HEADER: &[u8] = camphorweir_wire::outcome::RAN_HEADER.as_bytes();
-
 /// Limits on reading what a caller still sends after its last response: time and bytes.
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 1 << 20);
 /// Size of the buffer that unread bytes are discarded into.
 const DISCARD_BUFFER_LEN: usize = 16 << 10;
 
-/// Activity of a connection, shared between its stream and the tasks that serve it.
-#[derive(Clone, Debug)]
-pub struct Activity {
-    start: Instant,
-    /// Milliseconds from `start` to the last byte read or written.
-    last_activity_ms: Arc<AtomicU64>,
-    /// Answers of the core that the connection waits for.
-    awaited_answers: Arc<AtomicUsize>,
-    /// Requests in flight.
-    in_flight: Arc<AtomicUsize>,
-    /// Whether bytes of an HTTP/1 request were read without a request or response following yet.
-    partial_head: Arc<AtomicBool>,
-}
-
-impl Activity {
-    /// The activity of a connection that was just opened.
-    pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-            last_activity_ms: Arc::default(),
-            awaited_answers: Arc::default(),
-            in_flight: Arc::default(),
-            partial_head: Arc::default(),
-        }
-    }
-
-    /// Whether no byte was read or written for `limit` while no answer of the core was awaited.
-    pub fn stalled(&self, limit: Duration) -> bool {
-        let last_activity = Duration::from_millis(self.last_activity_ms.load(Ordering::Relaxed));
-        let idle = self.start.elapsed().saturating_sub(last_activity) >= limit;
-        idle && self.awaited_answers.load(Ordering::Relaxed) == 0
-    }
-
-    /// Counts a request as in flight until the guard is dropped.
-    pub fn begin_request(&self) -> RequestGuard {
-        self.partial_head.store(false, Ordering::Relaxed);
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self.clone())
-    }
-
-    /// Notes bytes read on an HTTP/1 connection; between requests they start a new head.
-    fn mark_partial_head(&self) {
-        let between_requests = self.in_flight.load(Ordering::Relaxed) == 0;
-        self.partial_head.store(between_requests, Ordering::Relaxed);
-    }
-
-    /// Counts an answer of the core as awaited until the guard is dropped.
-    pub fn await_answer(&self) -> AnswerGuard {
-        self.awaited_answers.fetch_add(1, Ordering::Relaxed);
-        AnswerGuard(self.clone())
-    }
-
-    fn touch(&self) {
-        let millis = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.last_activity_ms.store(millis, Ordering::Relaxed);
-    }
-}
-
-impl Default for Activity {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// Counts an answer of the core as awaited by a connection.
-#[derive(Debug)]
-pub struct AnswerGuard(Activity);
-
-impl Drop for AnswerGuard {
-    fn drop(&mut self) {
-        // The idle timeout starts anew for writing the answer.
-        self.0.touch();
-        self.0.awaited_answers.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a request as in flight.
-#[derive(Debug)]
-pub struct RequestGuard(Activity);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// The HTTP version that a caller uses, by the first bytes it sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Protocol {
-    Unknown,
+    /// That many bytes of the preface of HTTP/2 were read, and nothing else.
+    Unknown(usize),
     Http1,
     Http2,
 }
@@ -148,16 +59,22 @@
 impl SharedStream {
     fn record_read(&mut self, bytes: &[u8]) {
         self.activity.touch();
-        if self.protocol == Protocol::Unknown && !bytes.is_empty() {
-            let http2 = HTTP2_PREFACE.starts_with(&bytes[..bytes.len().min(HTTP2_PREFACE.len())]);
-            self.protocol = if http2 {
-                Protocol::Http2
-            } else {
-                Protocol::Http1
+        if let Protocol::Unknown(seen) = self.protocol {
+            let preface = &HTTP2_PREFACE[seen..];
+            let compared = bytes.len().min(preface.len());
+            self.protocol = match bytes[..compared] == preface[..compared] {
+                true if compared == preface.len() => Protocol::Http2,
+                true => Protocol::Unknown(seen + compared),
+                false => Protocol::Http1,
             };
         }
-        if self.protocol == Protocol::Http1 && !bytes.is_empty() {
-            self.activity.mark_partial_head();
+        let mut requests = self.activity.requests();
+        match self.protocol {
+            Protocol::Http2 => {
+                requests.end_head();
+                self.activity.set_http2();
+            }
+            Protocol::Http1 | Protocol::Unknown(_) => requests.record_read(bytes.len()),
         }
     }
 }
@@ -190,7 +107,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            let is_ready = self.stream.poll_write_ready(cx);
+            self.activity.requests().record_write(is_ready.is_pending());
+            ready!(is_ready)?;
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
@@ -219,7 +138,8 @@
     };
     // The connection is dropped even if the caller doesn't read the response in time.
     let _ = timeout(LINGER.0, async {
-        if expired && activity.partial_head.load(Ordering::Relaxed) {
+        let has_head = activity.requests().head_since.is_some();
+        if expired && has_head {
             stream
                 .write_all(&refusal_bytes(Code::RequestTimeout))
                 .await?;
@@ -253,7 +173,7 @@
             stream: TokioIo::new(SharedStream {
                 stream,
                 activity: activity.clone(),
-                protocol: Protocol::Unknown,
+                protocol: Protocol::Unknown(0),
             }),
             activity,
             replacement: None,
@@ -295,7 +215,7 @@
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_replacement(cx))?;
         if let Some(code) = hyper_error_code(buf) {
-            self.activity.partial_head.store(false, Ordering::Relaxed);
+            self.activity.requests().end_head();
             self.replacement = Some((refusal_bytes(code), 0));
             return Poll::Ready(Ok(buf.len()));
         }
--- a/camphorweir-entry/src/core_task.rs
+++ b/camphorweir-entry/src/core_task.rs
@@ -1,7 +1,7 @@
 //! The channel to the task that runs the decision core, and the messages sent over it.
 
 use {
-    crate::conn::AnswerGuard,
+    crate::monitor::AnswerGuard,
     bytes::Bytes,
     camphorweir_config::model::TargetId,
     camphorweir_policy::{
--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -2,19 +2,12 @@
 //! not answered.
 
 use {
-    crate::front::{
-        idle::{Activity, Terms},
-        metrics::Metrics,
-        response::Body,
-        state::State,
+    crate::{
+        activity::{Activity, Held, unread_bytes},
+        front::{idle::Terms, metrics::Metrics, state::State},
     },
-    bytes::Bytes,
     camphorweir_relay::configuration::Limits,
-    hyper::body::{Body as HttpBody, Frame, SizeHint},
-    rustix::{
-        io::ioctl_fionread,
-        net::{Shutdown, shutdown},
-    },
+    rustix::net::{Shutdown, shutdown},
     std::{
         collections::BTreeMap,
         io::{self, IoSlice},
@@ -209,16 +202,14 @@
         *self.activity()
     }
 
-    /// Bytes that have arrived and were not read.
-    pub fn unread_bytes(&self) -> u64 {
-        // An error means that the connection has ended, with nothing to read.
-        ioctl_fionread(&self.0.stream).unwrap_or_default()
+    /// What stands against its close now.
+    pub fn held(&self) -> Held {
+        self.snapshot().held(&self.0.stream)
     }
 
     /// Whether a request, or a part of one, has arrived and was not answered.
     fn holds_request(&self) -> bool {
-        let activity = self.snapshot();
-        activity.is_busy() || activity.head_bytes > 0 || self.unread_bytes() > 0
+        self.held() != Held::Nothing
     }
 
     fn log_end(&self, end: End) {
@@ -230,7 +221,7 @@
         log::info!(
             cause = end.label(),
             head_bytes = head_bytes,
-            unread_bytes = self.unread_bytes(),
+            unread_bytes = unread_bytes(&self.0.stream),
             in_flight = unanswered;
             "connection ended with a request that was not answered"
         );
@@ -247,43 +238,6 @@
     }
 }
 
-/// The body of a response, whose request is unanswered until it ends.
-#[derive(Debug)]
-pub struct Answer {
-    body: Body,
-    _unanswered: Unanswered,
-}
-
-impl Answer {
-    /// The body of the response to the request that `unanswered` counts.
-    pub fn new(body: Body, unanswered: Unanswered) -> Self {
-        Self {
-            body,
-            _unanswered: unanswered,
-        }
-    }
-}
-
-impl HttpBody for Answer {
-    type Data = Bytes;
-    type Error = <Body as HttpBody>::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// The bytes of a connection.
 #[derive(Debug)]
 pub struct Io(Connection);
--- a/camphorweir-entry/src/front/idle.rs
+++ b/camphorweir-entry/src/front/idle.rs
@@ -1,6 +1,9 @@
 //! When a caller's connection is idle, and when an idle one is closed.
 
-use {camphorweir_relay::configuration::Limits, std::time::Duration, tokio::time::Instant};
+use {
+    crate::activity::Activity, camphorweir_relay::configuration::Limits, std::time::Duration,
+    tokio::time::Instant,
+};
 
 /// Idle connections are kept open for this long after the shutdown began: the load balancer needs
 /// two checks, a second apart, to send callers elsewhere.
@@ -11,75 +14,6 @@
 /// Callers may know of a raised limit for this long before this instance does.
 const NEWS_DELAY: Duration = Duration::from_secs(2);
 
-/// What a connection holds.
-#[derive(Clone, Copy, Debug)]
-pub struct Activity {
-    opened_at: Instant,
-    /// When the last answer was handed over or written; the opening before any.
-    idle_since: Instant,
-    /// When the first byte of a request head came that is not whole.
-    head_since: Option<Instant>,
-    /// Bytes read of that head.
-    pub head_bytes: usize,
-    /// Requests whose answers are not handed over whole.
-    pub unanswered: usize,
-    /// Whether an answer waits until the caller reads.
-    is_blocked: bool,
-}
-
-impl Activity {
-    /// A connection that was just opened.
-    pub fn new() -> Self {
-        let now = Instant::now();
-        Self {
-            opened_at: now,
-            idle_since: now,
-            head_since: None,
-            head_bytes: 0,
-            unanswered: 0,
-            is_blocked: false,
-        }
-    }
-
-    /// Whether a request is not answered, or its answer is not written.
-    pub fn is_busy(&self) -> bool {
-        self.unanswered > 0 || self.is_blocked
-    }
-
-    /// Records that the head of a request is whole.
-    pub fn begin_request(&mut self) {
-        self.head_since = None;
-        self.head_bytes = 0;
-        self.unanswered += 1;
-    }
-
-    /// Records that an answer is handed over whole.
-    pub fn end_request(&mut self) {
-        self.unanswered = self.unanswered.saturating_sub(1);
-        self.idle_since = Instant::now();
-    }
-
-    /// Records bytes from the caller; between requests they begin a head.
-    pub fn record_read(&mut self, count: usize) {
-        if self.unanswered == 0 && count > 0 {
-            self.head_since.get_or_insert_with(Instant::now);
-            self.head_bytes += count;
-        }
-    }
-
-    /// Records an attempt to write, which may wait until the caller reads.
-    pub fn record_write(&mut self, is_blocked: bool) {
-        self.is_blocked = is_blocked;
-        self.idle_since = Instant::now();
-    }
-}
-
-impl Default for Activity {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// What the instance asks of its connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -1,11 +1,15 @@
 //! Listeners for callers and for the load balancer's readiness check.
 
 use {
-    crate::front::{
-        connections::{Answer, End, Entry},
-        idle::Limit,
-        request::handle_request,
-        state::State,
+    crate::{
+        activity::{Held, UNREAD_PAUSE},
+        answer::Answer,
+        front::{
+            connections::{End, Entry},
+            idle::Limit,
+            request::handle_request,
+            state::State,
+        },
     },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
@@ -41,8 +45,6 @@
 /// Fraction of the file descriptors for callers' connections; the rest is for targets, the store
 /// and checks.
 const CALLER_SOCKET_FRACTION: f64 = 0.6;
-/// Pause before another look at a connection that is due to close, and holds bytes not yet read.
-const UNREAD_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before another look at one that was idle for long before a request that is not yet answered.
 const BUSY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -141,15 +143,14 @@
         }
         let stop_close = current.stop_close(&activity);
         let is_stop = stop_close.is_some_and(|at| at <= Instant::now());
-        match (activity.is_busy(), caller.unread_bytes()) {
-            (true, _) if is_stop => break End::IdleClose,
-            (true, _) => look_at += BUSY_PAUSE,
-            // The caller has left, or a request has arrived and is read next.
-            (false, 1..) if activity.head_bytes == 0 => look_at += UNREAD_PAUSE,
-            // A head that is not whole in its time.
-            (false, _) if activity.head_bytes > 0 => return entry.report(End::IdleLimit),
-            (false, _) if is_stop => break End::IdleClose,
-            (false, _) => break End::IdleLimit,
+        match caller.held() {
+            Held::Request if is_stop => break End::IdleClose,
+            Held::Request => look_at += BUSY_PAUSE,
+            Held::Unread => look_at += UNREAD_PAUSE,
+            // It is not whole in its time.
+            Held::Head => return entry.report(End::IdleLimit),
+            Held::Nothing if is_stop => break End::IdleClose,
+            Held::Nothing => break End::IdleLimit,
         }
     };
     connection.as_mut().graceful_shutdown();
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -10,7 +10,9 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod activity;
 pub mod admin;
+pub mod answer;
 pub mod call;
 pub mod clock;
 pub mod conn;
@@ -26,6 +28,7 @@
 pub mod inner;
 pub mod instance_list;
 pub mod link;
+pub mod monitor;
 pub mod openai;
 pub mod peer;
 pub mod process;
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        answer::Answer,
         call::{self, State},
-        conn::{Activity, MonitoredStream, close, refusal_bytes},
+        conn::{MonitoredStream, close, refusal_bytes},
+        monitor::{Activity, Due},
     },
     camphorweir_wire::code::Code,
     futures::FutureExt,
@@ -36,10 +38,6 @@
 const MAX_REFUSALS: usize = 64;
 /// Timeout for writing such a refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Age before which a connection is not drained, so that its first request is served.
-const MIN_DRAIN_AGE: Duration = Duration::from_secs(1);
-/// Stall checks within one idle timeout.
-const STALL_CHECKS_PER_IDLE_TIMEOUT: u32 = 4;
 
 /// The callers' listener.
 #[derive(Clone, Debug)]
@@ -132,29 +130,33 @@
     let request_activity = activity.clone();
     let service = service_fn(move |request| {
         let (state, activity) = (state.clone(), request_activity.clone());
+        let unanswered = activity.begin_request();
         async move {
-            let _guard = activity.begin_request();
-            Ok::<_, Infallible>(call::handle(&state, &activity, request).await)
+            let response = call::handle(&state, &activity, request).await;
+            Ok::<_, Infallible>(response.map(|body| Answer::new(body, unanswered)))
         }
     });
-    let builder = http_builder(limits.head, limits.head_time);
+    let builder = http_builder(limits.head);
     let io = MonitoredStream::new(stream.clone(), activity.clone());
     // Boxed, so that it can be dropped before the stream is closed.
     let mut connection = Box::pin(builder.serve_connection(io, service));
-    let (opened, mut draining) = (Instant::now(), false);
+    let (mut is_closing, mut drained_at) = (false, None);
     let expired = loop {
-        tokio::select! {
-            // Errors of a connection are the caller's and not logged.
-            ended = connection.as_mut() => break ended.is_err_and(|error| timed_out(&*error)),
-            () = wait_for_drain(&mut closing, opened), if !draining => {
-                draining = true;
+        let look_at = match activity.due(&stream, &limits, is_closing, drained_at) {
+            Due::Later(at) => at,
+            Due::Drain => {
+                drained_at = Some(Instant::now());
                 connection.as_mut().graceful_shutdown();
+                continue;
             }
-            () = sleep(limits.idle / STALL_CHECKS_PER_IDLE_TIMEOUT) => {
-                if activity.stalled(limits.idle) {
-                    break true;
-                }
-            }
+            Due::Expire => break true,
+        };
+        tokio::select! {
+            // Errors of a connection are the caller's and not logged.
+            _ = connection.as_mut() => break false,
+            // Without the sender the process is ending anyway.
+            _ = closing.wait_for(|closing| *closing), if !is_closing => is_closing = true,
+            () = sleep_until(look_at) => {}
         }
     };
     drop(connection);
@@ -162,25 +164,12 @@
     drop(slot);
 }
 
-/// Waits until a connection must end after its current request.
-async fn wait_for_drain(closing: &mut watch::Receiver<bool>, opened: Instant) {
-    // Without the sender the process is ending anyway.
-    let _ = closing.wait_for(|closing| *closing).await;
-    sleep_until(opened + MIN_DRAIN_AGE).await;
-}
-
-fn timed_out(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
-    error
-        .downcast_ref::<hyper::Error>()
-        .is_some_and(hyper::Error::is_timeout)
-}
-
-fn http_builder(head: usize, head_time: Duration) -> auto::Builder<TokioExecutor> {
+fn http_builder(head: usize) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_time)
+        // It would also end connections that are idle.
+        .header_read_timeout(None)
         .max_buf_size(head + HEAD_MARGIN);
     builder
         .http2()
--- a/camphorweir-entry/tests/common/mod.rs
+++ b/camphorweir-entry/tests/common/mod.rs
@@ -37,6 +37,8 @@
     pub(crate) closing: watch::Sender<bool>,
     pub(crate) ready: watch::Sender<bool>,
     pub(crate) server: Server,
+    /// Shared as by the supervisor of a process, which keeps it until the end.
+    pub(crate) listener: Arc<TcpListener>,
 }
 
 /// Starts a server on a free port.
@@ -50,13 +52,14 @@
         State::new(core_handle, limits, ready_receiver),
         closing_receiver,
     );
-    tokio::spawn(server.clone().accept(listener));
+    tokio::spawn(server.clone().accept(listener.clone()));
     Rig {
         address,
         inputs,
         closing,
         ready,
         server,
+        listener,
     }
 }
 
--- a/camphorweir-entry/tests/driver.rs
+++ b/camphorweir-entry/tests/driver.rs
@@ -3,10 +3,10 @@
 use {
     camphorweir_entry::{
         clock::Clock,
-        conn::Activity,
         core_task::{self, Arrival, Handle, Input, Payload, Query, Responder, TOKEN_QUEUE_LEN},
         driver::{Decider, Driver, Environment},
         fetch::HttpClient,
+        monitor::Activity,
         peer::PeerSender,
         settings::Secret,
         streams::LogClient,
