A workspace that floods gets a quarter of the mean chance with any number of others

Cause: the cost of the floor was capped at 0.029 of what the others get. With 8 to 32 others a quarter costs more than that, so that the workspace got 0.226 to 0.25 of the mean chance (0.0616 of its work where all are served 0.25, with 8 others).

Decided by the users: the floor goes first, no workspace is served less than a quarter as often as all; the others lose at most the larger of 0.03 and what that quarter costs them. With N others and a flood of ten times what each of them sends, the capacity is N + 1 fair shares, whatever their size; a quarter takes 2.5 (N + 1) / (N + 10) of them, one of which is the workspace's own, and the others lose (2.5 (N + 1) / (N + 10) - 1) / N = 1.5 (N - 5) / (N (N + 10)) of what they get.

Rates are rounded now instead of cut off.

Change: the least share is 0.255 where it costs the others at most 0.029 (as before), else 0.2502 whatever it costs.

Red before: a_workspace_that_floods_is_served_a_quarter_as_often_as_all, unchanged, at 3 instances and 8 others.

--- a/camphorweir-relay/src/fairness.rs
+++ b/camphorweir-relay/src/fairness.rs
@@ -35,11 +35,12 @@
 /// Capacity is short for a class where it is offered this much more work than is admitted.
 const SHORT_FACTOR: f64 = 1.05;
 /// Least share of a workspace's work that is admitted, relative to the share of its class that is admitted,
-/// so that no workspace is starved however much it sends: a quarter, and a margin for rates that are measured.
-const MIN_WORKSPACE_SHARE: f64 = 0.255;
-/// Most that those who get more than that share lose to it, of what they get. Together with a quarter for a
-/// workspace that sends ten times its share, 8 to 32 others would lose more than 0.03.
-const MAX_MIN_SHARE_COST: f64 = 0.029;
+/// so that no workspace is starved however much it sends: a quarter, and a margin for rates in whole units.
+const MIN_WORKSPACE_SHARE: f64 = 0.2502;
+/// The same where the others lose little by it, with a margin for rates that are measured.
+const AMPLE_WORKSPACE_SHARE: f64 = 0.255;
+/// Most that those who get more than [`AMPLE_WORKSPACE_SHARE`] lose to it, of what they get.
+const MAX_AMPLE_SHARE_COST: f64 = 0.029;
 /// Requests of no class that are assumed among those of a service, so that the first few do not count as a
 /// burst of their class.
 const UNKNOWN_REQUESTS: f64 = 1.0;
@@ -315,8 +316,8 @@
         .map(|((class, workspace), (offered, admitted))| Work {
             class: *class,
             workspace: *workspace,
-            offered: *offered as u32,
-            admitted: *admitted as u32,
+            offered: offered.round() as u32,
+            admitted: admitted.round() as u32,
         });
     let mut works: Vec<Work> = works.collect();
     works.sort_by_key(|work| std::cmp::Reverse(work.offered));
@@ -341,27 +342,33 @@
 
 /// Share of each workspace's work in a class that keeps its rank.
 ///
-/// Those below their least share get what they lack of it from the others, all in proportion, as far as
-/// [`MAX_MIN_SHARE_COST`] allows. What keeps its rank then exceeds what is admitted by this cost.
+/// Those below their least share get what they lack of it from the others, all in proportion. What keeps
+/// its rank then exceeds what is admitted by this cost.
 fn kept_shares(offered: &[f64], admitted: f64) -> Vec<f64> {
     let rate = fair_rate(offered, admitted);
     let served = admitted / offered.iter().sum::<f64>().max(1.0);
-    let least = |offered: f64| MIN_WORKSPACE_SHARE * served * offered;
-    let (mut lacking, mut others) = (0.0, 0.0);
-    for offered in offered {
-        let fair = offered.min(rate);
-        match least(*offered) - fair {
-            lack if lack > 0.0 => lacking += lack,
-            _ => others += fair,
+    // What is lacking of a least share, as a part of what the others get.
+    let cost_of = |share: f64| {
+        let (mut lacking, mut others) = (0.0, 0.0);
+        for offered in offered {
+            let fair = offered.min(rate);
+            match share * served * offered - fair {
+                lack if lack > 0.0 => lacking += lack,
+                _ => others += fair,
+            }
         }
-    }
-    let cost = (lacking / others.max(1.0)).min(MAX_MIN_SHARE_COST);
-    let covered = cost * others / lacking.max(1.0);
+        lacking / others.max(1.0)
+    };
+    let least = match cost_of(AMPLE_WORKSPACE_SHARE) <= MAX_AMPLE_SHARE_COST {
+        true => AMPLE_WORKSPACE_SHARE,
+        false => MIN_WORKSPACE_SHARE,
+    };
+    let cost = cost_of(least);
     let kept = offered.iter().map(|offered| {
         let fair = offered.min(rate);
-        let lack = least(*offered) - fair;
-        let kept = match lack > 0.0 {
-            true => (fair + covered * lack) / (1.0 - cost),
+        let least = least * served * offered;
+        let kept = match least > fair {
+            true => least / (1.0 - cost),
             false => fair,
         };
         (kept / offered.max(1.0)).min(1.0)
