Test what a change of the configuration means for requests in flight

Three tables of requests in flight beside a change that takes a route, workspace or service away, moves the route, lowers its timeout, the idle limit or the limit on bodies, changes its kind or attempts, or ends the order of ranks: a body that arrives, a wait for memory, an answer under way.

--- /dev/null
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -0,0 +1,307 @@
+//! Configurations that come into force while requests are in flight.
+
+use {
+    crate::{
+        bench::{Answer, Bench, KEYS, call, stream_of, until},
+        site::site,
+    },
+    bytes::Bytes,
+    camphorweir_standin::platform_target::{EVENTS_HEADER, PAUSE_HEADER},
+    futures::future::join_all,
+    http_body_util::Full,
+    hyper::Request,
+    serde_json::{Value, json},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        task::JoinHandle,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// An answer is due so long after a timeout that has come into force and passed.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+/// Time for which a request has been in flight when the configuration changes.
+const BEFORE_CHANGE: Duration = Duration::from_millis(700);
+/// A timeout below it.
+const LOW_TIMEOUT_MS: u64 = 300;
+/// Guards against a hang; no promise is measured by it.
+const GUARD: Duration = Duration::from_secs(30);
+/// Tokens of a prompt that fills most of the memory of a target, and of one that has no room beside it.
+const SIZES: [&str; 2] = ["15000,24", "6000,24"];
+
+/// A change of the configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Change {
+    Route,
+    Workspace,
+    Service,
+    Move,
+    Timeout,
+    Idle,
+    Body,
+    Order,
+    Kind,
+    Attempts,
+}
+
+fn routes(site: &mut Value) -> &mut Vec<Value> {
+    site["routes"].as_array_mut().unwrap()
+}
+
+/// A configuration whose streams have two priorities, and whose requests may wait for long.
+fn patient_site(version: u64) -> Value {
+    let mut site = site(version, &KEYS);
+    for route in routes(&mut site) {
+        route["targetLatencyMs"] = 7_500.into();
+    }
+    site["routes"][2]["priority"] = 1.into();
+    site["routes"][3]["priority"] = 2.into();
+    site
+}
+
+/// The same with a change to the routes with this prefix, or to what they depend on.
+fn changed_site(version: u64, prefix: &str, change: Change) -> Value {
+    let mut site = patient_site(version);
+    let service = match prefix {
+        "/text/" => "scribe",
+        _ => "ledger",
+    };
+    let is_meant = |route: &Value| route["pathPrefix"] == prefix;
+    let mut set = |key: &str, value: Value| {
+        let meant = routes(&mut site).iter_mut().filter(|route| is_meant(route));
+        meant.for_each(|route| route[key] = value.clone());
+    };
+    match change {
+        Change::Timeout => set("timeoutMs", LOW_TIMEOUT_MS.into()),
+        Change::Kind => set("kind", "non_idempotent".into()),
+        Change::Attempts => set("maxAttempts", 1.into()),
+        Change::Move => set("service", "other".into()),
+        Change::Route => routes(&mut site).retain(|route| !is_meant(route)),
+        Change::Workspace => site["tenants"] = json!([{"name": "w", "apiKeys": [KEYS[1]]}]),
+        Change::Idle => site["limits"]["idleTimeoutMs"] = 200.into(),
+        Change::Body => site["limits"]["maxBodyBytes"] = 3.into(),
+        Change::Order => site["routes"][3]["priority"] = 1.into(),
+        Change::Service => routes(&mut site).retain(|route| route["service"] != service),
+    }
+    let services = site["services"].as_array_mut().unwrap();
+    match change {
+        Change::Service => services.retain(|other| other["name"] != service),
+        Change::Move => services.push(json!({"name": "other", "maxConnections": 100})),
+        _ => {}
+    }
+    site
+}
+
+/// Publishes a configuration and waits until it is in force.
+async fn publish(bench: &Bench, site: Value) {
+    let version = format!(" {}", site["version"]);
+    let text = site.to_string();
+    bench.store.put("keyed.op", "config", text.as_bytes());
+    until("the configuration", || async {
+        let scrape = Request::get("/metrics").body(Full::default()).unwrap();
+        let answer = call(bench.entries[0].metrics, &scrape).await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let mut lines = text.lines();
+        lines
+            .any(|line| line.starts_with("camphorweir_configuration{") && line.ends_with(&version))
+            .then_some(())
+    })
+    .await;
+}
+
+async fn start() -> Bench {
+    let bench = Bench::start(1).await;
+    publish(&bench, patient_site(2)).await;
+    bench
+}
+
+fn patient(
+    mut request: Request<Full<Bytes>>,
+    headers: &[(&'static str, &str)],
+) -> Request<Full<Bytes>> {
+    let wait = [("x-deadline-ms", "8000")];
+    for (name, value) in wait.iter().chain(headers) {
+        request.headers_mut().insert(*name, value.parse().unwrap());
+    }
+    request
+}
+
+fn spawn(bench: &Bench, request: Request<Full<Bytes>>) -> JoinHandle<Answer> {
+    let front = bench.front();
+    tokio::spawn(async move { call(front, &request).await })
+}
+
+/// A caller that has sent its head and a part of its body.
+struct Halting(TcpStream);
+
+impl Halting {
+    async fn begin(bench: &Bench, path: &str, id: &str) -> Self {
+        let mut stream = TcpStream::connect(bench.front()).await.unwrap();
+        let tokens = match path {
+            "/text/a" => "x-token-usage: 10,24\r\n",
+            _ => "",
+        };
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n\
+             authorization: Bearer {}\r\n{tokens}content-length: 7\r\nconnection: close\r\n\r\nbatc",
+            KEYS[0]
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        Self(stream)
+    }
+
+    /// Sends the rest of the body, unless the entry has answered and closed the connection.
+    async fn finish(&mut self) {
+        let _ = self.0.write_all(b"h 7").await;
+    }
+
+    /// The status of the answer; 0 if there is none.
+    async fn status(&mut self) -> u16 {
+        let mut bytes = Vec::new();
+        let read = timeout(GUARD, self.0.read_to_end(&mut bytes)).await;
+        // A reset after the answer takes nothing from it.
+        let _ = read.unwrap();
+        let text = String::from_utf8_lossy(&bytes);
+        let status = text.split(' ').nth(1).unwrap_or_default();
+        status.parse().unwrap_or_default()
+    }
+}
+
+/// Fails unless every send of an attempt went to a path through all layers.
+fn assert_paths(bench: &Bench, id: &str, change: Change) {
+    let requests = bench.parts.iter().flat_map(|part| part.requests());
+    let mut sends = requests.filter(|request| request.header("x-attempt-id") == id);
+    assert!(
+        sends.all(|request| !request.header("x-hop-count").is_empty()),
+        "{change:?}: a target alone was to run all layers"
+    );
+}
+
+/// Changes the configuration while a body arrives, and sends its rest later; returns status and runs.
+async fn change_beside_body(path: &str, change: Change, rest_after: Duration) -> (u16, usize) {
+    let bench = start().await;
+    let mut caller = Halting::begin(&bench, path, "b1").await;
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, &path[..6], change)).await;
+    sleep(rest_after).await;
+    caller.finish().await;
+    let status = caller.status().await;
+    assert_paths(&bench, "b1", change);
+    (status, bench.runs("b1"))
+}
+
+/// Guards against requests that end without an answer as the configuration changes under their bodies.
+#[tokio::test]
+async fn a_request_whose_body_arrives_beside_a_change_is_answered() {
+    let (served, gone, moved) = ((200, 1), (404, 0), (503, 0));
+    let rest_after = Duration::from_millis(300);
+    let cases = [
+        (Change::Route, vec![served, gone]),
+        (Change::Workspace, vec![served, (401, 0)]),
+        (Change::Service, vec![served, gone]),
+        (Change::Move, vec![served, moved]),
+        (Change::Idle, vec![served]),
+        (Change::Body, vec![served, (413, 0)]),
+        (Change::Kind, vec![served]),
+        (Change::Attempts, vec![served]),
+    ];
+    let cases = cases.into_iter().map(|(change, allowed)| async move {
+        let end = change_beside_body("/look/a", change, rest_after).await;
+        assert!(allowed.contains(&end), "{change:?}: {end:?}");
+    });
+    join_all(cases).await;
+}
+
+/// Changes the configuration while a stream waits for memory, and frees memory later; returns the status
+/// of the stream, its runs, and the time from the change to its end.
+async fn change_beside_wait(change: Change, free_after: Duration) -> (u16, usize, Duration) {
+    let bench = start().await;
+    let mut fillers = Vec::new();
+    for id in ["f1", "f2"] {
+        let headers = [
+            ("x-token-usage", SIZES[0]),
+            (EVENTS_HEADER, "100"),
+            (PAUSE_HEADER, "400"),
+        ];
+        fillers.push(spawn(&bench, patient(stream_of("/text/a", id), &headers)));
+        until("the run", || async { (bench.runs(id) == 1).then_some(()) }).await;
+    }
+    let request = patient(stream_of("/text/a", "w1"), &[("x-token-usage", SIZES[1])]);
+    let mut caller = spawn(&bench, request);
+    sleep(BEFORE_CHANGE).await;
+    assert!(!caller.is_finished());
+    publish(&bench, changed_site(3, "/text/", change)).await;
+    let begun = Instant::now();
+    let early = timeout(free_after, &mut caller).await;
+    let answer = match early {
+        Ok(answer) => answer,
+        Err(_) => {
+            fillers.iter().for_each(JoinHandle::abort);
+            caller.await
+        }
+    };
+    let took = begun.elapsed();
+    assert_paths(&bench, "w1", change);
+    (answer.unwrap().status, bench.runs("w1"), took)
+}
+
+/// Guards against requests that wait for memory in vain, or without an end, once the configuration changes.
+#[tokio::test]
+async fn a_request_that_waits_for_memory_beside_a_change_is_answered() {
+    let (served, gone) = ((200, 1), (404, 0));
+    let free_after = Duration::from_millis(500);
+    let cases = [
+        (Change::Route, vec![served, gone]),
+        (Change::Workspace, vec![served, (401, 0)]),
+        (Change::Idle, vec![served]),
+        (Change::Order, vec![served]),
+        (Change::Kind, vec![served]),
+        (Change::Attempts, vec![served]),
+    ];
+    let cases = cases.into_iter().map(|(change, allowed)| async move {
+        let (status, runs, took) = change_beside_wait(change, free_after).await;
+        assert!(
+            allowed.contains(&(status, runs)),
+            "{change:?}: {status}, {runs}"
+        );
+        assert!(
+            took < free_after + 2 * TIMEOUT_SLACK,
+            "{change:?}: {took:?}"
+        );
+    });
+    join_all(cases).await;
+}
+
+/// Changes under which an answer that has begun goes on.
+const BESIDE_ANSWERS: [Change; 9] = [
+    Change::Route,
+    Change::Workspace,
+    Change::Service,
+    Change::Move,
+    Change::Timeout,
+    Change::Idle,
+    Change::Order,
+    Change::Kind,
+    Change::Attempts,
+];
+
+/// Starts a stream, changes the configuration in its midst and demands that it ends whole.
+async fn change_beside_stream(change: Change) {
+    let bench = start().await;
+    let request = patient(stream_of("/text/a", "s1"), &[(PAUSE_HEADER, "400")]);
+    let caller = spawn(&bench, request);
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, "/text/", change)).await;
+    let answer = caller.await.unwrap();
+    let end = (answer.status, answer.whole, bench.runs("s1"));
+    assert_eq!(end, (200, true, 1), "{change:?}");
+    assert_paths(&bench, "s1", change);
+}
+
+/// Guards against an answer under way that ends as the configuration changes.
+#[tokio::test]
+async fn a_stream_that_has_begun_ends_whole_beside_any_change() {
+    join_all(BESIDE_ANSWERS.map(change_beside_stream)).await;
+}
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod calls;
+mod configurations;
 mod copies;
 mod crashes;
 mod cuts;
