--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bench;
 mod calls;
+mod configurations;
 mod copies;
 mod crashes;
 mod cuts;
