Let a sound silence make no target unresponsive

Cause: one probe without an answer made a suspected target unresponsive for all instances. A silent target is suspected 0.6 s after its last data, probed at once, and the probe ends 0.4 s later: a second of silence was enough, and the next round of placement, 0.25 s later at most, ordered its layers elsewhere.

Ruled out: doubt in the own links does not prevent it, as other targets answer the checks within that time and end the doubt.

Change: a suspicion remembers since when the target has been silent. A probe without an answer counts only from 1.5 s of silence on, MAX_SOUND_SILENCE; the second probe ends before that, the third after 1.9 to 2.2 s. A probe that finds the address closed, or something else there, counts at once, and so does one after a send that failed otherwise. Suspected targets are avoided as before. The price: the layers of a target that goes dark under its streams without a reset are ordered elsewhere about a second later.

A table test of the decision.

--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -99,7 +99,14 @@
     }
     let now = state.now();
     let lives = result == Presence::Alive;
-    state.router().tracker.record_probe(&id, lives, now);
+    match result {
+        Presence::Alive | Presence::Silent => {
+            state.router().tracker.record_probe(&id, lives, now);
+        }
+        Presence::Restarted { .. } | Presence::Replaced | Presence::Ended => {
+            state.router().tracker.record_absence(&id, now);
+        }
+    }
     log::info!(target_name:% = id, lives = lives; "target probed");
 }
 
--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -81,10 +81,10 @@
         while let Some(faulty) = faulty {
             let now = state.now();
             let step = {
-                let mut router = state.router();
-                let step = router.replacement_step(request, asked_at.elapsed(), now);
+                let (mut router, asked_for) = (state.router(), asked_at.elapsed());
+                let step = router.replacement_step(request, asked_for, now);
                 if step != Step::Wait {
-                    router.record_silent(plan, faulty, now);
+                    router.record_silent(plan, faulty, asked_for, now);
                 }
                 step
             };
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod store;
 pub mod summary;
 pub mod suspects;
+pub mod suspicion;
 pub mod tracker;
 pub mod utilization;
 pub mod waiting;
--- a/camphorweir-relay/src/replacement.rs
+++ b/camphorweir-relay/src/replacement.rs
@@ -67,10 +67,17 @@
         target.map_or_else(|| plan.target.clone(), |target| target.id.clone())
     }
 
-    /// Suspects a silent target, so that it is probed, and no other request uses it meanwhile.
-    pub fn record_silent(&mut self, plan: &Plan, address: SocketAddr, now: Time) {
+    /// Suspects a silent target, which was first asked `asked_for` ago, so that it is probed, and no other
+    /// request uses it meanwhile.
+    pub fn record_silent(
+        &mut self,
+        plan: &Plan,
+        address: SocketAddr,
+        asked_for: Duration,
+        now: Time,
+    ) {
         let target = self.silent_target(plan, address);
-        self.tracker.record_suspicion(&target, now);
+        self.tracker.record_suspicion(&target, asked_for, now);
     }
 
     /// Whether a target that was silent has not answered since.
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -5,6 +5,7 @@
         ids::{TargetId, Time},
         path::Path,
         router::Plan,
+        suspicion::{PROBE_INTERVAL, Suspicion},
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -24,8 +25,6 @@
 /// The same for a target that a peer reports as unresponsive; the report is repeated ten times a
 /// second in a zone and once between zones.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1500);
-/// Pause between probes of an unresponsive target.
-const PROBE_INTERVAL: Duration = Duration::from_millis(450);
 /// Weight of the newest request in the moving averages of failures and latency.
 const NEWEST_WEIGHT: f64 = 0.2;
 /// Latency assumed before any request was answered, in ms.
@@ -64,19 +63,6 @@
     peer_reported_at: Option<Time>,
 }
 
-/// A target that may be unresponsive.
-#[derive(Clone, Copy, Debug)]
-struct Suspicion {
-    /// When the suspicion was raised.
-    raised_at: Time,
-    /// Time of the last failed probe, or of the failure that raised the suspicion.
-    failed_at: Time,
-    /// Whether a probe has failed since the suspicion was raised.
-    confirmed: bool,
-    /// Time of the next probe.
-    next_probe: Time,
-}
-
 impl State {
     /// Whether the target did not respond to this instance recently, in two tries or more.
     pub fn is_unresponsive(&self, now: Time) -> bool {
@@ -90,13 +76,9 @@
         self.closed_until.max(self.limited_until)
     }
 
-    fn suspect(&mut self, now: Time) {
-        self.suspicion.get_or_insert(Suspicion {
-            raised_at: now,
-            failed_at: now,
-            confirmed: false,
-            next_probe: now,
-        });
+    fn suspect(&mut self, silent_since: Option<Time>, now: Time) {
+        self.suspicion
+            .get_or_insert(Suspicion::new(silent_since, now));
     }
 
     fn clear_suspicion(&mut self) {
@@ -286,13 +268,17 @@
         }
         state.failure_rate += NEWEST_WEIGHT * (1.0 - state.failure_rate);
         if unresponsive {
-            state.suspect(now);
+            state.suspect(None, now);
         }
     }
 
-    /// Suspects a target to be unresponsive, so that it is probed.
-    pub fn record_suspicion(&mut self, target: &TargetId, now: Time) {
-        self.state_mut(target).suspect(now);
+    /// Suspects a target that has been silent for some time, so that it is probed. It may be sound, so a
+    /// failed probe counts only once it has been silent for [`MAX_SOUND_SILENCE`].
+    ///
+    /// [`MAX_SOUND_SILENCE`]: crate::suspicion::MAX_SOUND_SILENCE
+    pub fn record_suspicion(&mut self, target: &TargetId, silent_for: Duration, now: Time) {
+        let silent_since = now.saturating_sub(silent_for);
+        self.state_mut(target).suspect(Some(silent_since), now);
     }
 
     /// Whether a probe of some target is due.
@@ -329,14 +315,18 @@
                 state.consecutive_failures = 0;
                 state.failure_rate = 0.0;
             }
-            (Some(suspicion), false) => {
-                suspicion.failed_at = now;
-                suspicion.confirmed = true;
-            }
+            (Some(suspicion), false) => suspicion.record_silent_probe(now),
             (None, false) => {}
         }
     }
 
+    /// Records that a probe found nothing at the address of a suspected target, or something else.
+    pub fn record_absence(&mut self, target: &TargetId, now: Time) {
+        if let Some(suspicion) = &mut self.state_mut(target).suspicion {
+            suspicion.record_absence(now);
+        }
+    }
+
     /// Drops the suspicions of targets that were raised since a time at which the own links failed,
     /// and the ejections of those targets.
     pub(crate) fn forget_suspicions<'a>(
@@ -383,7 +373,7 @@
         state.full_until = now + FULL_BACKOFF;
         state.rejected_at = Some(now);
         if suspected {
-            state.suspect(now);
+            state.suspect(None, now);
         }
     }
 
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -31,5 +31,6 @@
 mod store;
 mod storm;
 mod suspects;
+mod suspicion;
 mod tracker;
 mod waiting;
