--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -32,5 +32,6 @@
 mod store;
 mod storm;
 mod suspects;
+mod suspicion;
 mod tracker;
 mod waiting;
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod cuts;
 mod endless;
+mod holders;
 mod leaving;
 mod limits;
 mod lists;
