Charge the retry budget once for a failed send elsewhere

After a send elsewhere beside a silent target had failed, the budget was charged for the next one at once, before that had a place. Where the silent target went on, or failed itself and was charged for its own next send, a retry was spent on nothing: callers of a service with many silent targets find no retry left sooner than the policy says. Change: a failed send elsewhere charges nothing; the next is charged with its place in hand, as the first is. What was charged for one that did not leave counts for the next. The decision after a failure moves to budget.rs, its count apart from its charge. Not mended: a charge for a send elsewhere that did not leave is lost where the silent target then fails; that errs to fewer retries.

--- a/camphorweir-relay/src/budget.rs
+++ b/camphorweir-relay/src/budget.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         ids::{ServiceName, Time},
-        router::Router,
+        retry::{Decision, Failure, retry_decide, retry_final_code},
+        router::{Admission, Router},
     },
     std::{
         collections::{HashMap, VecDeque},
@@ -101,6 +102,31 @@
         self.budget.try_retry(service, now, share)
     }
 
+    /// Counts a failed send and decides what follows; takes what follows from the budget.
+    pub(crate) fn decide_after_failure(
+        &mut self,
+        request: &mut Admission,
+        failure: Failure,
+        now: Time,
+    ) -> Decision {
+        let decision = budget_count_failure(request, failure);
+        let is_charged = decision == Decision::Again && self.was_sent(request, failure);
+        if is_charged && !self.try_retry(&request.service, now) {
+            return Decision::End(retry_final_code(&request.counts, failure));
+        }
+        decision
+    }
+
+    /// Whether a failed send has reached a target, so that what the budget gave for it is used up.
+    pub(crate) fn was_sent(&self, request: &Admission, failure: Failure) -> bool {
+        match failure {
+            Failure::Unsent | Failure::Outdated | Failure::Limited => false,
+            // A request that came to nothing at a peer has reached no target.
+            Failure::Refused => !self.needs_detour(&request.service),
+            Failure::Broken => true,
+        }
+    }
+
     /// Whether the budget has a retry of a service left.
     pub(crate) fn has_retry(&mut self, service: &ServiceName, now: Time) -> bool {
         let share = self.retry_share();
@@ -108,6 +134,13 @@
     }
 }
 
+/// Counts a failed send; returns what follows as far as the budget allows.
+pub(crate) fn budget_count_failure(request: &mut Admission, failure: Failure) -> Decision {
+    request.counts.runs += u32::from(failure == Failure::Broken);
+    let route = &request.route;
+    retry_decide(route.kind, route.max_runs, &request.counts, failure)
+}
+
 /// Drops times before `since`. Each time is added and dropped once, so the total work is linear.
 fn drop_before(times: &mut VecDeque<Time>, since: Time) {
     while times.front().is_some_and(|time| *time < since) {
--- a/camphorweir-relay/src/detour.rs
+++ b/camphorweir-relay/src/detour.rs
@@ -144,15 +144,20 @@
                 Decision::End(Code::TargetFailed)
             }
             Outcome::Failed(failure, _) => {
-                let pause = match failure {
-                    Failure::Refused => REFUSED_PAUSE,
-                    Failure::Unsent | Failure::Outdated | Failure::Limited | Failure::Broken => {
-                        FAILED_PAUSE
-                    }
-                };
-                self.detours.leave_out(&plan.target, now + pause);
+                self.record_failed_detour(plan, failure, now);
                 self.decide_after_failure(request, failure, now)
             }
         }
     }
+
+    /// Leaves a peer out for a while after a failed send.
+    pub(crate) fn record_failed_detour(&mut self, plan: &Plan, failure: Failure, now: Time) {
+        let pause = match failure {
+            Failure::Refused => REFUSED_PAUSE,
+            Failure::Unsent | Failure::Outdated | Failure::Limited | Failure::Broken => {
+                FAILED_PAUSE
+            }
+        };
+        self.detours.leave_out(&plan.target, now + pause);
+    }
 }
--- a/camphorweir-relay/src/replacement.rs
+++ b/camphorweir-relay/src/replacement.rs
@@ -5,6 +5,7 @@
 use {
     crate::{
         admission::Standing,
+        budget::budget_count_failure,
         ids::{TargetId, Time},
         progress::Progress,
         retry::{Decision, Failure, retry_decide},
@@ -133,10 +134,19 @@
         (failure, address): (Failure, Option<SocketAddr>),
         now: Time,
     ) -> bool {
-        let outcome = Outcome::Failed(failure, address);
-        let decision = self.finish_send(&mut replacement.request, plan, outcome, now);
-        replacement.is_charged = decision == Decision::Again;
-        replacement.is_charged
+        let request = &mut replacement.request;
+        match plan.is_detour() {
+            true => self.record_failed_detour(plan, failure, now),
+            false => {
+                self.release(request, plan);
+                self.record_failed_send(request, plan, failure, address, now);
+            }
+        }
+        // The next send is charged once it has a place; what was charged for one that did not leave counts.
+        replacement.is_charged &= !self.was_sent(request, failure);
+        let service = request.service.clone();
+        let decision = budget_count_failure(request, failure);
+        decision == Decision::Again && (replacement.is_charged || self.has_retry(&service, now))
     }
 
     /// Ends a send elsewhere as the silent target went on, or all of the request ends; it may have run.
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -17,7 +17,7 @@
         path::Path,
         peers::Peers,
         progress::Progress,
-        retry::{Counts, Decision, Failure, retry_decide, retry_final_code},
+        retry::{Counts, Decision, Failure},
         settings::Bounds,
         shutdown::Pace,
         suspects::Suspects,
@@ -550,32 +550,6 @@
         }
     }
 
-    /// Counts a failed send and decides what follows.
-    pub(crate) fn decide_after_failure(
-        &mut self,
-        request: &mut Admission,
-        failure: Failure,
-        now: Time,
-    ) -> Decision {
-        request.counts.runs += u32::from(failure == Failure::Broken);
-        let decision = retry_decide(
-            request.route.kind,
-            request.route.max_runs,
-            &request.counts,
-            failure,
-        );
-        // A request that came to nothing at a peer has reached no target.
-        let was_sent = match failure {
-            Failure::Unsent | Failure::Outdated | Failure::Limited => false,
-            Failure::Refused => !self.needs_detour(&request.service),
-            Failure::Broken => true,
-        };
-        if decision == Decision::Again && was_sent && !self.try_retry(&request.service, now) {
-            return Decision::End(retry_final_code(&request.counts, failure));
-        }
-        decision
-    }
-
     /// Retry-After while targets of a service take no requests from this instance: the time until the
     /// first takes some, spread so that callers don't all return then; `None` if none is closed.
     fn wait_for_closed(&mut self, service: &str, now: Time) -> Option<Duration> {
--- a/camphorweir-relay/tests/decide/replacement.rs
+++ b/camphorweir-relay/tests/decide/replacement.rs
@@ -6,7 +6,7 @@
         fleet::Target,
         progress::Progress,
         replacement::{SILENCE_PATIENCE, Step},
-        retry::Failure,
+        retry::{Decision, Failure},
         router::{Admission, Outcome, Plan, Router},
         span::Span,
     },
@@ -34,15 +34,22 @@
     states.all(|state| (state.in_flight, state.streams, state.token_layers) == (0, 0, 0.0))
 }
 
-fn spend_budget(router: &mut Router) {
+/// Spends the retry budget; returns the retries that were left.
+fn spend_budget(router: &mut Router) -> usize {
+    let mut retries = 0;
     for _ in 0..100 {
-        let (mut request, plan, silent) = begun(router);
-        let failed = Outcome::Failed(Failure::Broken, Some(silent));
-        router.finish_send(&mut request, &plan, failed, NOW);
         for target in ["near-0", "near-1", "far-0", "far-1"] {
             router.tracker.reset_health(&target.into());
         }
+        let (mut request, plan, silent) = begun(router);
+        let failed = Outcome::Failed(Failure::Broken, Some(silent));
+        let decision = router.finish_send(&mut request, &plan, failed, NOW);
+        retries += usize::from(decision == Decision::Again);
+    }
+    for target in ["near-0", "near-1", "far-0", "far-1"] {
+        router.tracker.reset_health(&target.into());
     }
+    retries
 }
 
 #[test]
@@ -160,3 +167,36 @@
     let mut plain = admit_request(&mut router, "/text/a", NOW);
     assert!(router.plan(&mut plain, NOW).is_err());
 }
+
+/// Retries left after one send elsewhere has failed, and the silent one has ended.
+fn left_after(failure: Option<Failure>, end: Outcome) -> usize {
+    let mut router = router();
+    let (mut request, plan, silent) = begun(&mut router);
+    if let Some(failure) = failure {
+        let mut other = router
+            .replacement_begin(&request, &plan, silent, NOW)
+            .unwrap();
+        let there = router.plan(&mut other.request, NOW).unwrap();
+        assert!(router.replacement_charge(&mut other, &there, NOW));
+        assert!(router.replacement_fail(&mut other, &there, (failure, None), NOW));
+        other.settle(&mut request);
+    }
+    router.finish_send(&mut request, &plan, end, NOW);
+    spend_budget(&mut router)
+}
+
+/// Guards against a retry that is charged though nothing is sent, and then again for the next send.
+#[test]
+fn a_failed_send_elsewhere_is_charged_once() {
+    for end in [DONE, Outcome::Failed(Failure::Broken, None)] {
+        let none = left_after(None, end);
+        assert!(none > 2, "{none}");
+        for failure in [Failure::Refused, Failure::Unsent] {
+            assert_eq!(
+                left_after(Some(failure), end),
+                none - 1,
+                "{failure:?}, {end:?}"
+            );
+        }
+    }
+}
