Two givers of permits that do not hear of each other give a part of the limit each

Cause: the first and the second of an order that do not reach each other, each reached by half of the instances, give all permits each. Their accounts reach the others of the order, who count them and tell nobody.

Change: an instance that heard accounts of two or more within 0.5 s, itself counted if it gives, tells how many in its own account, or in one without permits (field `givers`). One that is told of more than it hears itself within 1 s gives that part of the limit, of two a half, until 4.08 s after it was last told: by then what the other gave has left the span. Givers that hear of each other share the limit by their accounts as before, so a normal change of the giver divides nothing.

The field is written by name only while it is not 0; all other accounts have the bytes of before, and passes over it (camphorweir-wire/tests/formats, one case added). Datagrams are new only while there are several givers: five a second from each of the order that hears them.

Not covered: two givers of which no third of the order hears both.

--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -431,7 +431,7 @@
             Ok(Datagram::Limits(news)) => receive_news(state, &news, address),
             Ok(Datagram::Ask(ask)) => receive_ask(state, ask, address),
             Ok(Datagram::Grant(grant)) => receive_grant(state, grant),
-            Ok(Datagram::Account(account)) => receive_account(state, &account),
+            Ok(Datagram::Account(account)) => receive_account(state, account),
             Ok(Datagram::Demand(demand)) => receive_demand(state, demand),
             Err(error) => unread.record(state, address, &error.to_string()),
         }
--- a/camphorweir-entry/src/front/permits.rs
+++ b/camphorweir-entry/src/front/permits.rs
@@ -12,7 +12,7 @@
         fleet::Target,
         ids::{TargetId, Time, ids_tag},
         permit::{
-            Answer, Candidate, Grantor, Question, Silences, UNKNOWN_RETRY, VALIDITY,
+            self, Answer, Candidate, Grantor, Question, Silences, UNKNOWN_RETRY, VALIDITY,
             permit_candidates,
         },
         router::{Admission, Plan, Router},
@@ -215,10 +215,11 @@
     }
 }
 
-/// Tells the other instances that may give permits of a target which ones this one gave.
+/// Tells the other instances that may give permits of a target which ones this one gave, and how many
+/// instances give some where they may not hear of each other.
 fn tell_accounts(state: &State, now: Time) {
     let accounts = state.permits().inner().grantor.accounts(now);
-    for ((tag, started_ms), ends) in accounts {
+    for ((tag, started_ms), account) in accounts {
         let target = state.router().fleet.by_tag(tag).cloned();
         let Some(target) = target else {
             continue;
@@ -227,7 +228,8 @@
             entry: state.settings().instance.clone(),
             target: tag,
             started_ms,
-            ends,
+            ends: account.ends,
+            givers: account.givers as u32,
         });
         let others = candidates(state, &target).into_iter();
         for address in others.filter_map(|candidate| candidate.address) {
@@ -237,13 +239,27 @@
 }
 
 /// Applies another instance's account of the permits that it gave.
-pub fn receive_account(state: &State, account: &Account) {
+pub fn receive_account(state: &State, account: Account) {
     let now = state.now();
     let key = (account.target, account.started_ms);
-    let mut inner = state.permits().inner();
-    inner
-        .grantor
-        .apply_account(key, &account.entry, &account.ends, now);
+    let told = permit::Account {
+        ends: account.ends,
+        givers: account.givers as usize,
+    };
+    let is_divided = {
+        let grantor = &mut state.permits().inner().grantor;
+        grantor.apply_account(key, &account.entry, &told, now)
+    };
+    if is_divided {
+        let target = state.router().fleet.by_tag(account.target).cloned();
+        let name = target.map_or_else(String::new, |target| target.id.to_string());
+        log::info!(
+            target_name = name,
+            givers = account.givers,
+            instance = account.entry;
+            "several instances give permits of a target, which do not all hear of each other"
+        );
+    }
 }
 
 /// Checks targets that take no requests at all and so can't say in answers that they do again.
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod features;
 pub mod fleet;
 pub mod flow;
+mod givers;
 pub mod head;
 pub mod ids;
 mod isolation;
--- a/camphorweir-relay/src/permit.rs
+++ b/camphorweir-relay/src/permit.rs
@@ -2,10 +2,14 @@
 //!
 //! All instances together keep to the limit since one of them gives out all permits of a target: the first
 //! live instance in an order that all know. It tells the others of the order what it has given; whoever takes
-//! over counts that too, and assumes that the limit was used evenly since.
+//! over counts that too, and assumes that the limit was used evenly since. Where several give permits and do
+//! not hear of each other, those that hear them tell how many they are, and each gives its part.
 
 use {
-    crate::ids::{Time, Zone, ids_tag},
+    crate::{
+        givers::Givers,
+        ids::{Time, Zone, ids_tag},
+    },
     std::{
         cmp::Reverse,
         collections::{BTreeMap, VecDeque},
@@ -61,6 +65,16 @@
 /// A target's incarnation: the tag of its identifier and its start, as a Unix time in ms.
 pub type Key = (u32, u64);
 
+/// What an instance tells others of the permits of a target.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Account {
+    /// When those that it gave leave the span, in steps of 50 ms from now, and how many do; empty if it gave
+    /// none lately.
+    pub ends: Vec<(u16, u16)>,
+    /// Number of instances that give permits, if several do and the sender hears them, else 0.
+    pub givers: usize,
+}
+
 /// The answer to an instance that asks for a permit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Answer {
@@ -104,6 +118,7 @@
     ends: VecDeque<Time>,
     /// The same for what other instances gave, with how many leave at each time.
     others: BTreeMap<String, Vec<(Time, usize)>>,
+    givers: Givers,
     last_start: Time,
     /// When a permit was last given here.
     given_at: Option<Time>,
@@ -121,6 +136,7 @@
         Self {
             ends: VecDeque::new(),
             others: BTreeMap::new(),
+            givers: Givers::default(),
             last_start: Time::ZERO,
             given_at: None,
             known_until: None,
@@ -203,20 +219,46 @@
         Answer::Denied((wait - max_wait).max(turn).max(MIN_RETRY))
     }
 
-    /// The permits that were given here, for other instances; `None` if there are no new ones.
-    fn account(&self, now: Time) -> Option<Vec<(u16, u16)>> {
+    /// What is told to other instances; `None` if no permits were given here lately and those that give
+    /// some hear of each other for all that is known.
+    fn account(&self, now: Time) -> Option<Account> {
         let is_new = |at: Time| now.saturating_sub(at) < ACCOUNT_REPEATS;
-        self.given_at.filter(|at| is_new(*at))?;
-        let mut account: Vec<(u16, u16)> = Vec::new();
+        let is_giver = self.given_at.is_some_and(is_new);
+        let givers = self.givers.count(now) + usize::from(is_giver);
+        let account = Account {
+            ends: match is_giver {
+                true => self.ends_told(now),
+                false => Vec::new(),
+            },
+            givers: if givers > 1 { givers } else { 0 },
+        };
+        (account != Account::default()).then_some(account)
+    }
+
+    /// Applies what another instance told of the permits that it gave.
+    fn apply_ends(&mut self, name: &str, told: &[(u16, u16)], now: Time) {
+        let end = |left: u16| now + Duration::from_millis(ACCOUNT_STEP_MS * u64::from(left));
+        let ends = told
+            .iter()
+            .map(|(left, count)| (end(*left), usize::from(*count)));
+        let mut ends: Vec<(Time, usize)> = ends.collect();
+        ends.sort_unstable();
+        self.known_until = Some(now);
+        self.is_unsure = true;
+        self.others.insert(name.to_owned(), ends);
+    }
+
+    fn ends_told(&self, now: Time) -> Vec<(u16, u16)> {
+        let mut told: Vec<(u16, u16)> = Vec::new();
         for end in self.ends.iter().filter(|end| **end > now) {
             let steps = (*end - now).as_millis().div_ceil(ACCOUNT_STEP_MS.into());
             let left = u16::try_from(steps).unwrap_or(u16::MAX);
-            match account.last_mut() {
+            match told.last_mut() {
                 Some((last, count)) if *last == left => *count = count.saturating_add(1),
-                _ => account.push((left, 1)),
+                _ => told.push((left, 1)),
             }
         }
-        Some(account)
+        told
     }
 }
 
@@ -303,34 +345,30 @@
             return Answer::Denied(ready_at - now);
         }
         let share = self.share(question, now);
-        let quota = quota(question.per_second, share);
         let window = self.windows.entry(question.key).or_default();
+        let quota = quota(question.per_second, share * window.givers.part(now));
         let answer = window.take(quota, question.asker, question.max_wait, now);
         self.answers.insert(id, (answer, now));
         answer
     }
 
-    /// The permits that this instance gave lately, by target, for the others that may give some: when they
-    /// leave the span, in steps of [`ACCOUNT_STEP_MS`], and how many do.
-    pub fn accounts(&self, now: Time) -> Vec<(Key, Vec<(u16, u16)>)> {
+    /// The permits that this instance gave lately, by target, for the others that may give some.
+    pub fn accounts(&self, now: Time) -> Vec<(Key, Account)> {
         let windows = self.windows.iter();
         let accounts = windows.filter_map(|(key, window)| Some((*key, window.account(now)?)));
         accounts.collect()
     }
 
-    /// Applies the account of another instance.
-    pub fn apply_account(&mut self, key: Key, name: &str, account: &[(u16, u16)], now: Time) {
-        let end = |left: u16| now + Duration::from_millis(ACCOUNT_STEP_MS * u64::from(left));
-        let ends = account
-            .iter()
-            .map(|(left, count)| (end(*left), usize::from(*count)));
-        let mut ends: Vec<(Time, usize)> = ends.collect();
-        ends.sort_unstable();
+    /// Applies the account of another instance; returns whether this one gives only a part of the limit
+    /// from now on, as it does not hear all that give permits.
+    pub fn apply_account(&mut self, key: Key, name: &str, account: &Account, now: Time) -> bool {
         let window = self.windows.entry(key).or_default();
         window.used_at = now;
-        window.known_until = Some(now);
-        window.is_unsure = true;
-        window.others.insert(name.to_owned(), ends);
+        if !account.ends.is_empty() {
+            window.givers.record(name, now);
+            window.apply_ends(name, &account.ends, now);
+        }
+        window.givers.apply(account.givers, SPAN + VALIDITY, now)
     }
 }
 
--- a/camphorweir-relay/tests/decide/permit.rs
+++ b/camphorweir-relay/tests/decide/permit.rs
@@ -2,7 +2,7 @@
 
 use {
     camphorweir_relay::permit::{
-        Answer, Candidate, Grantor, Question, Silences, permit_candidates,
+        Account, Answer, Candidate, Grantor, Question, Silences, permit_candidates,
     },
     std::time::Duration,
 };
@@ -208,6 +208,32 @@
     assert!((380..=400).contains(&given), "{given}");
 }
 
+/// Guards against a limit that is left in part where one giver of permits replaces another, and for good
+/// where there were two for a while.
+#[test]
+fn a_limit_is_divided_between_givers_that_do_not_hear_of_each_other_while_there_are_two() {
+    let key = question(20.0, 0).key;
+    let account = |ends: &[(u16, u16)], givers| Account {
+        ends: ends.to_vec(),
+        givers,
+    };
+    let mut grantor = running();
+    assert!(grantor.apply_account(key, "c", &account(&[], 2), ms(START)));
+    assert!(!grantor.apply_account(key, "d", &account(&[], 2), ms(START)));
+    let half = starts(&mut grantor, 20.0, START, START + 4_000, 10);
+    assert!((36..=40).contains(&half.len()), "{}", half.len());
+    let all = starts(&mut grantor, 20.0, START + 4_000, START + 12_240, 10);
+    assert!(all.len() >= 120, "{}", all.len());
+    // The other giver is heard, and its accounts are counted.
+    let mut grantor = running();
+    grantor.apply_account(key, "b", &account(&[(80, 10)], 0), ms(START));
+    run(&mut grantor, START, START + 900);
+    assert!(!grantor.apply_account(key, "c", &account(&[], 2), ms(START + 900)));
+    // Of 80 permits ten were told, and as many are assumed as in 0.9 s of even use.
+    let rest = starts(&mut grantor, 20.0, START + 900, START + 3_900, 10);
+    assert!((50..=53).contains(&rest.len()), "{}", rest.len());
+}
+
 fn candidate(name: &str, zone: &str) -> Candidate<()> {
     Candidate {
         name: name.to_owned(),
--- a/camphorweir-wire/src/limit.rs
+++ b/camphorweir-wire/src/limit.rs
@@ -1,6 +1,9 @@
 //! What entries tell each other of targets that take a limited number of requests a second.
 
-use serde::{Deserialize, Serialize};
+use {
+    crate::map_serde::serialize_with_added,
+    serde::{Deserialize, Serialize},
+};
 
 /// What an entry knows of the limit of a target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -33,7 +36,7 @@
 }
 
 /// The permits to send to a target that an entry gave lately.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 pub struct Account {
     /// The entry that gave them.
     pub entry: String,
@@ -43,8 +46,21 @@
     pub started_ms: u64,
     /// Time until permits do not count any more, in steps of 50 ms, and how many they are.
     pub ends: Vec<(u16, u16)>,
+    /// Number of entries that give permits, if several do as far as the sender hears, else 0.
+    #[serde(default)]
+    pub givers: u32,
 }
 
+serialize_with_added!(
+    Account {
+        entry,
+        target,
+        started_ms,
+        ends,
+    },
+    givers
+);
+
 /// Answers [`Ask`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Grant {
--- a/camphorweir-wire/src/map_serde.rs
+++ b/camphorweir-wire/src/map_serde.rs
@@ -21,8 +21,13 @@
     };
 }
 
-/// Implements `Serialize` for a struct that gained the field `added`: by position and without it while it is
-/// empty, as earlier releases write it, else as a map from the names of all its fields.
+/// Whether a field has the value that it has when it is missing.
+pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// Implements `Serialize` for a struct that gained the field `added`: by position and without it while it has
+/// its default, as earlier releases write it, else as a map from the names of all its fields.
 macro_rules! serialize_with_added {
     ($type:ident { $($field:ident),* $(,)? }, $added:ident) => {
         impl serde::Serialize for $type {
@@ -30,7 +35,7 @@
                 use serde::ser::{SerializeMap, SerializeStruct};
                 let Self { $($field,)* $added } = self;
                 let count = [$(stringify!($field)),*].len();
-                if $added.is_empty() {
+                if $crate::map_serde::is_default($added) {
                     let mut fields = serializer.serialize_struct(stringify!($type), count)?;
                     $(fields.serialize_field(stringify!($field), $field)?;)*
                     return fields.end();
--- a/camphorweir-wire/tests/formats/earlier.rs
+++ b/camphorweir-wire/tests/formats/earlier.rs
@@ -148,3 +148,17 @@
 pub(crate) struct CrashOf63c8192 {
     pub(crate) ran_ms: u64,
 }
+
+/// The permits that an entry of 350e1b6 gave.
+#[derive(Deserialize)]
+pub(crate) struct AccountOf350e1b6 {
+    pub(crate) entry: String,
+    pub(crate) target: u32,
+    pub(crate) started_ms: u64,
+    pub(crate) ends: Vec<(u16, u16)>,
+}
+
+#[derive(Deserialize)]
+pub(crate) enum DatagramOf350e1b6 {
+    Account(AccountOf350e1b6),
+}
--- a/camphorweir-wire/tests/formats/main.rs
+++ b/camphorweir-wire/tests/formats/main.rs
@@ -79,6 +79,10 @@
         ("ask", datagram(Datagram::Ask(samples::ask()))),
         ("grant", datagram(Datagram::Grant(samples::grant()))),
         ("account", datagram(Datagram::Account(samples::account()))),
+        (
+            "account_with_givers",
+            datagram(Datagram::Account(samples::account_with_givers())),
+        ),
         ("demand", datagram(Datagram::Demand(samples::demand()))),
     ]
     .into()
@@ -156,7 +160,12 @@
         .collect();
     assert_eq!(
         added,
-        ["demand", "digest_with_refused", "summary_with_refused"]
+        [
+            "account_with_givers",
+            "demand",
+            "digest_with_refused",
+            "summary_with_refused"
+        ]
     );
     let demand = codec::decode::<Datagram>(&written["demand"]).unwrap();
     assert_eq!(demand, Datagram::Demand(samples::demand()));
@@ -181,6 +190,20 @@
     assert_eq!(summary, Datagram::Summary(samples::summary_with_refused()));
 }
 
+/// Guards against an upgrade in which instances of 350e1b6 do not know what was given beside them.
+#[test]
+fn earlier_releases_read_accounts_without_the_number_of_givers() {
+    let written = written();
+    let bytes = &written["account_with_givers"];
+    let earlier::DatagramOf350e1b6::Account(account) = from_slice(bytes).unwrap();
+    assert_eq!(account.entry, samples::account().entry);
+    assert_eq!(account.target, samples::account().target);
+    assert_eq!(account.started_ms, samples::account().started_ms);
+    assert_eq!(account.ends, samples::account().ends);
+    let datagram = codec::decode::<Datagram>(bytes).unwrap();
+    assert_eq!(datagram, Datagram::Account(samples::account_with_givers()));
+}
+
 #[test]
 fn messages_of_63c8192_are_read() {
     let cases = cases(R63C8192);
--- a/camphorweir-wire/tests/formats/samples.rs
+++ b/camphorweir-wire/tests/formats/samples.rs
@@ -211,6 +211,14 @@
         target: 7,
         started_ms: 1_790_000_000_000,
         ends: vec![(1, 3), (80, 1)],
+        givers: 0,
+    }
+}
+
+pub(crate) fn account_with_givers() -> Account {
+    Account {
+        givers: 2,
+        ..account()
     }
 }
 
