Decide on a request that has not run by the configuration in force

Callers saw: a request whose body arrived, or which waited for memory, while its key was taken away was served, however long that took; one whose model was taken away was sent to a single target, which holds a part of the layers.

Cause: route, workspace and service were settled when the head arrived, and looked at no more. A body may arrive for seconds and a request wait for most of its objective, both beyond the bound on revoked keys.

Change: Router::revise, before each plan, puts a request that has not run under the configuration in force, or refuses it as not run. The waiting room is gone through when a configuration comes into force: a request that is not allowed any more is refused at once, and one whose route has moved waits at the other service. The age of the keys counts then too. The deadline is never extended.

--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -55,6 +55,8 @@
 #[derive(Debug)]
 enum Verdict {
     Start(Box<(Admission, Plan)>),
+    /// It goes to another service by now.
+    Moved(Box<Admission>),
     /// Another reason than capacity stands against the request by now.
     Refused(Refusal),
     /// More urgent requests took its place.
@@ -146,6 +148,32 @@
     }
 }
 
+/// Puts the waiting requests under a configuration that has just come into force.
+pub fn waiting_revise(state: &State) {
+    let now = state.now();
+    let mut lanes = state.waiting().lanes();
+    let mut router = state.router();
+    for (service, lane) in lanes.iter_mut() {
+        let ended = lane.slots.iter_mut().filter_map(|(ticket, slot)| {
+            let request = &mut slot.request;
+            let verdict = match router.revise(request, now) {
+                Ok(()) if request.service == *service => return None,
+                Ok(()) => Verdict::Moved(Box::new(request.clone())),
+                Err(refusal) => Verdict::Refused(refusal),
+            };
+            Some((*ticket, verdict))
+        });
+        let ended: Vec<(Ticket, Verdict)> = ended.collect();
+        for (ticket, verdict) in ended {
+            lane.room.leave(ticket);
+            if let Some(slot) = lane.slots.remove(&ticket) {
+                // A caller that left has nothing reserved here.
+                let _ = slot.reply.send(verdict);
+            }
+        }
+    }
+}
+
 /// Chooses where to send a request, which may wait for capacity.
 ///
 /// # Errors
@@ -177,6 +205,7 @@
 
 async fn choose(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
     let now = state.now();
+    state.router().revise(request, now)?;
     let described = state.router().waiting_request(request, now);
     let Some(mut described) = described else {
         return poll_plan(state, request).await;
@@ -311,6 +340,10 @@
             *request = planned;
             Ok(plan)
         }
+        Some(Verdict::Moved(moved)) => {
+            *request = *moved;
+            Box::pin(choose(state, request)).await
+        }
         Some(Verdict::Refused(refusal)) => Err(refusal),
         Some(Verdict::Displaced) | None => {
             let is_stopped = outcome == "stopped";
@@ -445,6 +478,7 @@
         self.is_over = true;
         let outcome = match &verdict {
             Some(Verdict::Start(_)) => "started",
+            Some(Verdict::Moved(_)) => "moved",
             Some(Verdict::Refused(_)) => "refused",
             Some(Verdict::Displaced) => "displaced",
             None => "timed_out",
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        front::{state::State, store::Store},
+        front::{state::State, store::Store, waiting::waiting_revise},
         supervise::Backoff,
         units::millis,
     },
@@ -152,6 +152,7 @@
     {
         state.feed().set_configuration(version, value.clone());
         state.connections().set_limits(state.limits());
+        waiting_revise(state);
         log::info!(version = version, routes = routes, keys = keys; "configuration in force");
     }
     Some(version)
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod replacement;
 mod reports;
 pub mod retry;
+pub mod revision;
 pub mod roles;
 pub mod router;
 mod selection;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -63,13 +63,15 @@
 pub struct Admission {
     /// Identifier of the caller's attempt.
     pub id: RequestId,
+    /// What its head says.
+    pub(crate) head: Arc<Head>,
     /// Fingerprint of its content; 0 until the body is read.
     pub fingerprint: Fingerprint,
     /// Parts of the prompt that other requests may share.
     pub prompt_parts: Arc<[Fingerprint]>,
-    /// Route of the request in the configuration at its arrival.
+    /// Route of the request in the configuration that admitted it.
     pub route: Arc<Route>,
-    /// Version of the configuration at its arrival.
+    /// Version of that configuration: the last one that was in force when it was planned and had not run.
     pub configuration_version: u64,
     /// Service that the request goes to.
     pub service: ServiceName,
@@ -181,7 +183,7 @@
 pub struct Router {
     pub(crate) zone: Zone,
     bounds: Bounds,
-    snapshot: Option<Snapshot>,
+    pub(crate) snapshot: Option<Snapshot>,
     /// What the configuration in force calls for, by service.
     features: BTreeMap<ServiceName, Features>,
     no_features: Features,
@@ -287,6 +289,12 @@
         }
     }
 
+    /// Priority of a request to a service on a route, whose workspace may have one of its own.
+    pub(crate) fn priority_of(&self, service: &str, route: &Route, workspace: Option<u8>) -> u8 {
+        let ranks = &self.features(service).ranks;
+        ranks.priority(route.priority, workspace, self.usual_priority)
+    }
+
     /// Records that a read started at `started_at` found no newer configuration.
     pub fn confirm_configuration(&mut self, started_at: Time) {
         if let Some(snapshot) = &mut self.snapshot {
@@ -332,24 +340,16 @@
             self.bounds.key_revocation,
         )?;
         let version = self.configuration().map_or(0, |current| current.version);
-        let random = self.rng.random();
-        let service = permit.route.pick_service(random).cloned();
-        let Some(service) = service else {
-            return Err(Refusal::not_run(Code::NoTarget, "the route has no service"));
-        };
-        self.budget.record_request(&service, now);
+        let service = self.pick_service(&permit.route, now)?;
         let caller_timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let timeout = caller_timeout.min(permit.route.timeout);
         let priority = permit.owner.as_ref().and_then(|owner| owner.priority);
         Ok(Admission {
             id: head.id.clone(),
+            head: Arc::new(head.clone()),
             fingerprint: 0,
             prompt_parts: head.prompt_parts.as_slice().into(),
-            priority: self.features(&service).ranks.priority(
-                permit.route.priority,
-                priority,
-                self.usual_priority,
-            ),
+            priority: self.priority_of(&service, &permit.route, priority),
             standing: Standing::default(),
             configuration_version: version,
             service,
@@ -373,9 +373,11 @@
     ///
     /// # Errors
     ///
-    /// The refusal when no target can take the request, or too little time is left.
+    /// The refusal when no target can take the request, too little time is left, or the configuration in
+    /// force doesn't allow it any more.
     pub fn plan(&mut self, request: &mut Admission, now: Time) -> Result<Plan, Refusal> {
         request.lack = None;
+        self.revise(request, now)?;
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(self.refusal(request, Code::DeadlinePassed));
         }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -24,6 +24,7 @@
 mod replacement;
 mod retry;
 mod returning;
+mod revision;
 mod roles;
 mod router;
 mod shutdown;
--- /dev/null
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -0,0 +1,131 @@
+//! Requests that one configuration admitted, under a newer one.
+
+use {
+    crate::router::router,
+    camphorweir_relay::{
+        configuration::{Configuration, Kind, Owner, Route, Service},
+        head::Head,
+        router::{Admission, Router},
+    },
+    camphorweir_wire::{code::Code, outcome::Ran},
+    std::{sync::Arc, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(1);
+const LATER: Duration = Duration::from_secs(3);
+
+fn route(prefix: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        weights: vec![(service.into(), 1)],
+        timeout: Duration::from_secs(8),
+        latency_objective: Duration::from_millis(500),
+        priority: 1,
+        max_runs: 2,
+        public: false,
+    }
+}
+
+/// The next configuration after that of the router, with a key and with this route to `/look/`.
+fn configuration(router: &Router, look: Option<Route>) -> Configuration {
+    let current = router.configuration().unwrap();
+    let owner = Arc::new(Owner {
+        workspace: "w".into(),
+        priority: None,
+    });
+    let mut services = current.services.clone();
+    services.insert("other".into(), Service::default());
+    Configuration {
+        version: current.version + 1,
+        routes: look.into_iter().map(Arc::new).collect(),
+        services,
+        keys: [("key".to_owned(), owner)].into(),
+        ..Configuration::default()
+    }
+}
+
+fn look() -> Route {
+    route("/look/", Kind::Idempotent, "ledger")
+}
+
+/// A request that was admitted under a configuration with a route of this kind.
+fn admitted(kind: Kind) -> (Router, Admission) {
+    let mut router = router();
+    let first = configuration(&router, Some(Route { kind, ..look() }));
+    router.set_configuration(Arc::new(first), NOW);
+    let head = Head {
+        id: "a".into(),
+        host: "h".to_owned(),
+        path: "/look/a".to_owned(),
+        key: Some("key".to_owned()),
+        timeout: Some(Duration::from_secs(10)),
+        ..Head::default()
+    };
+    let request = router.admit(&head, NOW).unwrap();
+    (router, request)
+}
+
+/// Puts a configuration in force with this route, or without any.
+fn publish(router: &mut Router, look: Option<Route>) {
+    let next = configuration(router, look);
+    assert!(router.set_configuration(Arc::new(next), LATER));
+}
+
+/// Puts a configuration in force with another key.
+fn publish_other_key(router: &mut Router) {
+    let mut next = configuration(router, Some(look()));
+    let owner = next.keys.remove("key").unwrap();
+    next.keys.insert("another".to_owned(), owner);
+    assert!(router.set_configuration(Arc::new(next), LATER));
+}
+
+#[test]
+fn a_request_that_has_not_run_goes_by_the_configuration_in_force() {
+    let (mut router, mut request) = admitted(Kind::Idempotent);
+    let next = Route {
+        kind: Kind::AtMostOnce,
+        timeout: Duration::from_secs(4),
+        priority: 3,
+        max_runs: 1,
+        ..route("/look/", Kind::AtMostOnce, "other")
+    };
+    publish(&mut router, Some(next));
+    router.revise(&mut request, LATER).unwrap();
+    assert_eq!((&*request.service, request.priority), ("other", 3));
+    assert_eq!(request.route.kind, Kind::AtMostOnce);
+    assert_eq!(request.deadline, NOW + Duration::from_secs(4));
+    assert_eq!(request.configuration_version, 3);
+    // A raised timeout doesn't extend what the caller was told.
+    publish(&mut router, Some(look()));
+    router.revise(&mut request, LATER).unwrap();
+    assert_eq!(request.deadline, NOW + Duration::from_secs(4));
+    assert_eq!(&*request.service, "ledger");
+}
+
+#[test]
+fn a_request_that_is_not_allowed_any_more_is_refused_until_it_may_have_run() {
+    let mut cases = Vec::new();
+    for code in [Code::NoSuchPath, Code::Unauthorized, Code::KeysStale] {
+        let (mut router, request) = admitted(Kind::Idempotent);
+        let mut at = LATER;
+        match code {
+            Code::NoSuchPath => publish(&mut router, None),
+            Code::Unauthorized => publish_other_key(&mut router),
+            // The bound on revoked keys, less the time to a target.
+            _ => at = NOW + Duration::from_millis(4_500),
+        }
+        cases.push((code, router, request, at));
+    }
+    for (code, mut router, request, at) in cases {
+        let refusal = router.revise(&mut request.clone(), at).unwrap_err();
+        assert_eq!((refusal.code, refusal.ran), (code, Ran::No));
+        let refusal = router.plan(&mut request.clone(), at).unwrap_err();
+        assert_eq!((refusal.code, refusal.ran), (code, Ran::No));
+        let mut run = request;
+        run.counts.runs = 1;
+        assert!(router.revise(&mut run, at).is_ok());
+    }
+}
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -3,10 +3,14 @@
 use {
     crate::{
         bench::{Answer, Bench, KEYS, call, stream_of, until},
+        silence::keep_one_path,
         site::site,
     },
     bytes::Bytes,
-    camphorweir_standin::platform_target::{EVENTS_HEADER, PAUSE_HEADER},
+    camphorweir_standin::{
+        http1::Cut,
+        platform_target::{EVENTS_HEADER, PAUSE_HEADER, ResponseFault},
+    },
     futures::future::join_all,
     http_body_util::Full,
     hyper::Request,
@@ -22,6 +26,8 @@
 
 /// An answer is due so long after a timeout that has come into force and passed.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+/// A key is not served later than this after it was taken away.
+const REVOCATION: Duration = Duration::from_secs(5);
 /// Time for which a request has been in flight when the configuration changes.
 const BEFORE_CHANGE: Duration = Duration::from_millis(700);
 /// A timeout below it.
@@ -214,6 +220,20 @@
     join_all(cases).await;
 }
 
+/// Guards against a key that is served as long as a body takes, however long ago it was taken away.
+#[tokio::test]
+async fn a_key_that_was_taken_away_while_a_body_arrived_is_not_served() {
+    let end = change_beside_body("/look/a", Change::Workspace, REVOCATION).await;
+    assert_eq!(end, (401, 0));
+}
+
+/// Guards against a stream that is sent to a target with a part of the layers, as the model is gone.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_while_its_body_arrived_is_refused() {
+    let end = change_beside_body("/text/a", Change::Service, Duration::ZERO).await;
+    assert_eq!(end, (404, 0));
+}
+
 /// Changes the configuration while a stream waits for memory, and frees memory later; returns the status
 /// of the stream, its runs, and the time from the change to its end.
 async fn change_beside_wait(change: Change, free_after: Duration) -> (u16, usize, Duration) {
@@ -274,6 +294,22 @@
     join_all(cases).await;
 }
 
+/// Guards against a key that is served after a long wait, however long ago it was taken away.
+#[tokio::test]
+async fn a_key_that_was_taken_away_while_its_request_waited_is_not_served() {
+    let (status, runs, _) = change_beside_wait(Change::Workspace, REVOCATION).await;
+    assert_eq!((status, runs), (401, 0));
+}
+
+/// Guards against a waiting stream that is sent to a target with a part of the layers.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_while_it_waited_is_refused() {
+    for (change, code) in [(Change::Service, 404), (Change::Move, 503)] {
+        let (status, runs, _) = change_beside_wait(change, TIMEOUT_SLACK).await;
+        assert_eq!((status, runs), (code, 0), "{change:?}");
+    }
+}
+
 /// Changes under which an answer that has begun goes on.
 const BESIDE_ANSWERS: [Change; 9] = [
     Change::Route,
@@ -287,13 +323,25 @@
     Change::Attempts,
 ];
 
-/// Starts a stream, changes the configuration in its midst and demands that it ends whole.
-async fn change_beside_stream(change: Change) {
+/// Starts a stream, changes the configuration in its midst and demands that it ends whole. Where `is_silent`
+/// its targets, the only ones, are then silent for a second.
+async fn change_beside_stream(change: Change, is_silent: bool) {
     let bench = start().await;
+    if is_silent {
+        keep_one_path(&bench).await;
+    }
     let request = patient(stream_of("/text/a", "s1"), &[(PAUSE_HEADER, "400")]);
     let caller = spawn(&bench, request);
     sleep(BEFORE_CHANGE).await;
+    if is_silent {
+        bench.cut(0, Some(Cut::Paused));
+        sleep(BEFORE_CHANGE).await;
+    }
     publish(&bench, changed_site(3, "/text/", change)).await;
+    if is_silent {
+        sleep(TIMEOUT_SLACK).await;
+        bench.cut(0, None);
+    }
     let answer = caller.await.unwrap();
     let end = (answer.status, answer.whole, bench.runs("s1"));
     assert_eq!(end, (200, true, 1), "{change:?}");
@@ -303,5 +351,5 @@
 /// Guards against an answer under way that ends as the configuration changes.
 #[tokio::test]
 async fn a_stream_that_has_begun_ends_whole_beside_any_change() {
-    join_all(BESIDE_ANSWERS.map(change_beside_stream)).await;
+    join_all(BESIDE_ANSWERS.map(|change| change_beside_stream(change, false))).await;
 }
