Send no request to a service that the configuration has no more

Callers saw: a stream whose service a configuration took away went on at a single target without a path, after its target failed or beside a silence; that target holds a part of the layers, so the rest of the answer would be wrong or refused.

Cause: without the service there is no engine, and a service without one is taken for one of plain targets.

Evidence: on the code before, a_stream_whose_service_was_taken_away_does_not_go_on_without_its_layers and a_stream_at_a_silent_target_ends_whole_beside_any_change: sends without X-Hop-Count, and two runs.

Change: Router::plan refuses a service that the configuration in force lacks. A send under way goes on, also through a silence of its target; where that target fails the answer ends there. Both tests pass.

--- a/camphorweir-relay/src/revision.rs
+++ b/camphorweir-relay/src/revision.rs
@@ -14,6 +14,12 @@
 };
 
 impl Router {
+    /// Whether the configuration in force has this service; true before the first configuration.
+    pub(crate) fn has_service(&self, service: &str) -> bool {
+        self.configuration()
+            .is_none_or(|current| current.services.contains_key(service))
+    }
+
     /// Puts a request that has not run under the configuration in force: its route, service, workspace and
     /// bounds. Others are left as they are.
     ///
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -378,6 +378,9 @@
     pub fn plan(&mut self, request: &mut Admission, now: Time) -> Result<Plan, Refusal> {
         request.lack = None;
         self.revise(request, now)?;
+        if !self.has_service(&request.service) {
+            return Err(self.refusal(request, Code::NoTarget));
+        }
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(self.refusal(request, Code::DeadlinePassed));
         }
--- a/camphorweir-relay/tests/decide/revision.rs
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -82,6 +82,13 @@
     assert!(router.set_configuration(Arc::new(next), LATER));
 }
 
+/// Puts a configuration in force without a service.
+fn publish_without(router: &mut Router, service: &str) {
+    let mut next = configuration(router, Some(look()));
+    next.services.remove(service);
+    assert!(router.set_configuration(Arc::new(next), LATER));
+}
+
 #[test]
 fn a_request_that_has_not_run_goes_by_the_configuration_in_force() {
     let (mut router, mut request) = admitted(Kind::Idempotent);
@@ -129,3 +136,16 @@
         assert!(router.revise(&mut run, at).is_ok());
     }
 }
+
+#[test]
+fn a_request_whose_service_is_gone_is_planned_nowhere() {
+    let (mut router, mut request) = admitted(Kind::Idempotent);
+    request.counts.runs = 1;
+    assert!(router.plan(&mut request.clone(), LATER).is_ok());
+    publish_without(&mut router, "ledger");
+    let refusal = router.plan(&mut request, LATER).unwrap_err();
+    assert_eq!(
+        (refusal.code, refusal.ran),
+        (Code::TargetFailed, Ran::Unknown)
+    );
+}
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -353,3 +353,26 @@
 async fn a_stream_that_has_begun_ends_whole_beside_any_change() {
     join_all(BESIDE_ANSWERS.map(|change| change_beside_stream(change, false))).await;
 }
+
+/// Guards against an answer that ends as the configuration changes while it looks for a place elsewhere.
+#[tokio::test]
+async fn a_stream_at_a_silent_target_ends_whole_beside_any_change() {
+    join_all(BESIDE_ANSWERS.map(|change| change_beside_stream(change, true))).await;
+}
+
+/// Guards against a stream that goes on at a target with a part of the layers, as the model is gone.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_does_not_go_on_without_its_layers() {
+    let bench = start().await;
+    for part in &bench.parts {
+        part.inject(ResponseFault::CutIn(5));
+    }
+    let request = patient(stream_of("/text/a", "s1"), &[(PAUSE_HEADER, "300")]);
+    let caller = spawn(&bench, request);
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, "/text/", Change::Service)).await;
+    let answer = caller.await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(bench.runs("s1") <= 2);
+    assert_paths(&bench, "s1", Change::Service);
+}
--- a/camphorweir-standin/tests/front/silence.rs
+++ b/camphorweir-standin/tests/front/silence.rs
@@ -70,7 +70,7 @@
 }
 
 /// Drains all targets with layers but those of one path; returns the first of that path.
-async fn keep_one_path(bench: &Bench) -> &Target {
+pub(crate) async fn keep_one_path(bench: &Bench) -> &Target {
     assert!(is_whole(
         &call(bench.front(), &patient("/text/a", "path", "10,24")).await
     ));
