Heed a timeout that a configuration lowers under requests in flight

Callers saw: a request whose body arrived, which waited for memory, or whose target was silent, was held for its old timeout, up to 7 s after the configuration with a lower one was in force.

Cause: the deadline was settled when the head arrived, and each wait was given its length from it.

Change: Router::revision_deadline has the deadline under the configuration in force; front::deadline waits for it, and looks again when a configuration comes into force. A body is answered with 408, a wait and a send with 504. An answer that has begun keeps the deadline it began with, as a cut would take from the caller what it has.

--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod connections;
 pub mod cut;
+pub mod deadline;
 pub mod demand;
 pub mod elsewhere;
 pub mod exchange;
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -5,6 +5,7 @@
         fingerprint::fingerprint,
         front::{
             cut::{Cause, Cut, cut_record},
+            deadline::deadline_within,
             demand,
             exchange::{TargetResponse, Template},
             requests::{InFlight, Phase},
@@ -80,7 +81,9 @@
     }
     admitted.counts.runs = runs_at_peer.unwrap_or_default();
     let limits = state.limits();
-    let body = match read_body(body, limits, admitted.time_left(arrived)).await {
+    let body = read_body(body, limits, admitted.time_left(arrived));
+    let body = deadline_within(&state, &admitted, body).await;
+    let body = match body.unwrap_or(Err(Code::RequestTimeout)) {
         Ok(body) => body,
         Err(code) => {
             log::info!(
@@ -245,16 +248,15 @@
             }
         })?;
         in_flight.send(&plan);
-        let now = state.now();
-        let time_left = admitted.time_left(now);
         log_plan(state, admitted, &plan);
+        let sent = admitted.clone();
         let mut guard = SendGuard::new(state, admitted, plan.clone(), true);
         let sending = send_start(state, guard.admitted, &plan, template, None);
         let sending = send_finish(&mut guard, sending, template, None);
-        let result = timeout(time_left, sending).await;
+        let result = deadline_within(state, &sent, sending).await;
         let plan = guard.plan.clone().unwrap_or(plan);
         let failure = match result {
-            Ok(Ok(Reply::Whole(response))) => {
+            Some(Ok(Reply::Whole(response))) => {
                 let is_success = !response.status().is_server_error();
                 // A peer has tried again by itself.
                 let retry = !is_success
@@ -269,13 +271,13 @@
                     }
                 }
             }
-            Ok(Ok(Reply::Stream(reply))) => {
+            Some(Ok(Reply::Stream(reply))) => {
                 guard.plan = None;
                 guard.admitted.progress = Progress::Begun(state.now());
                 return Ok(Forwarded::Stream(Box::new(plan), reply));
             }
-            Ok(Err((failure, faulty_target))) => (failure, faulty_target, None),
-            Err(_) => {
+            Some(Err((failure, faulty_target))) => (failure, faulty_target, None),
+            None => {
                 guard.finish_send(Outcome::Cancelled);
                 drop(guard);
                 cut_whole(state, admitted, &plan, Cause::Deadline);
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -60,6 +60,8 @@
     roles: Mutex<Roles>,
     eras: Mutex<Eras>,
     stopping: watch::Sender<Option<Stop>>,
+    /// Version of the configuration in force.
+    version: watch::Sender<u64>,
     requests: Requests,
     connections: Connections,
 }
@@ -93,6 +95,7 @@
             roles: Mutex::new(roles),
             eras: Mutex::default(),
             stopping: watch::channel(None).0,
+            version: watch::channel(0).0,
             requests: Requests::default(),
             connections: Connections::new(Limits::default()),
         }))
@@ -441,6 +444,16 @@
             .map_or_else(Limits::default, |configuration| configuration.limits)
     }
 
+    /// Tells those who wait that a configuration has come into force.
+    pub fn configuration_changed(&self, version: u64) {
+        self.0.version.send_replace(version);
+    }
+
+    /// A receiver that is notified when a configuration comes into force.
+    pub fn subscribe_configuration(&self) -> watch::Receiver<u64> {
+        self.0.version.subscribe()
+    }
+
     /// Starts the shutdown; later calls change nothing.
     pub fn begin_stop(&self) {
         let stop = Stop::new(self.now(), self.router().bounds().stop_grace);
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -3,7 +3,10 @@
 //! The lock of the waiting requests is taken before that of the router, never while that is held.
 
 use {
-    crate::{front::state::State, units::millis},
+    crate::{
+        front::{deadline::deadline_passed, state::State},
+        units::millis,
+    },
     camphorweir_relay::{
         admission::Standing,
         ids::{ServiceName, Time},
@@ -463,6 +466,12 @@
                 false => _ = stop.wait_for(Option::is_some).await,
             }
         };
+        let given_up = async {
+            tokio::select! {
+                () = sleep(left) => {}
+                () = deadline_passed(state, request) => {}
+            }
+        };
         let verdict = tokio::select! {
             biased;
             verdict = &mut self.verdict => verdict.ok(),
@@ -470,7 +479,7 @@
                 self.is_over = true;
                 return ("stopped", None);
             }
-            () = sleep(left) => {
+            () = given_up => {
                 waiting_wake(state, &self.service);
                 self.verdict.try_recv().ok()
             }
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -152,6 +152,7 @@
     {
         state.feed().set_configuration(version, value.clone());
         state.connections().set_limits(state.limits());
+        state.configuration_changed(version);
         waiting_revise(state);
         log::info!(version = version, routes = routes, keys = keys; "configuration in force");
     }
--- a/camphorweir-relay/src/revision.rs
+++ b/camphorweir-relay/src/revision.rs
@@ -1,18 +1,28 @@
 //! What a newer configuration means for a request that an older one admitted.
 //!
 //! Until a request may have run, the configuration in force decides on it as on one that arrives. From then on it is
-//! answered as it was admitted.
+//! answered as it was admitted, but for a timeout that was lowered.
 
 use {
     crate::{
         access::{access_check, access_keys_trusted},
+        admission::Standing,
         configuration::Route,
         ids::{ServiceName, Time},
+        progress::Progress,
         router::{Admission, Router},
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
+    std::sync::Arc,
 };
 
+impl Admission {
+    /// Whether its caller has a part of the answer.
+    fn has_answer(&self) -> bool {
+        self.progress != Progress::Waiting || self.standing == Standing::Resumed
+    }
+}
+
 impl Router {
     /// Whether the configuration in force has this service; true before the first configuration.
     pub(crate) fn has_service(&self, service: &str) -> bool {
@@ -54,6 +64,36 @@
         Ok(())
     }
 
+    /// Route of a request in the configuration in force, if that is not the one that admitted it. `Err` where
+    /// its key was taken away.
+    fn current_route(&self, request: &Admission) -> Result<Option<&Arc<Route>>, ()> {
+        let Some(current) = self.configuration() else {
+            return Ok(None);
+        };
+        if current.version == request.configuration_version {
+            return Ok(None);
+        }
+        let route = current.find_route(&request.head.host, &request.head.path);
+        let needs_key = !current.keys.is_empty() && route.is_none_or(|route| !route.public);
+        let key = request.head.key.as_ref();
+        let has_key = key.is_some_and(|key| current.keys.contains_key(key));
+        match needs_key && request.workspace.is_some() && !has_key {
+            true => Err(()),
+            false => Ok(route),
+        }
+    }
+
+    /// Deadline of a request, which a configuration that lowers the timeout of its route brings forward until
+    /// its caller has a part of the answer.
+    pub fn revision_deadline(&self, request: &Admission) -> Time {
+        match self.current_route(request) {
+            Ok(Some(route)) if !request.has_answer() => {
+                request.deadline.min(request.arrived_at + route.timeout)
+            }
+            _ => request.deadline,
+        }
+    }
+
     /// Picks the service of a request that arrives, and counts it there.
     ///
     /// # Errors
--- a/camphorweir-relay/tests/decide/revision.rs
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -5,6 +5,7 @@
     camphorweir_relay::{
         configuration::{Configuration, Kind, Owner, Route, Service},
         head::Head,
+        progress::Progress,
         router::{Admission, Router},
     },
     camphorweir_wire::{code::Code, outcome::Ran},
@@ -149,3 +150,23 @@
         (Code::TargetFailed, Ran::Unknown)
     );
 }
+
+#[test]
+fn a_lowered_timeout_brings_the_deadline_forward_until_there_is_an_answer() {
+    let (mut router, mut request) = admitted(Kind::Idempotent);
+    let low = Duration::from_secs(1);
+    publish(
+        &mut router,
+        Some(Route {
+            timeout: low,
+            ..look()
+        }),
+    );
+    request.counts.runs = 1;
+    assert_eq!(router.revision_deadline(&request), NOW + low);
+    request.progress = Progress::Begun(NOW);
+    assert_eq!(router.revision_deadline(&request), request.deadline);
+    request.progress = Progress::Waiting;
+    publish(&mut router, None);
+    assert_eq!(router.revision_deadline(&request), request.deadline);
+}
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        bench::{Answer, Bench, KEYS, call, stream_of, until},
+        bench::{Answer, Bench, KEYS, call, plain, stream_of, until},
         silence::keep_one_path,
         site::site,
     },
@@ -234,6 +234,19 @@
     assert_eq!(end, (404, 0));
 }
 
+/// Guards against a body that is awaited for longer than the timeout in force.
+#[tokio::test]
+async fn a_body_that_arrives_is_not_awaited_beyond_a_lowered_timeout() {
+    let bench = start().await;
+    let mut caller = Halting::begin(&bench, "/look/a", "b1").await;
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, "/look/", Change::Timeout)).await;
+    let begun = Instant::now();
+    let status = caller.status().await;
+    assert!(begun.elapsed() < TIMEOUT_SLACK, "{:?}", begun.elapsed());
+    assert_eq!((status, bench.runs("b1")), (408, 0));
+}
+
 /// Changes the configuration while a stream waits for memory, and frees memory later; returns the status
 /// of the stream, its runs, and the time from the change to its end.
 async fn change_beside_wait(change: Change, free_after: Duration) -> (u16, usize, Duration) {
@@ -310,6 +323,35 @@
     }
 }
 
+/// Guards against a wait for memory that goes on beyond the timeout in force.
+#[tokio::test]
+async fn a_wait_for_memory_ends_with_a_lowered_timeout() {
+    let (status, runs, took) = change_beside_wait(Change::Timeout, 4 * TIMEOUT_SLACK).await;
+    assert!(took < TIMEOUT_SLACK, "{took:?}");
+    assert_eq!((status, runs), (504, 0));
+}
+
+/// Guards against a request at a silent target that is held beyond the timeout in force.
+#[tokio::test]
+async fn a_request_at_a_silent_target_is_answered_at_a_lowered_timeout() {
+    for path in ["/text/a", "/look/a", "/seal/a"] {
+        let bench = start().await;
+        bench.cut(0, Some(Cut::Paused));
+        let request = match path {
+            "/text/a" => stream_of(path, "e1"),
+            _ => plain(path, "e1", KEYS[0]),
+        };
+        let caller = spawn(&bench, patient(request, &[]));
+        sleep(BEFORE_CHANGE).await;
+        publish(&bench, changed_site(3, &path[..6], Change::Timeout)).await;
+        let begun = Instant::now();
+        let answer = caller.await.unwrap();
+        let took = begun.elapsed();
+        assert!(took < TIMEOUT_SLACK, "{path}: {took:?}");
+        assert_eq!(answer.status, 504, "{path}");
+    }
+}
+
 /// Changes under which an answer that has begun goes on.
 const BESIDE_ANSWERS: [Change; 9] = [
     Change::Route,
