Send no request again that the configuration in force forbids to repeat

Callers saw: a call that failed at its target ran a second time, though by then its route allowed one run.

Cause: the decision on another send went by the route as it was when the head arrived.

Change: Router::revision_terms: a request that may have run is repeated, or sent elsewhere beside a silent target, only if the configuration that admitted it and the one in force both allow that; one whose key was taken away runs on no further target.

--- a/camphorweir-relay/src/replacement.rs
+++ b/camphorweir-relay/src/replacement.rs
@@ -42,8 +42,8 @@
     fn may_be_replaced(&mut self, request: &Admission, now: Time) -> bool {
         let mut counts = request.counts;
         counts.runs += 1;
-        let route = &request.route;
-        let decision = retry_decide(route.kind, route.max_runs, &counts, Failure::Broken);
+        let (kind, max_runs) = self.revision_terms(request);
+        let decision = retry_decide(kind, max_runs, &counts, Failure::Broken);
         decision == Decision::Again && self.has_retry(&request.service, now)
     }
 
--- a/camphorweir-relay/src/revision.rs
+++ b/camphorweir-relay/src/revision.rs
@@ -1,13 +1,13 @@
 //! What a newer configuration means for a request that an older one admitted.
 //!
 //! Until a request may have run, the configuration in force decides on it as on one that arrives. From then on it is
-//! answered as it was admitted, but for a timeout that was lowered.
+//! answered as it was admitted, but for bounds that have become tighter.
 
 use {
     crate::{
         access::{access_check, access_keys_trusted},
         admission::Standing,
-        configuration::Route,
+        configuration::{Kind, Route},
         ids::{ServiceName, Time},
         progress::Progress,
         router::{Admission, Router},
@@ -16,6 +16,17 @@
     std::sync::Arc,
 };
 
+/// The kind of a request, after a configuration in which its route has another: it may run again only if
+/// both allow that.
+fn stricter(admitted: Kind, current: Kind) -> Kind {
+    let repeats = matches!(current, Kind::Idempotent | Kind::Stream { resumable: true });
+    match admitted {
+        _ if repeats => admitted,
+        Kind::Idempotent | Kind::AtMostOnce => Kind::AtMostOnce,
+        Kind::Stream { .. } => Kind::Stream { resumable: false },
+    }
+}
+
 impl Admission {
     /// Whether its caller has a part of the answer.
     fn has_answer(&self) -> bool {
@@ -94,6 +105,17 @@
         }
     }
 
+    /// Kind of a request, and on how many targets it may run: the stricter of what its route had when it was
+    /// admitted and what it has now. A request whose key was taken away runs on no further target.
+    pub(crate) fn revision_terms(&self, request: &Admission) -> (Kind, u32) {
+        let (kind, max_runs) = (request.route.kind, request.route.max_runs);
+        match self.current_route(request) {
+            Ok(Some(route)) => (stricter(kind, route.kind), max_runs.min(route.max_runs)),
+            Ok(None) => (kind, max_runs),
+            Err(()) => (stricter(kind, Kind::AtMostOnce), max_runs),
+        }
+    }
+
     /// Picks the service of a request that arrives, and counts it there.
     ///
     /// # Errors
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -563,12 +563,8 @@
         now: Time,
     ) -> Decision {
         request.counts.runs += u32::from(failure == Failure::Broken);
-        let decision = retry_decide(
-            request.route.kind,
-            request.route.max_runs,
-            &request.counts,
-            failure,
-        );
+        let (kind, max_runs) = self.revision_terms(request);
+        let decision = retry_decide(kind, max_runs, &request.counts, failure);
         // A request that came to nothing at a peer has reached no target.
         let was_sent = match failure {
             Failure::Unsent | Failure::Outdated | Failure::Limited => false,
--- a/camphorweir-relay/tests/decide/revision.rs
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -6,7 +6,8 @@
         configuration::{Configuration, Kind, Owner, Route, Service},
         head::Head,
         progress::Progress,
-        router::{Admission, Router},
+        retry::{Decision, Failure},
+        router::{Admission, Outcome, Router},
     },
     camphorweir_wire::{code::Code, outcome::Ran},
     std::{sync::Arc, time::Duration},
@@ -170,3 +171,48 @@
     publish(&mut router, None);
     assert_eq!(router.revision_deadline(&request), request.deadline);
 }
+
+#[test]
+fn a_request_whose_key_was_taken_away_runs_on_no_further_target() {
+    let (mut router, mut request) = admitted(Kind::Idempotent);
+    let plan = router.plan(&mut request, NOW).unwrap();
+    publish_other_key(&mut router);
+    let failed = Outcome::Failed(Failure::Broken, None);
+    let decision = router.finish_send(&mut request, &plan, failed, LATER);
+    assert_eq!(decision, Decision::End(Code::TargetFailed));
+}
+
+#[test]
+fn a_request_runs_again_only_if_both_configurations_allow_it() {
+    let stream = |resumable| Kind::Stream { resumable };
+    let again = [
+        (Kind::Idempotent, Some((Kind::Idempotent, 2)), true),
+        (Kind::Idempotent, Some((Kind::Idempotent, 1)), false),
+        (Kind::Idempotent, Some((Kind::AtMostOnce, 2)), false),
+        (Kind::Idempotent, Some((stream(false), 2)), false),
+        (Kind::Idempotent, None, true),
+        (Kind::AtMostOnce, Some((Kind::Idempotent, 2)), false),
+        (stream(true), Some((stream(true), 2)), true),
+        (stream(true), Some((stream(false), 2)), false),
+        (stream(false), Some((stream(true), 2)), false),
+    ];
+    for (before, after, is_again) in again {
+        let (mut router, mut request) = admitted(before);
+        let plan = router.plan(&mut request, NOW).unwrap();
+        let after_route = after.map(|(kind, max_runs)| Route {
+            kind,
+            max_runs,
+            ..look()
+        });
+        publish(&mut router, after_route);
+        let beside = router.replacement_begin(&request, &plan, plan.address, LATER);
+        assert_eq!(beside.is_some(), is_again, "{before:?}, {after:?}");
+        let failed = Outcome::Failed(Failure::Broken, None);
+        let decision = router.finish_send(&mut request, &plan, failed, LATER);
+        assert_eq!(
+            decision == Decision::Again,
+            is_again,
+            "{before:?}, {after:?}"
+        );
+    }
+}
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -418,3 +418,22 @@
     assert!(bench.runs("s1") <= 2);
     assert_paths(&bench, "s1", Change::Service);
 }
+
+/// Guards against a request that runs again although the configuration in force forbids it by then.
+#[tokio::test]
+async fn a_request_whose_route_comes_to_run_once_is_not_sent_again() {
+    for change in [Change::Kind, Change::Attempts] {
+        let bench = start().await;
+        bench
+            .calls
+            .iter()
+            .for_each(|target| target.inject(ResponseFault::Lose));
+        bench.cut(0, Some(Cut::Paused));
+        let caller = spawn(&bench, patient(plain("/look/a", "k1", KEYS[0]), &[]));
+        sleep(BEFORE_CHANGE).await;
+        publish(&bench, changed_site(3, "/look/", change)).await;
+        bench.cut(0, None);
+        let answer = caller.await.unwrap();
+        assert_eq!((answer.status, bench.runs("k1")), (502, 1), "{change:?}");
+    }
+}
