--- a/camphorweir-entry/src/front/answer.rs
+++ b/camphorweir-entry/src/front/answer.rs
@@ -1,7 +1,7 @@
 //! The whole answer in hand of a request that is tried again.
 
 use {
-    crate::front::state::State,
+    crate::front::{deadline::deadline_passed, state::State},
     bytes::Bytes,
     camphorweir_relay::{
         answer::{Choice, Grade, answer_choose, answer_is_kept, answer_tries_end},
@@ -33,22 +33,14 @@
 }
 
 /// The best whole answer so far to a request whose caller has no part of an answer.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Kept {
-    /// Deadline of the request, whose tries end sooner while an answer is in hand.
-    deadline: Time,
     answer: Option<Answer>,
+    /// Deadline of the request itself while its tries end sooner, as an answer is in hand.
+    own_deadline: Option<Time>,
 }
 
 impl Kept {
-    /// No answer to a request that was not sent yet.
-    pub fn new(request: &Admission) -> Self {
-        Self {
-            deadline: request.deadline,
-            answer: None,
-        }
-    }
-
     /// Grade of the answer in hand.
     pub fn grade(&self) -> Option<Grade> {
         self.answer.as_ref().map(|answer| answer.grade)
@@ -62,13 +54,18 @@
     }
 
     /// Lets the tries of the request end soon enough for the answer in hand.
-    pub fn limit(&self, request: &mut Admission) {
-        request.deadline = answer_tries_end(self.grade(), self.deadline);
+    pub fn limit(&mut self, request: &mut Admission) {
+        if self.answer.is_some() {
+            let own = *self.own_deadline.get_or_insert(request.deadline);
+            request.deadline = answer_tries_end(self.grade(), own);
+        }
     }
 
     /// Gives the request its own deadline back, as no further try is made.
-    pub fn restore(&self, request: &mut Admission) {
-        request.deadline = self.deadline;
+    pub fn restore(&mut self, request: &mut Admission) {
+        if let Some(own) = self.own_deadline.take() {
+            request.deadline = own;
+        }
     }
 
     /// The answer that ends the request: the latest, or a better one in hand.
@@ -113,22 +110,18 @@
 
 /// Completes when the tries of a request end: at its deadline, and where an answer is in hand in time before
 /// the process ends.
-pub async fn tries_end(state: &State, deadline: Time, kept: Option<Grade>) {
+pub async fn tries_end(state: &State, request: &Admission, kept: Option<Grade>) {
     let mut stop = state.subscribe_stop();
-    let stopped = async {
-        match kept {
-            Some(_) => _ = stop.wait_for(Option::is_some).await,
-            None => pending().await,
+    let ending = async {
+        if kept.is_none() || stop.wait_for(Option::is_some).await.is_err() {
+            pending::<()>().await;
         }
+        let ends_at = state.stop().map_or(request.deadline, |stop| stop.ends_at);
+        let until = answer_tries_end(kept, ends_at);
+        sleep(until.saturating_sub(state.now())).await;
     };
     tokio::select! {
-        biased;
-        () = sleep(deadline.saturating_sub(state.now())) => return,
-        () = stopped => {}
+        () = deadline_passed(state, request) => {}
+        () = ending => {}
     }
-    let ends_at = state
-        .stop()
-        .map(|stop| answer_tries_end(kept, stop.ends_at));
-    let until = ends_at.map_or(deadline, |ends_at| ends_at.min(deadline));
-    sleep(until.saturating_sub(state.now())).await;
 }
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -6,6 +6,7 @@
         front::{
             answer::Kept,
             cut::{Cause, Cut, cut_record},
+            deadline::deadline_within,
             demand,
             exchange::{TargetResponse, Template},
             requests::{InFlight, Phase},
@@ -81,7 +82,9 @@
     }
     admitted.counts.runs = runs_at_peer.unwrap_or_default();
     let limits = state.limits();
-    let body = match read_body(body, limits, admitted.time_left(arrived)).await {
+    let body = read_body(body, limits, admitted.time_left(arrived));
+    let body = deadline_within(&state, &admitted, body).await;
+    let body = match body.unwrap_or(Err(Code::RequestTimeout)) {
         Ok(body) => body,
         Err(code) => {
             log::info!(
@@ -243,7 +246,7 @@
     template: &Arc<Template>,
     in_flight: &InFlight,
 ) -> Result<Forwarded, Refusal> {
-    let mut kept = Kept::new(admitted);
+    let mut kept = Kept::default();
     let result = try_targets(state, admitted, template, in_flight, &mut kept).await;
     kept.restore(admitted);
     let Unanswered { refusal, cut } = match result {
--- a/camphorweir-entry/src/front/send.rs
+++ b/camphorweir-entry/src/front/send.rs
@@ -72,7 +72,7 @@
         if let Some(plan) = self.plan.take() {
             self.plan = Some(held.take_over(self.admitted, plan, failure));
         }
-        if let Some(kept) = &self.kept {
+        if let Some(kept) = &mut self.kept {
             kept.limit(self.admitted);
         }
     }
@@ -168,7 +168,7 @@
                 biased;
                 result = &mut sending => break result,
                 news = elsewhere.news() => news,
-                () = tries_end(guard.state, guard.admitted.deadline, kept) => {
+                () = tries_end(guard.state, guard.admitted, kept) => {
                     guard.admitted.take_tried(elsewhere.cancel());
                     return None;
                 }
--- a/camphorweir-relay/src/budget.rs
+++ b/camphorweir-relay/src/budget.rs
@@ -109,7 +109,7 @@
         failure: Failure,
         now: Time,
     ) -> Decision {
-        let decision = budget_count_failure(request, failure);
+        let decision = self.count_failure(request, failure);
         let is_charged = decision == Decision::Again && self.was_sent(request, failure);
         if is_charged && !self.try_retry(&request.service, now) {
             return Decision::End(retry_final_code(&request.counts, failure));
@@ -117,6 +117,13 @@
         decision
     }
 
+    /// Counts a failed send; returns what follows as far as the budget allows.
+    pub(crate) fn count_failure(&self, request: &mut Admission, failure: Failure) -> Decision {
+        request.counts.runs += u32::from(failure == Failure::Broken);
+        let (kind, max_runs) = self.revision_terms(request);
+        retry_decide(kind, max_runs, &request.counts, failure)
+    }
+
     /// Whether a failed send has reached a target, so that what the budget gave for it is used up.
     pub(crate) fn was_sent(&self, request: &Admission, failure: Failure) -> bool {
         match failure {
@@ -134,13 +141,6 @@
     }
 }
 
-/// Counts a failed send; returns what follows as far as the budget allows.
-pub(crate) fn budget_count_failure(request: &mut Admission, failure: Failure) -> Decision {
-    request.counts.runs += u32::from(failure == Failure::Broken);
-    let route = &request.route;
-    retry_decide(route.kind, route.max_runs, &request.counts, failure)
-}
-
 /// Drops times before `since`. Each time is added and dropped once, so the total work is linear.
 fn drop_before(times: &mut VecDeque<Time>, since: Time) {
     while times.front().is_some_and(|time| *time < since) {
--- a/camphorweir-relay/src/replacement.rs
+++ b/camphorweir-relay/src/replacement.rs
@@ -5,7 +5,6 @@
 use {
     crate::{
         admission::Standing,
-        budget::budget_count_failure,
         ids::{TargetId, Time},
         progress::Progress,
         retry::{Decision, Failure, retry_decide},
@@ -43,8 +42,8 @@
     fn may_be_replaced(&mut self, request: &Admission, now: Time) -> bool {
         let mut counts = request.counts;
         counts.runs += 1;
-        let route = &request.route;
-        let decision = retry_decide(route.kind, route.max_runs, &counts, Failure::Broken);
+        let (kind, max_runs) = self.revision_terms(request);
+        let decision = retry_decide(kind, max_runs, &counts, Failure::Broken);
         decision == Decision::Again && self.has_retry(&request.service, now)
     }
 
@@ -152,7 +151,7 @@
         // The next send is charged once it has a place; what was charged for one that did not leave counts.
         replacement.is_charged &= !self.was_sent(request, failure);
         let service = request.service.clone();
-        let decision = budget_count_failure(request, failure);
+        let decision = self.count_failure(request, failure);
         decision == Decision::Again && (replacement.is_charged || self.has_retry(&service, now))
     }
 
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -2,11 +2,15 @@
 
 use {
     crate::{
-        bench::{Answer, Bench, KEYS, call, stream_of, until},
+        bench::{Answer, Bench, KEYS, call, plain, stream_of, until},
+        silence::keep_one_path,
         site::site,
     },
     bytes::Bytes,
-    camphorweir_standin::platform_target::{EVENTS_HEADER, PAUSE_HEADER},
+    camphorweir_standin::{
+        http1::Cut,
+        platform_target::{EVENTS_HEADER, PAUSE_HEADER, ResponseFault},
+    },
     futures::future::join_all,
     http_body_util::Full,
     hyper::Request,
@@ -22,6 +26,8 @@
 
 /// An answer is due so long after a timeout that has come into force and passed.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+/// A key is not served later than this after it was taken away.
+const REVOCATION: Duration = Duration::from_secs(5);
 /// Time for which a request has been in flight when the configuration changes.
 const BEFORE_CHANGE: Duration = Duration::from_millis(700);
 /// A timeout below it.
@@ -214,6 +220,33 @@
     join_all(cases).await;
 }
 
+/// Guards against a key that is served as long as a body takes, however long ago it was taken away.
+#[tokio::test]
+async fn a_key_that_was_taken_away_while_a_body_arrived_is_not_served() {
+    let end = change_beside_body("/look/a", Change::Workspace, REVOCATION).await;
+    assert_eq!(end, (401, 0));
+}
+
+/// Guards against a stream that is sent to a target with a part of the layers, as the model is gone.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_while_its_body_arrived_is_refused() {
+    let end = change_beside_body("/text/a", Change::Service, Duration::ZERO).await;
+    assert_eq!(end, (404, 0));
+}
+
+/// Guards against a body that is awaited for longer than the timeout in force.
+#[tokio::test]
+async fn a_body_that_arrives_is_not_awaited_beyond_a_lowered_timeout() {
+    let bench = start().await;
+    let mut caller = Halting::begin(&bench, "/look/a", "b1").await;
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, "/look/", Change::Timeout)).await;
+    let begun = Instant::now();
+    let status = caller.status().await;
+    assert!(begun.elapsed() < TIMEOUT_SLACK, "{:?}", begun.elapsed());
+    assert_eq!((status, bench.runs("b1")), (408, 0));
+}
+
 /// Changes the configuration while a stream waits for memory, and frees memory later; returns the status
 /// of the stream, its runs, and the time from the change to its end.
 async fn change_beside_wait(change: Change, free_after: Duration) -> (u16, usize, Duration) {
@@ -274,6 +307,51 @@
     join_all(cases).await;
 }
 
+/// Guards against a key that is served after a long wait, however long ago it was taken away.
+#[tokio::test]
+async fn a_key_that_was_taken_away_while_its_request_waited_is_not_served() {
+    let (status, runs, _) = change_beside_wait(Change::Workspace, REVOCATION).await;
+    assert_eq!((status, runs), (401, 0));
+}
+
+/// Guards against a waiting stream that is sent to a target with a part of the layers.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_while_it_waited_is_refused() {
+    for (change, code) in [(Change::Service, 404), (Change::Move, 503)] {
+        let (status, runs, _) = change_beside_wait(change, TIMEOUT_SLACK).await;
+        assert_eq!((status, runs), (code, 0), "{change:?}");
+    }
+}
+
+/// Guards against a wait for memory that goes on beyond the timeout in force.
+#[tokio::test]
+async fn a_wait_for_memory_ends_with_a_lowered_timeout() {
+    let (status, runs, took) = change_beside_wait(Change::Timeout, 4 * TIMEOUT_SLACK).await;
+    assert!(took < TIMEOUT_SLACK, "{took:?}");
+    assert_eq!((status, runs), (504, 0));
+}
+
+/// Guards against a request at a silent target that is held beyond the timeout in force.
+#[tokio::test]
+async fn a_request_at_a_silent_target_is_answered_at_a_lowered_timeout() {
+    for path in ["/text/a", "/look/a", "/seal/a"] {
+        let bench = start().await;
+        bench.cut(0, Some(Cut::Paused));
+        let request = match path {
+            "/text/a" => stream_of(path, "e1"),
+            _ => plain(path, "e1", KEYS[0]),
+        };
+        let caller = spawn(&bench, patient(request, &[]));
+        sleep(BEFORE_CHANGE).await;
+        publish(&bench, changed_site(3, &path[..6], Change::Timeout)).await;
+        let begun = Instant::now();
+        let answer = caller.await.unwrap();
+        let took = begun.elapsed();
+        assert!(took < TIMEOUT_SLACK, "{path}: {took:?}");
+        assert_eq!(answer.status, 504, "{path}");
+    }
+}
+
 /// Changes under which an answer that has begun goes on.
 const BESIDE_ANSWERS: [Change; 9] = [
     Change::Route,
@@ -287,13 +365,25 @@
     Change::Attempts,
 ];
 
-/// Starts a stream, changes the configuration in its midst and demands that it ends whole.
-async fn change_beside_stream(change: Change) {
+/// Starts a stream, changes the configuration in its midst and demands that it ends whole. Where `is_silent`
+/// its targets, the only ones, are then silent for a second.
+async fn change_beside_stream(change: Change, is_silent: bool) {
     let bench = start().await;
+    if is_silent {
+        keep_one_path(&bench).await;
+    }
     let request = patient(stream_of("/text/a", "s1"), &[(PAUSE_HEADER, "400")]);
     let caller = spawn(&bench, request);
     sleep(BEFORE_CHANGE).await;
+    if is_silent {
+        bench.cut(0, Some(Cut::Paused));
+        sleep(BEFORE_CHANGE).await;
+    }
     publish(&bench, changed_site(3, "/text/", change)).await;
+    if is_silent {
+        sleep(TIMEOUT_SLACK).await;
+        bench.cut(0, None);
+    }
     let answer = caller.await.unwrap();
     let end = (answer.status, answer.whole, bench.runs("s1"));
     assert_eq!(end, (200, true, 1), "{change:?}");
@@ -303,5 +393,47 @@
 /// Guards against an answer under way that ends as the configuration changes.
 #[tokio::test]
 async fn a_stream_that_has_begun_ends_whole_beside_any_change() {
-    join_all(BESIDE_ANSWERS.map(change_beside_stream)).await;
+    join_all(BESIDE_ANSWERS.map(|change| change_beside_stream(change, false))).await;
+}
+
+/// Guards against an answer that ends as the configuration changes while it looks for a place elsewhere.
+#[tokio::test]
+async fn a_stream_at_a_silent_target_ends_whole_beside_any_change() {
+    join_all(BESIDE_ANSWERS.map(|change| change_beside_stream(change, true))).await;
+}
+
+/// Guards against a stream that goes on at a target with a part of the layers, as the model is gone.
+#[tokio::test]
+async fn a_stream_whose_service_was_taken_away_does_not_go_on_without_its_layers() {
+    let bench = start().await;
+    for part in &bench.parts {
+        part.inject(ResponseFault::CutIn(5));
+    }
+    let request = patient(stream_of("/text/a", "s1"), &[(PAUSE_HEADER, "300")]);
+    let caller = spawn(&bench, request);
+    sleep(BEFORE_CHANGE).await;
+    publish(&bench, changed_site(3, "/text/", Change::Service)).await;
+    let answer = caller.await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(bench.runs("s1") <= 2);
+    assert_paths(&bench, "s1", Change::Service);
+}
+
+/// Guards against a request that runs again although the configuration in force forbids it by then.
+#[tokio::test]
+async fn a_request_whose_route_comes_to_run_once_is_not_sent_again() {
+    for change in [Change::Kind, Change::Attempts] {
+        let bench = start().await;
+        bench
+            .calls
+            .iter()
+            .for_each(|target| target.inject(ResponseFault::Lose));
+        bench.cut(0, Some(Cut::Paused));
+        let caller = spawn(&bench, patient(plain("/look/a", "k1", KEYS[0]), &[]));
+        sleep(BEFORE_CHANGE).await;
+        publish(&bench, changed_site(3, "/look/", change)).await;
+        bench.cut(0, None);
+        let answer = caller.await.unwrap();
+        assert_eq!((answer.status, bench.runs("k1")), (502, 1), "{change:?}");
+    }
 }
