Believe a target's word of a stalled stream only for its own path

Where a stream of a silent hop is sent again through the same first target, that target reports the request as stalled at the former hop for as long as the first send is there. Both sends have the attempt's id, so the second was taken for stalled too: with three runs allowed it was given up 0.35 s after it began, for a third, though its own path was sound; with two it raised the suspicion of a hop again. Change: a hop that a report names counts for a send only if its plan leads through that address. The stand-in target learns to begin an answer late.

--- a/camphorweir-entry/src/front/stall.rs
+++ b/camphorweir-entry/src/front/stall.rs
@@ -113,7 +113,11 @@
         return Some(plan.address);
     };
     let mut stalled = stalled.into_iter();
-    let own = stalled.find(|(stream, _)| **stream == *request.id);
+    // Another send of the same request may be stalled at another path of that target.
+    let is_own = |(stream, faulty): &(String, SocketAddr)| {
+        **stream == *request.id && plan.has_address(*faulty)
+    };
+    let own = stalled.find(is_own);
     own.map(|(_, faulty)| faulty)
 }
 
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -154,6 +154,12 @@
         matches!(self.destination, Destination::Peer)
     }
 
+    /// Whether one of its targets has this address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        let hops = self.path().map_or(&[][..], |(_, addresses)| addresses);
+        self.address == address || hops.contains(&address)
+    }
+
     /// Hops with their layers, for the log.
     pub fn describe_path(&self) -> String {
         let hops = self.path().into_iter().flat_map(|(path, _)| path.hops());
--- a/camphorweir-standin/src/platform_target.rs
+++ b/camphorweir-standin/src/platform_target.rs
@@ -72,6 +72,8 @@
     FailAfter(u64),
     /// Executes the call and never answers.
     Hang,
+    /// Executes the call and begins to answer after so many ms.
+    LateBy(u64),
 }
 
 impl ResponseFault {
@@ -87,6 +89,7 @@
                 | Self::Large(_)
                 | Self::Fail
                 | Self::FailAfter(_)
+                | Self::LateBy(_)
         )
     }
 }
@@ -117,6 +120,8 @@
     /// Fencing tokens of the orders received.
     fencing_tokens: Vec<u64>,
     stalled_hops: Vec<(String, String)>,
+    /// How much later the answer begins that is being made.
+    late_by: Option<Duration>,
     draining: bool,
     /// Whether all answers say that the target leaves.
     leaving: bool,
@@ -168,7 +173,12 @@
                 .clone();
             async move {
                 match target {
-                    Some(target) => target.answer(&request),
+                    Some(target) => {
+                        let reply = target.answer(&request);
+                        let late_by = target.state().late_by.take();
+                        sleep(late_by.unwrap_or_default()).await;
+                        reply
+                    }
                     None => Reply::status(503),
                 }
             }
@@ -426,6 +436,9 @@
             };
         }
         *self.state().executions.entry(id.clone()).or_default() += 1;
+        if let Some(ResponseFault::LateBy(ms)) = fault {
+            self.state().late_by = Some(Duration::from_millis(ms));
+        }
         if fault.is_some_and(ResponseFault::breaks_answer) {
             self.state().broken.insert(id.clone());
         }
