--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod crashes;
 mod cuts;
+mod elsewhere;
 mod endless;
 mod holders;
 mod leaving;
--- a/camphorweir-standin/tests/front/silence.rs
+++ b/camphorweir-standin/tests/front/silence.rs
@@ -33,12 +33,12 @@
     (1..=STREAM_EVENTS).map(event).collect()
 }
 
-fn is_whole(answer: &Answer) -> bool {
+pub(crate) fn is_whole(answer: &Answer) -> bool {
     answer.status == 200 && answer.whole && answer.body == all()
 }
 
 /// A request for a stream with tokens as given, whose caller waits for up to eight seconds.
-fn patient(path: &str, id: &str, tokens: &str) -> Request<Full<Bytes>> {
+pub(crate) fn patient(path: &str, id: &str, tokens: &str) -> Request<Full<Bytes>> {
     let mut request = stream_of(path, id);
     let headers = request.headers_mut();
     headers.insert("x-deadline-ms", "8000".parse().unwrap());
@@ -46,7 +46,7 @@
     request
 }
 
-fn spawn(bench: &Bench, request: Request<Full<Bytes>>) -> JoinHandle<Answer> {
+pub(crate) fn spawn(bench: &Bench, request: Request<Full<Bytes>>) -> JoinHandle<Answer> {
     let front = bench.front();
     tokio::spawn(async move { call(front, &request).await })
 }
@@ -58,7 +58,7 @@
 }
 
 /// Waits until a metric with these labels has a value.
-async fn metric(bench: &Bench, labels: &[&str], value: &str) {
+pub(crate) async fn metric(bench: &Bench, labels: &[&str], value: &str) {
     until(&labels.join(" "), || async {
         let text = metrics(bench).await;
         let mut lines = text.lines().filter(|line| line.ends_with(value));
