Let requests wait for a silent target that alone holds some layers

Cause: a suspected target is left out of all paths until a probe is answered, and a request without a path for want of layers was refused at once.

Change: where no zone has room, but one would have a path with suspected targets that may be sound (no probe has shown that they are gone, suspected for less than 1.5 s), what is lacking is an answer (Lack::Answer). Such a request waits, within its objective: in the waiting room where requests are ordered by rank, else it is tried again every 15 ms. A probe's result wakes the waiting room, so that it starts when the target answers, and is refused at once with the Retry-After of layers that have to be loaded when the target is known to be gone. It waits without a projection, as all that wait for the target start when it answers. Nothing is sent to a suspected target: a dead one gets no send more than before, no retry is charged, and a request that may run only once waits like any other. Where another zone lacks only memory, the request waits for memory as before.

Two tests of the decision.

--- a/camphorweir-entry/src/front/probe.rs
+++ b/camphorweir-entry/src/front/probe.rs
@@ -2,7 +2,7 @@
 //! ended under a request that broke off.
 
 use {
-    crate::front::{client::Client, permits::permits_ask, state::State},
+    crate::front::{client::Client, permits::permits_ask, state::State, waiting::waiting_wake},
     camphorweir_platform::{
         control::{control_decode_report, control_report_call},
         response::response_decode_limit,
@@ -108,6 +108,7 @@
         }
     }
     log::info!(target_name:% = id, lives = lives; "target probed");
+    waiting_wake(&state, &target.service);
 }
 
 /// What a probe finds at the address of a target.
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -75,6 +75,12 @@
 }
 
 impl Lane {
+    /// Whether requests wait for silent targets.
+    fn waits_for_answer(&self) -> bool {
+        let mut slots = self.slots.values();
+        slots.any(|slot| slot.request.lack == Some(Lack::Answer))
+    }
+
     /// Tries the waiting requests in their order, until `most` have started.
     fn run_round(&mut self, router: &mut Router, most: usize, now: Time) {
         let mut round = Round::default();
@@ -113,7 +119,7 @@
 /// Whether a request that could not be planned may wait for capacity.
 fn may_wait(request: &Admission) -> bool {
     match request.lack {
-        Some(Lack::Memory) => true,
+        Some(Lack::Memory | Lack::Answer) => true,
         // The target that failed may have been the last with some layers that others are about to load.
         Some(Lack::Targets) => request.standing == Standing::Resumed,
         None => false,
@@ -225,17 +231,23 @@
     }
 }
 
-/// Plans without ranks: again after pauses, for as long as memory may become free.
+/// Plans without ranks: again after pauses, for as long as memory may become free or silent targets answer.
 async fn poll_plan(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
     loop {
         let now = state.now();
         let planned = state.router().plan(request, now);
-        match planned {
-            Err(refusal) if state.router().may_wait_for_memory(request, &refusal, now) => {
-                sleep(CAPACITY_RETRY_PAUSE).await;
-            }
-            planned => return planned,
+        let Err(refusal) = planned else {
+            return planned;
+        };
+        let may_wait = {
+            let router = state.router();
+            router.may_wait_for_memory(request, &refusal, now)
+                || router.may_wait_for_answer(request, &refusal, now)
+        };
+        if !may_wait {
+            return Err(refusal);
         }
+        sleep(CAPACITY_RETRY_PAUSE).await;
     }
 }
 
@@ -384,7 +396,9 @@
     if is_behind {
         lane.run_round(&mut router, usize::MAX, now);
     }
-    if lane.room.has(ticket) && !lane.room.is_worth_waiting(ticket, now) {
+    // All that wait for a silent target start at once when it answers.
+    let is_unprojected = lane.waits_for_answer();
+    if lane.room.has(ticket) && !is_unprojected && !lane.room.is_worth_waiting(ticket, now) {
         lane.room.leave(ticket);
         lane.slots.remove(&ticket);
         let text = format!("No start in time is likely; {ahead} go before it.");
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -54,6 +54,8 @@
 pub enum Lack {
     /// Free memory; the layers are there.
     Memory,
+    /// Layers other than those of silent targets that may be sound.
+    Answer,
     /// Targets that take the request, or layers.
     Targets,
 }
@@ -408,16 +410,15 @@
         }
         let Some(plan) = plan else {
             let mut refusal = self.refusal(request, no_plan_code);
-            let (detail, any_full) = self.explain_no_plan(request, now);
+            let (detail, lack) = self.explain_no_plan(request, now);
             refusal.detail = detail;
-            request.lack = Some(match any_full {
-                true => Lack::Memory,
-                false => Lack::Targets,
-            });
-            if no_plan_code == Code::NoPath && !any_full {
+            request.lack = Some(lack);
+            if no_plan_code == Code::NoPath && lack == Lack::Targets {
                 refusal.retry_after = Some(MISSING_LAYERS_RETRY_AFTER);
             }
-            if !any_full && let Some(wait) = self.wait_for_closed(&request.service, now) {
+            if lack == Lack::Targets
+                && let Some(wait) = self.wait_for_closed(&request.service, now)
+            {
                 refusal.retry_after = refusal.retry_after.map(|_| wait);
             }
             return Err(refusal);
@@ -629,8 +630,7 @@
     /// a second, and a refused caller retries once at most.
     pub fn may_wait_for_memory(&self, request: &Admission, refusal: &Refusal, now: Time) -> bool {
         let waited = now.saturating_sub(request.arrived_at);
-        let is_full = refusal.retry_after == Some(FULL_RETRY_AFTER);
-        is_full
+        request.lack == Some(Lack::Memory)
             && refusal.code == Code::NoPath
             && waited < request.route.latency_objective / WAIT_DIVISOR
     }
--- a/camphorweir-relay/src/selection.rs
+++ b/camphorweir-relay/src/selection.rs
@@ -11,7 +11,7 @@
             projection_after_rejection, projection_cost_factor, projection_draw_two,
             projection_load, projection_room,
         },
-        router::{Admission, Destination, Plan, Router},
+        router::{Admission, Destination, Lack, Plan, Router},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -181,7 +181,7 @@
         engine: &Engine,
         now: Time,
     ) -> Option<Plan> {
-        let zones = self.offers_by_zone(request, engine, now);
+        let zones = self.offers_by_zone(request, engine, false, now);
         // Reserves memory for an answer of mean length, as few reach their limit; a target that
         // runs out of memory nevertheless preempts its newest request.
         let answer = f64::from(request.tokens.1).min(engine.mean_tokens.1);
@@ -212,50 +212,70 @@
     }
 
     /// Explains to operators why no target can take a request: which zones lack only memory, in which the
-    /// limits of targets are used up, and which lack layers. Returns also whether any zone lacks only
-    /// memory.
-    pub(crate) fn explain_no_plan(&self, request: &Admission, now: Time) -> (String, bool) {
+    /// limits of targets are used up, in which targets are silent, and which lack layers. Returns also what is
+    /// lacking.
+    pub(crate) fn explain_no_plan(&self, request: &Admission, now: Time) -> (String, Lack) {
         let Some(engine) = self.engine(&request.service) else {
-            return ("No target is left.".to_owned(), false);
+            return ("No target is left.".to_owned(), Lack::Targets);
         };
         let demand = Demand {
             layers: engine.layers,
             tokens: 0.0,
             hop_ms: 0.0,
         };
-        let zones = self.offers_by_zone(request, engine, now).into_iter();
-        let states = zones.map(|(zone, mut offers)| {
+        let has_path = |offers: &[Offer]| path_choose(offers, &demand).is_some();
+        let with_memory = |mut offers: Vec<Offer>| {
             for offer in &mut offers {
                 offer.free_token_layers = f64::INFINITY;
                 offer.accepts_first_hop = !self.tracker.is_shut(&offer.target, now);
             }
-            if path_choose(&offers, &demand).is_some() {
-                return (format!("{zone} is full"), true);
+            offers
+        };
+        let mut silent = None;
+        let zones = self.offers_by_zone(request, engine, false, now).into_iter();
+        let states = zones.map(|(zone, offers)| {
+            let mut offers = with_memory(offers);
+            if has_path(&offers) {
+                return (format!("{zone} is full"), Lack::Memory);
             }
             for offer in &mut offers {
                 offer.accepts_first_hop = true;
             }
-            match path_choose(&offers, &demand) {
-                Some(_) => (format!("{zone} is at its limits"), false),
-                None => (format!("{zone} lacks layers"), false),
+            if has_path(&offers) {
+                return (format!("{zone} is at its limits"), Lack::Targets);
+            }
+            let with_silent =
+                silent.get_or_insert_with(|| self.offers_by_zone(request, engine, true, now));
+            let with_silent = with_silent.remove(&zone).unwrap_or_default();
+            match has_path(&with_memory(with_silent)) {
+                true => (format!("{zone} has silent targets"), Lack::Answer),
+                false => (format!("{zone} lacks layers"), Lack::Targets),
             }
         });
-        let (texts, are_full): (Vec<String>, Vec<bool>) = states.unzip();
-        (texts.join(", "), are_full.contains(&true))
+        let (texts, lacks): (Vec<String>, Vec<Lack>) = states.unzip();
+        let mut known = [Lack::Memory, Lack::Answer].into_iter();
+        let lack = known.find(|lack| lacks.contains(lack));
+        (texts.join(", "), lack.unwrap_or(Lack::Targets))
     }
 
-    /// Offers of the targets of each zone to a request.
+    /// Offers of the targets of each zone to a request; `with_silent` those of suspected targets too that
+    /// may be sound.
     fn offers_by_zone(
         &self,
         request: &Admission,
         engine: &Engine,
+        with_silent: bool,
         now: Time,
     ) -> BTreeMap<Zone, Vec<Offer>> {
         let mut zones: BTreeMap<Zone, Vec<Offer>> = BTreeMap::new();
         let available = self.fleet.available(&request.service);
         for target in available.filter(|target| !request.excluded.contains(&target.id)) {
             let offers = zones.entry(target.zone.clone()).or_default();
-            if !self.tracker.is_excluded(&target.id, now) {
+            let is_usable = !self.tracker.is_excluded(&target.id, now)
+                || with_silent
+                    && self.tracker.may_be_sound(&target.id, now)
+                    && !self.tracker.is_closed(&target.id, now);
+            if is_usable {
                 offers.extend(self.offer(request, target, engine, now));
             }
         }
--- a/camphorweir-relay/src/suspicion.rs
+++ b/camphorweir-relay/src/suspicion.rs
@@ -45,4 +45,9 @@
         self.failed_at = now;
         self.confirmed = true;
     }
+
+    /// Whether the target may be sound and answer soon.
+    pub fn may_be_sound(&self, now: Time) -> bool {
+        !self.confirmed && now.saturating_sub(self.raised_at) < MAX_SOUND_SILENCE
+    }
 }
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -423,6 +423,13 @@
         self.is_suspected(target) || self.is_unresponsive(target, now)
     }
 
+    /// Whether a target is suspected but may be sound, so that it may take requests again soon.
+    pub fn may_be_sound(&self, target: &TargetId, now: Time) -> bool {
+        let suspicion = self.state(target).suspicion;
+        suspicion.is_some_and(|suspicion| suspicion.may_be_sound(now))
+            && !self.is_unresponsive(target, now)
+    }
+
     /// Whether no request may use a target now, even on its way from another target.
     pub fn is_excluded(&self, target: &TargetId, now: Time) -> bool {
         self.is_suspect(target, now) || self.is_closed(target, now)
--- a/camphorweir-relay/src/waiting.rs
+++ b/camphorweir-relay/src/waiting.rs
@@ -5,8 +5,9 @@
     crate::{
         admission::Standing,
         ids::{Time, Workspace},
-        router::{Admission, Router},
+        router::{Admission, Lack, Router},
     },
+    camphorweir_wire::{code::Code, outcome::Refusal},
     std::{
         collections::BTreeMap,
         ops::Bound::{Excluded, Unbounded},
@@ -424,6 +425,14 @@
 }
 
 impl Router {
+    /// Whether a request that no target can take now may wait for silent targets, where requests are not
+    /// ordered by rank: for as long as its objective allows, as it costs nobody else anything.
+    pub fn may_wait_for_answer(&self, request: &Admission, refusal: &Refusal, now: Time) -> bool {
+        let waited = now.saturating_sub(request.arrived_at);
+        let longest = waiting_limit(request.route.latency_objective, waited, Duration::ZERO);
+        request.lack == Some(Lack::Answer) && refusal.code == Code::NoPath && !longest.is_zero()
+    }
+
     /// What decides on the wait of a request for capacity until `until`; `None` where the requests of its
     /// service are not ordered by rank.
     pub fn waiting_request(&self, request: &Admission, until: Time) -> Option<Request> {
--- a/camphorweir-relay/tests/decide/suspicion.rs
+++ b/camphorweir-relay/tests/decide/suspicion.rs
@@ -1,7 +1,13 @@
 //! Targets that do not respond, and may be sound.
 
 use {
-    camphorweir_relay::{ids::TargetId, suspicion::MAX_SOUND_SILENCE, tracker::Tracker},
+    crate::router::{admit_request, router},
+    camphorweir_relay::{
+        ids::TargetId,
+        router::{Lack, Router},
+        suspicion::MAX_SOUND_SILENCE,
+        tracker::Tracker,
+    },
     std::time::Duration,
 };
 
@@ -35,3 +41,59 @@
         assert!(!tracker.is_excluded(&target, now));
     }
 }
+
+/// A router by which the last hops of two zones were suspected after a silence of 600 ms, and what is known
+/// of each since then.
+fn silent(known: [&str; 2], now: Duration) -> Router {
+    let mut router = router();
+    for (target, known) in ["near-1", "far-1"].map(TargetId::from).iter().zip(known) {
+        router.tracker.record_suspicion(target, ms(600), now);
+        match known {
+            "gone" => router.tracker.record_absence(target, now),
+            "sound" => router.tracker.record_probe(target, true, now),
+            "closed" => router.tracker.record_closed(target, ms(9_000), now),
+            "removed" => drop(router.fleet.remove(target, now)),
+            _ => {}
+        }
+    }
+    router
+}
+
+#[test]
+fn a_request_waits_for_silent_targets_only_while_they_may_be_sound() {
+    let begun = ms(10_000);
+    for (known, later, lack) in [
+        (["silent", "silent"], 1, Some(Lack::Answer)),
+        (["silent", "silent"], 1_500, Some(Lack::Targets)),
+        (["silent", "gone"], 1, Some(Lack::Answer)),
+        (["removed", "silent"], 1, Some(Lack::Answer)),
+        (["gone", "gone"], 1, Some(Lack::Targets)),
+        (["closed", "closed"], 1, Some(Lack::Targets)),
+        (["silent", "sound"], 1, None),
+    ] {
+        let mut router = silent(known, begun);
+        let now = begun + ms(later);
+        let mut request = admit_request(&mut router, "/text/a", now);
+        let Err(refusal) = router.plan(&mut request, now) else {
+            assert_eq!(lack, None, "{known:?}");
+            continue;
+        };
+        assert_eq!(request.lack, lack, "{known:?} {later}");
+        // The objective is 500 ms, of which a quarter second is left for another try.
+        let waits = [249, 250].map(|more| now + ms(more));
+        let waits = waits.map(|now| router.may_wait_for_answer(&request, &refusal, now));
+        assert_eq!(waits, [lack == Some(Lack::Answer), false], "{known:?}");
+        let is_late = refusal.retry_after > Some(ms(1_000));
+        assert_eq!(is_late, lack == Some(Lack::Targets), "{known:?}");
+    }
+}
+
+#[test]
+fn a_request_waits_for_memory_rather_than_for_a_silent_target() {
+    let mut router = silent(["silent", "sound"], ms(0));
+    let mut last = admit_request(&mut router, "/text/a", ms(1));
+    while router.plan(&mut last, ms(1)).is_ok() {
+        last = admit_request(&mut router, "/text/a", ms(1));
+    }
+    assert_eq!(last.lack, Some(Lack::Memory));
+}
