Hand over the reading of the store when an instance stops

Callers saw: streams refused with "lacks layers" while an instance stopped, as layers that went away then were not ordered anew before it had ended.

Cause: only the instance that reads the store for its zone is in the group of the lease. When it is told to stop it leaves the group at once, but reads on to its end, and the aggregator keeps a healthy reader; so no other instance of the zone joins the group, and in a deployment of one zone, or where the readers of all zones stop, nobody holds the lease. Since instances stay up for their requests to the end of their grace, that lasts for as long.

Ruled out, by reading: the lease itself is given up at once (leave_group; 0.25 s), suspicions of an instance that stops need a failed probe of its own and end 1.5 s after its last report, and a new aggregator keeps the reader of its predecessor.

Change: from its stop on an instance reports its last read as failed just after it succeeded. The aggregator has others read, which join the group once one of them does alone; until then all go on following the one that stops, whose data is the newest. Alone in its zone it reads on. For a moment up to three instances read the store, which they did at the end of the process before, when the followers had lost their reader too.

Two tests of roles.

--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -443,7 +443,9 @@
 
     /// Starts the shutdown; later calls change nothing.
     pub fn begin_stop(&self) {
-        let stop = Stop::new(self.now(), self.router().bounds().stop_grace);
+        let now = self.now();
+        let stop = Stop::new(now, self.router().bounds().stop_grace);
+        self.roles().begin_stop(now);
         self.0.stopping.send_if_modified(|current| {
             let is_first = current.is_none();
             current.get_or_insert(stop);
--- a/camphorweir-relay/src/roles.rs
+++ b/camphorweir-relay/src/roles.rs
@@ -41,6 +41,8 @@
 const SELF_READ_AGE: Duration = Duration::from_millis(3700);
 /// Age up to which a report of an instance counts as a sign of life.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Unit of the times in reports.
+const REPORT_UNIT: Duration = Duration::from_millis(1);
 
 /// Where this instance gets the configuration and the lists from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -134,6 +136,8 @@
     reports: BTreeMap<String, Report>,
     /// This instance's own reads.
     own_reads: Reads,
+    /// When this instance began to stop.
+    stopped_at: Option<Time>,
     /// Readers that this instance has assigned as aggregator, with the time of the assignment.
     trials: BTreeMap<String, Time>,
     /// The newest assignment that was received or, by an aggregator, made.
@@ -157,6 +161,7 @@
             heard: BTreeMap::new(),
             reports: BTreeMap::new(),
             own_reads: Reads::default(),
+            stopped_at: None,
             trials: BTreeMap::new(),
             assignment: Assignment::default(),
             assigned_at: None,
@@ -223,9 +228,26 @@
         self.failed_peer = followed.map(|followed| (followed.name.clone(), now));
     }
 
-    /// This instance's own reads.
+    /// Records that this instance stops. Another is to read the store, as the reader is also the one of the
+    /// zone that may hold the lease on placement.
+    pub fn begin_stop(&mut self, now: Time) {
+        self.stopped_at.get_or_insert(now);
+    }
+
+    /// This instance's own reads, as they are reported: those of one that stops seem to have failed since,
+    /// so that it reads on only until another does.
     pub fn own_reads(&self) -> Reads {
-        self.own_reads
+        let reads = self.own_reads;
+        let Some(stopped_at) = self.stopped_at else {
+            return reads;
+        };
+        let last = reads.succeeded_at.max(reads.failed_at);
+        let failed_at = last.map_or(stopped_at, |at| at.max(stopped_at));
+        let before = failed_at.saturating_sub(REPORT_UNIT);
+        Reads {
+            succeeded_at: reads.succeeded_at.map(|at| at.min(before)),
+            failed_at: Some(failed_at),
+        }
     }
 
     /// The first instance in the order that was heard of recently, if it is before this one.
@@ -287,7 +309,7 @@
     pub fn assign(&mut self, own_address: SocketAddr, own_version: u64, now: Time) -> Assignment {
         self.drop_outdated(now);
         let own_report = Report {
-            reads: self.own_reads,
+            reads: self.own_reads(),
             version: own_version,
             received_at: now,
         };
--- a/camphorweir-relay/tests/decide/roles.rs
+++ b/camphorweir-relay/tests/decide/roles.rs
@@ -126,6 +126,53 @@
     assert_eq!(follower.source(None, ms(120)), Source::Peer(address(0)));
 }
 
+#[test]
+fn a_reader_that_stops_reads_on_until_another_does() {
+    let names = names(3);
+    let mut aggregator = roles(&names, 0);
+    let mut next = |at: u64, own: bool, other: Option<u64>| {
+        if own {
+            aggregator.record_read(ms(at));
+        }
+        if at == 100 {
+            aggregator.begin_stop(ms(at));
+        }
+        let reads = other.map_or(Reads::default(), |at| read_at(ms(at)));
+        for (name, reads) in [(&names[1], reads), (&names[2], Reads::default())] {
+            aggregator.record_report(name, reads, 0, ms(at));
+        }
+        let made = aggregator.assign(address(0), 0, ms(at));
+        (made.readers, made.followed.unwrap().name)
+    };
+    assert_eq!(
+        next(50, true, None),
+        (names[..1].to_vec(), names[0].clone())
+    );
+    for at in [100, 200] {
+        assert_eq!(
+            next(at, true, None),
+            (names[1..].to_vec(), names[0].clone())
+        );
+    }
+    for at in [300, 400] {
+        let taken_over = (names[1..2].to_vec(), names[1].clone());
+        assert_eq!(next(at, true, Some(250)), taken_over);
+    }
+}
+
+#[test]
+fn an_instance_that_stops_alone_reads_on() {
+    let mut alone = Roles::new("entry-0".to_owned(), 100, ms(0));
+    alone.begin_stop(ms(100));
+    for at in [100, 200, 2_000, 4_000] {
+        alone.record_read(ms(at));
+        let made = alone.assign(address(0), 0, ms(at));
+        assert_eq!(made.readers, ["entry-0"]);
+        let (reads, at) = (alone.own_reads(), Some(ms(at)));
+        assert!(reads.failed_at == at && reads.succeeded_at < at);
+    }
+}
+
 #[test]
 fn a_reader_that_the_store_refuses_is_replaced_by_two_others_at_most() {
     let names = names(39);
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod cuts;
 mod endless;
+mod handovers;
 mod holders;
 mod leaving;
 mod limits;
