Accept what waits in the queue of a listener before it closes

What callers saw: without `--platform`, requests on connections that the kernel had accepted and the process had not, as the listener closed, had no answer until the process ended and reset them; so had all that connected later, as the listener was left open. On the platform such connections were reset.

Cause: the last look at the queue went by what the runtime knew of it, and the listening socket was either kept or shut down with connections in its queue, which resets them.

Change: both fronts take what is in the queue from the socket itself, shut it down, and serve what they took (`listener`). The process waits for that before it counts connections as drained, and for refusals that are being written. What arrives between the last look and the shutdown, some microseconds, is still reset. Connections closed above the limit on the platform's front are counted if a request had arrived on them.

--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        activity::{Held, UNREAD_PAUSE},
+        activity::{Held, UNREAD_PAUSE, unread_bytes},
         answer::Answer,
         front::{
             connections::{End, Entry},
@@ -10,6 +10,7 @@
             request::handle_request,
             state::State,
         },
+        listener::listener_close,
     },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
@@ -21,7 +22,6 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    rustix::net::{Shutdown, shutdown},
     std::{
         convert::Infallible,
         error::Error,
@@ -52,38 +52,43 @@
 pub async fn listen_callers(state: State, listener: Arc<TcpListener>) {
     let max_connections = state.settings().max_sockets as f64 * CALLER_SOCKET_FRACTION;
     let slots = Arc::new(Semaphore::new(max_connections as usize));
-    loop {
-        let stream = tokio::select! {
-            // Connections that are already waiting are accepted before the listener closes.
-            biased;
-            stream = accept_connection(&listener) => stream,
-            () = state.listener_close().notified() => {
-                close_listener(&listener);
-                return pending().await;
-            }
-        };
+    let serve = |stream: TcpStream| {
         // Above the limit the connection is closed unread, so that the caller may try another
         // instance.
         let Ok(slot) = slots.clone().try_acquire_owned() else {
-            log::warn!(
-                connections = max_connections as usize;
-                "too many caller connections; closed a new one"
-            );
-            continue;
+            refuse_connection(&state, &stream, max_connections as usize);
+            return;
         };
         let state = state.clone();
         tokio::spawn(async move {
             serve_caller(state, stream).await;
             drop(slot);
         });
+    };
+    loop {
+        tokio::select! {
+            biased;
+            stream = accept_connection(&listener) => serve(stream),
+            () = state.listener_close().notified() => break,
+        }
     }
+    let waiting = listener_close(&listener);
+    log::info!(waiting = waiting.len(); "callers' listener closed");
+    waiting.into_iter().for_each(serve);
+    pending().await
 }
 
-/// Shuts the listening socket: new connections are refused, accepted ones stay open.
-fn close_listener(listener: &TcpListener) {
-    if let Err(error) = shutdown(listener, Shutdown::Both) {
-        log::warn!(reason:% = error; "could not shut down the callers' listener");
+/// Closes a connection above the limit; a request may have arrived on it.
+fn refuse_connection(state: &State, stream: &TcpStream, limit: usize) {
+    let unread_bytes = unread_bytes(stream);
+    if unread_bytes > 0 {
+        state.metrics().record_unanswered("limit");
     }
+    log::warn!(
+        connections = limit,
+        unread_bytes = unread_bytes;
+        "too many caller connections; closed a new one"
+    );
 }
 
 async fn accept_connection(listener: &TcpListener) -> TcpStream {
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod inner;
 pub mod instance_list;
 pub mod link;
+pub mod listener;
 pub mod monitor;
 pub mod openai;
 pub mod peer;
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -260,6 +260,7 @@
             mut finished,
             ..
         } = self;
+        let open = server.clone();
         let shutdown = async {
             // The load balancer must see the readiness check fail before the listener closes.
             let _ = ready.wait_for(|ready| !*ready).await;
@@ -271,7 +272,7 @@
         tokio::select! {
             Some(code) = fatal.recv() => Err(failed_part(code)),
             drained = shutdown => {
-                log::info!(drained = drained.is_ok(); "shut down");
+                log::info!(drained = drained.is_ok(), connections = open.open(); "shut down");
                 log::logger().flush();
                 Ok(())
             }
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -5,10 +5,10 @@
         answer::Answer,
         call::{self, State},
         conn::{MonitoredStream, close, refusal_bytes},
+        listener::listener_close,
         monitor::{Activity, Due},
     },
     camphorweir_wire::code::Code,
-    futures::FutureExt,
     hyper::service::service_fn,
     hyper_util::{
         rt::{TokioExecutor, TokioTimer},
@@ -46,6 +46,8 @@
     slots: Arc<Semaphore>,
     refusals: Arc<Semaphore>,
     closing: watch::Receiver<bool>,
+    /// Whether the listener is closed, and its last connections accepted.
+    closed: watch::Sender<bool>,
 }
 
 impl Server {
@@ -58,6 +60,7 @@
             slots,
             refusals,
             closing,
+            closed: watch::channel(false).0,
         }
     }
 
@@ -75,17 +78,24 @@
                 Err(error) => delay_after_error(&error).await,
             }
         }
-        // Connections already in the accept queue are served as well.
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        for stream in listener_close(&listener) {
             self.spawn_connection(stream);
         }
+        self.closed.send_replace(true);
     }
 
-    /// Waits until every connection has ended.
+    /// Number of open connections.
+    pub fn open(&self) -> usize {
+        self.state.limits.connections - self.slots.available_permits()
+    }
+
+    /// Waits until the listener is closed, and every connection has ended.
     pub async fn drained(&self) {
+        let _ = self.closed.subscribe().wait_for(|closed| *closed).await;
         let total_slots = u32::try_from(self.state.limits.connections).unwrap_or(u32::MAX);
-        // The semaphore is never closed.
+        // The semaphores are never closed.
         let _ = self.slots.acquire_many(total_slots).await;
+        let _ = self.refusals.acquire_many(MAX_REFUSALS as u32).await;
     }
 
     fn spawn_connection(&self, stream: TcpStream) {
--- a/camphorweir-entry/tests/closes.rs
+++ b/camphorweir-entry/tests/closes.rs
@@ -4,7 +4,7 @@
 
 use {
     bytes::Bytes,
-    camphorweir_entry::settings::Limits,
+    camphorweir_entry::{listener::listener_close, settings::Limits},
     camphorweir_policy::call::{End, Finished},
     camphorweir_wire::{code::Code, outcome::Refusal},
     common::{Rig, header, limits, post, rig, send_raw, status},
@@ -12,14 +12,14 @@
     hyper::{Request, client::conn::http2},
     hyper_util::rt::{TokioExecutor, TokioIo},
     std::{
-        io::{ErrorKind, Write},
+        io::{ErrorKind, Read, Write},
         net::{SocketAddr, TcpStream as Socket},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpListener, TcpStream},
         time::{sleep, timeout},
     },
 };
@@ -221,3 +221,41 @@
     timeout(GUARD, rig.server.drained()).await.unwrap();
     connection.await.unwrap().unwrap();
 }
+
+/// Guards against callers that connect during the shutdown and wait for a process that never accepts.
+#[tokio::test]
+async fn a_connection_after_the_close_is_refused_and_one_before_it_is_served() {
+    let rig = rig(limits()).await;
+    let waiting: Vec<_> = (0..CONNECTIONS)
+        .map(|_| {
+            let mut socket = Socket::connect(rig.address).unwrap();
+            socket.write_all(REQUEST.as_bytes()).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            socket
+        })
+        .collect();
+    close(&rig);
+    assert_eq!(lost(waiting).await, 0);
+    let begun = Instant::now();
+    while Socket::connect(rig.address).is_ok() {
+        assert!(begun.elapsed() < GUARD, "still listening");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against a listener whose close resets the connections in its queue.
+#[tokio::test]
+async fn a_listener_that_closes_accepts_what_waits_in_its_queue() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut waiting: Vec<_> = (0..CONNECTIONS)
+        .map(|_| Socket::connect(address).unwrap())
+        .collect();
+    let accepted = listener_close(&listener);
+    assert_eq!(accepted.len(), CONNECTIONS);
+    assert!(Socket::connect(address).is_err());
+    drop(accepted);
+    for socket in &mut waiting {
+        assert_eq!(socket.read(&mut [0]).unwrap(), 0);
+    }
+}
