Let requests wait for capacity through the begin of a shutdown

What callers saw: every request that waited for capacity as a shutdown began was refused with 2005, also one for which room came 0.2 s later and which would have ended seconds before the process; so was every one that arrived during the shutdown and found no room.

Cause: the end of such a wait went by the begin of the shutdown, without a look at what was left of it.

Change: `latest_start` of the relay says until when a request that has no plan yet may start: by its deadline if that lies before the end; not at all for streams that are taken by their deadline alone; else by what requests of its service lately took, with the mean of their projections in place of its own. A waiting request is looked at every 50 ms and refused as soon as it can't start by then, its place and the rate of starts counted in. The plan must still end in time, so no stream is admitted that was not before. Where requests aren't ordered by rank, the same bound ends the polling; no test shows that part.

--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -19,6 +19,7 @@
     },
     std::{
         collections::BTreeMap,
+        future::pending,
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -33,6 +34,9 @@
 /// Retry delay for requests refused during shutdown; the retry should reach another instance.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Pause between looks whether a waiting request can still be answered before the instance ends.
+const STOP_LOOK_PAUSE: Duration = Duration::from_millis(50);
+
 /// The waiting requests of all services.
 #[derive(Debug, Default)]
 pub struct Waiting(Mutex<BTreeMap<ServiceName, Lane>>);
@@ -225,13 +229,19 @@
     }
 }
 
-/// Plans without ranks: again after pauses, for as long as memory may become free.
+/// Plans without ranks: again after pauses, for as long as memory may become free in time.
 async fn poll_plan(state: &State, request: &mut Admission) -> Result<Plan, Refusal> {
     loop {
         let now = state.now();
         let planned = state.router().plan(request, now);
         match planned {
             Err(refusal) if state.router().may_wait_for_memory(request, &refusal, now) => {
+                let stop = state.stop();
+                let latest = stop.map(|stop| state.router().latest_start(request, &stop, now));
+                if latest.is_some_and(|latest| latest <= now) {
+                    let refusal = state.router().refusal(request, Code::Stopping);
+                    return Err(refusal.with_retry_after(STOP_RETRY_AFTER));
+                }
                 sleep(CAPACITY_RETRY_PAUSE).await;
             }
             planned => return planned,
@@ -421,13 +431,13 @@
     async fn wait(&mut self, request: &Admission, until: Time) -> (&'static str, Option<Verdict>) {
         let state = self.state;
         let left = until.saturating_sub(state.now());
-        let mut stop = state.subscribe_stop();
         let is_resumed = request.standing == Standing::Resumed;
+        let (service, ticket) = (&self.service, self.ticket);
         let stopped = async {
             match is_resumed {
                 // The stream ends well if it finds capacity while the instance still runs.
-                true => std::future::pending().await,
-                false => _ = stop.wait_for(Option::is_some).await,
+                true => pending().await,
+                false => out_of_time(state, service, ticket, request).await,
             }
         };
         let verdict = tokio::select! {
@@ -438,7 +448,7 @@
                 return ("stopped", None);
             }
             () = sleep(left) => {
-                waiting_wake(state, &self.service);
+                waiting_wake(state, service);
                 self.verdict.try_recv().ok()
             }
         };
@@ -453,6 +463,28 @@
     }
 }
 
+/// Completes when a waiting request can no longer start early enough to be answered before the instance
+/// ends; never before the shutdown begins.
+async fn out_of_time(state: &State, service: &ServiceName, ticket: Ticket, request: &Admission) {
+    let mut stopping = state.subscribe_stop();
+    let stop = stopping.wait_for(Option::is_some).await;
+    let Some(stop) = stop.ok().and_then(|stop| *stop) else {
+        return pending().await;
+    };
+    loop {
+        let now = state.now();
+        let latest = state.router().latest_start(request, &stop, now);
+        let starts = state.waiting().lanes().get_mut(service).is_none_or(|lane| {
+            // A request that is no longer in the room has its verdict.
+            !lane.room.has(ticket) || lane.room.starts_by(ticket, latest, now)
+        });
+        if !starts {
+            return;
+        }
+        sleep(STOP_LOOK_PAUSE).await;
+    }
+}
+
 impl Drop for Waiter<'_> {
     fn drop(&mut self) {
         let now = self.state.now();
--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -65,6 +65,8 @@
 #[derive(Clone, Debug)]
 struct Ratios {
     weights: [f64; CLASSES],
+    /// Sum of the projected times in seconds, by the same weights.
+    projected_s: f64,
     decayed_at: Time,
 }
 
@@ -95,6 +97,7 @@
         }
         let ratios = self.0.entry(service.clone()).or_insert_with(|| Ratios {
             weights: [0.0; CLASSES],
+            projected_s: 0.0,
             decayed_at: now,
         });
         let decay = ratios.decay(now);
@@ -104,6 +107,7 @@
             .for_each(|weight| *weight *= decay);
         ratios.decayed_at = now;
         let projected = projected.max(MIN_PROJECTED);
+        ratios.projected_s = ratios.projected_s * decay + projected.as_secs_f64();
         ratios.weights[class(observed.as_secs_f64() / projected.as_secs_f64())] += 1.0;
     }
 
@@ -125,6 +129,16 @@
         let ratio = FIRST_RATIO * CLASS_STEP.powi(class as i32 + 1);
         projected.max(MIN_PROJECTED).mul_f64(ratio)
     }
+
+    /// Time within which nearly all requests of a service end that are projected to take as long as
+    /// those lately observed; the least before any.
+    fn usual(&self, service: &str, now: Time) -> Duration {
+        let mean = self.0.get(service).and_then(|ratios| {
+            let total: f64 = ratios.weights.iter().sum();
+            Duration::try_from_secs_f64(ratios.projected_s / total).ok()
+        });
+        self.longest(service, mean.unwrap_or_default(), now)
+    }
 }
 
 impl Router {
@@ -138,13 +152,29 @@
         Duration::try_from_secs_f64(ms / 1e3).ok()
     }
 
+    /// Whether a request is taken by its deadline alone.
+    fn is_late(request: &Admission, stop: &Stop) -> bool {
+        let is_stream = matches!(request.route.kind, Kind::Stream { .. });
+        is_stream && request.arrived_at > stop.since + PROJECTED_PERIOD
+    }
+
+    /// Latest time at which a request that has no plan yet can start and be answered before this
+    /// instance ends, by what requests of its service lately took.
+    pub fn latest_start(&self, request: &Admission, stop: &Stop, now: Time) -> Time {
+        let last = stop.ends_at.saturating_sub(WRITE_RESERVE);
+        match request.deadline <= last {
+            true => request.deadline,
+            false if Self::is_late(request, stop) => Time::ZERO,
+            false => last.saturating_sub(self.pace.usual(&request.service, now)),
+        }
+    }
+
     /// Whether a request that has not run can be sent as planned and be answered before this instance
     /// ends. A request that may have run is sent in any case, as a refusal would come too late for it.
     pub fn ends_in_time(&self, request: &Admission, plan: &Plan, stop: &Stop, now: Time) -> bool {
         let deadline = request.time_left(now);
-        let is_stream = matches!(request.route.kind, Kind::Stream { .. });
-        let is_late = is_stream && request.arrived_at > stop.since + PROJECTED_PERIOD;
-        let projected = self.projected_time(plan).filter(|_| !is_late);
+        let projected = self.projected_time(plan);
+        let projected = projected.filter(|_| !Self::is_late(request, stop));
         let longest = projected.map_or(deadline, |projected| {
             let longest = self.pace.longest(&request.service, projected, now);
             longest.min(deadline)
--- a/camphorweir-relay/src/waiting.rs
+++ b/camphorweir-relay/src/waiting.rs
@@ -248,6 +248,11 @@
 
     /// Whether a waiting request is likely to start before it gives up.
     pub fn is_worth_waiting(&mut self, ticket: Ticket, now: Time) -> bool {
+        self.starts_by(ticket, Time::MAX, now)
+    }
+
+    /// Whether a waiting request is likely to start before it gives up, and before `latest`.
+    pub fn starts_by(&mut self, ticket: Ticket, latest: Time, now: Time) -> bool {
         let Some(place) = self.places.get(&ticket).copied() else {
             return false;
         };
@@ -255,7 +260,7 @@
             .waiting
             .get(&place)
             .map(|waiting| waiting.request.until);
-        let left = until.unwrap_or_default().saturating_sub(now);
+        let left = until.unwrap_or_default().min(latest).saturating_sub(now);
         let rate = self.starts.get(now);
         !left.is_zero() && waiting_projection(self.ahead(ticket), rate) <= left
     }
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -124,3 +124,47 @@
     // Another service has not been seen.
     assert_eq!(pace.longest("ledger", ms(1_000), ms(0)), unknown);
 }
+
+/// Guards against requests that wait for capacity until the process ends, or are refused too early.
+#[test]
+fn a_request_waits_while_what_requests_lately_took_is_left() {
+    // Path, what requests lately took in ms, and the bounds of the latest start after the begin.
+    let table = [
+        ("/text/a", 5_000, 1_500, 2_450),
+        ("/text/a", 1_000, 6_000, 6_450),
+        ("/text/a", 9_000, 0, 0),
+        ("/seal/a", 20, 7_300, 7_450),
+    ];
+    for (path, took, least, most) in table {
+        let mut router = router();
+        serve(&mut router, path, took);
+        let request = admit_request(&mut router, path, ms(99_900));
+        let latest = router.latest_start(&request, &stop(), ms(100_000));
+        let after = latest.saturating_sub(stop().since);
+        let is_within = ms(least) <= after && after <= ms(most);
+        assert!(is_within, "{path}, {took} ms: {after:?}");
+    }
+}
+
+/// Guards against waits that end otherwise than the requests that find capacity.
+#[test]
+fn a_request_waits_by_its_deadline_where_that_decides() {
+    let mut router = router();
+    serve(&mut router, "/text/a", 9_000);
+    // When it arrives, its deadline, and until when it may wait.
+    let table = [
+        (100_000, 107_000, 107_000),
+        (104_000, 107_000, 107_000),
+        (100_000, 120_000, 100_000),
+        (104_000, 120_000, 100_000),
+    ];
+    for (arrived, deadline, until) in table {
+        let mut request = admit_request(&mut router, "/text/a", ms(arrived));
+        request.deadline = ms(deadline);
+        let latest = router.latest_start(&request, &stop(), ms(arrived));
+        assert_eq!(latest.max(ms(100_000)), ms(until), "{arrived}, {deadline}");
+    }
+    // Nothing is known of a service: its plan decides.
+    let request = admit_request(&mut router, "/seal/a", ms(100_000));
+    assert!(router.latest_start(&request, &stop(), ms(100_000)) > ms(107_000));
+}
--- a/camphorweir-relay/tests/decide/waiting.rs
+++ b/camphorweir-relay/tests/decide/waiting.rs
@@ -186,6 +186,7 @@
     let first = join(&mut room, until(ms(180)));
     assert!(room.is_worth_waiting(first, ms(0)));
     assert!(!room.is_worth_waiting(first, ms(180)));
+    assert!(room.starts_by(first, ms(101), ms(100)) && !room.starts_by(first, ms(100), ms(100)));
     join(&mut room, until(ms(180)));
     let third = join(&mut room, until(ms(180)));
     assert!(!room.is_worth_waiting(third, ms(0)));
--- a/camphorweir-standin/tests/front/waiting.rs
+++ b/camphorweir-standin/tests/front/waiting.rs
@@ -10,9 +10,18 @@
     http_body_util::Full,
     hyper::Request,
     std::time::Duration,
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
+/// Pause after each event of a stream that lasts longer than the shutdown.
+const LONG: ResponseFault = ResponseFault::SlowBy(1_400);
+/// An objective for which requests wait longer than the tests look on.
+const OBJECTIVE: Duration = Duration::from_secs(3);
+/// Time within which a refusal counts as given at once; the wait would last longer.
+const AT_ONCE: Duration = Duration::from_millis(250);
 /// Tokens of a prompt that fills most of the memory of a target.
 const LARGE: &str = "15000,24";
 /// Tokens of a prompt for which there is no memory beside it.
@@ -33,9 +42,18 @@
 
 /// A bench whose streams have two priorities.
 async fn start() -> Bench {
+    start_with(Duration::from_millis(500)).await
+}
+
+/// The same, where requests may wait for less than the objective.
+async fn start_with(objective: Duration) -> Bench {
     let bench = Bench::start(1).await;
     let mut site = site(2, &crate::bench::KEYS);
     site["routes"][3]["priority"] = 2.into();
+    for index in 2..4 {
+        site["routes"][index]["targetLatencyMs"] = (objective.as_millis() as u64).into();
+        site["routes"][index]["timeoutMs"] = 20_000.into();
+    }
     bench
         .store
         .put("keyed.op", "config", site.to_string().as_bytes());
@@ -126,3 +144,61 @@
     }
     assert_eq!(bench.runs("s3"), 0);
 }
+
+/// Guards against waiting requests that a shutdown refuses although they would end in time.
+#[tokio::test]
+async fn a_request_that_waits_as_the_instance_stops_is_served_if_it_ends_in_time() {
+    let mut bench = start_with(OBJECTIVE).await;
+    let (one, _) = fill(&bench, "s1").await;
+    let (two, _) = fill(&bench, "s2").await;
+    let waiting = spawn(&bench, "s3", MEDIUM);
+    sleep(Duration::from_millis(100)).await;
+    bench.entries[0].stop();
+    sleep(Duration::from_millis(100)).await;
+    // A new one that finds no room waits as well.
+    let late = spawn(&bench, "s4", MEDIUM);
+    sleep(Duration::from_millis(100)).await;
+    assert!(!waiting.is_finished() && !late.is_finished());
+    one.abort();
+    two.abort();
+    let all: String = (1..=STREAM_EVENTS).map(event).collect();
+    for waiting in [waiting, late] {
+        let answer = waiting.await.unwrap();
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.body.as_ref(), all.as_bytes());
+    }
+}
+
+/// Guards against requests that wait through a shutdown although they can't end before the process.
+#[tokio::test]
+async fn a_request_that_waits_and_can_not_end_in_time_is_refused_as_the_instance_stops() {
+    let mut bench = start_with(OBJECTIVE).await;
+    let patient = |id: &str, tokens: &str| {
+        let mut request = sized(id, tokens);
+        let headers = request.headers_mut();
+        headers.insert("x-deadline-ms", "20000".parse().unwrap());
+        let front = bench.front();
+        tokio::spawn(async move { call(front, &request).await })
+    };
+    for part in &bench.parts {
+        (0..12).for_each(|_| part.inject(LONG));
+    }
+    let long: Vec<_> = (0..12)
+        .map(|index| patient(&format!("l{index}"), "10,24"))
+        .collect();
+    for answer in long {
+        assert!(answer.await.unwrap().whole);
+    }
+    bench.parts.iter().for_each(|part| part.clear_faults());
+    let (_one, _) = fill(&bench, "s1").await;
+    let (_two, _) = fill(&bench, "s2").await;
+    let waiting = patient("s3", MEDIUM);
+    sleep(Duration::from_millis(100)).await;
+    assert!(!waiting.is_finished());
+    let begun = Instant::now();
+    bench.entries[0].stop();
+    let answer = waiting.await.unwrap();
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+    assert_eq!((answer.status, bench.runs("s3")), (503, 0));
+    assert!(answer.header("retry-after").parse::<f64>().unwrap() <= 0.5);
+}
