Count requests that cross the close of their connection

Cause: an idle connection is closed with nothing on it while a request is on its way; the process then knows nothing of that request. Nothing waited in the queue of any of 64 listeners as it closed, and no bytes were read ahead. Change: after the close of an idle connection its other half is read for 0.25 s; what arrives is logged and counted. No target gets such a request, and with HTTP/1.1 none can be answered after the close; keeping idle connections to the end of the process would only move the crossing there.

--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -14,16 +14,22 @@
         pin::Pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
         sync::watch,
+        time::timeout,
     },
 };
 
 /// Limit on the lines that name the connections which the end of the process cuts.
 const MAX_CUT_LINES: usize = 25;
+/// Time in which a request that was sent before its caller knew of the close arrives.
+const CROSSING_TIME: Duration = Duration::from_millis(250);
+/// Limit on the bytes that are read of such requests, and how many are read at a time.
+const CROSSING_BYTES: (usize, usize) = (64 << 10, 1 << 10);
 
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -148,6 +154,21 @@
         &self.connection
     }
 
+    /// Waits until the caller closes the connection too, which this side has closed for writing; logs and
+    /// counts a request that was on its way then.
+    pub async fn end_after_close(&self, end: End) {
+        let crossing_bytes = self.connection.read_crossing().await;
+        if crossing_bytes == 0 {
+            return self.report(end);
+        }
+        self.state.metrics().record_unanswered("crossing");
+        log::info!(
+            cause = end.label(),
+            bytes = crossing_bytes;
+            "request crossed the close of its connection"
+        );
+    }
+
     /// Logs and counts the end of the connection if a request on it was not answered.
     pub fn report(&self, end: End) {
         if self.connection.holds_request() {
@@ -207,6 +228,27 @@
         self.snapshot().held(&self.0.stream)
     }
 
+    /// Number of bytes that arrive until the caller closes the connection, within limits.
+    async fn read_crossing(&self) -> usize {
+        let stream = &self.0.stream;
+        let (most, at_a_time) = CROSSING_BYTES;
+        let mut buffer = vec![0; at_a_time];
+        let mut total = 0;
+        let closed = async {
+            while total < most && stream.readable().await.is_ok() {
+                match stream.try_read(&mut buffer) {
+                    Ok(0) => break,
+                    Ok(count) => total += count,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+        };
+        // A caller that keeps its side open sends nothing more.
+        let _ = timeout(CROSSING_TIME, closed).await;
+        total
+    }
+
     /// Whether a request, or a part of one, has arrived and was not answered.
     fn holds_request(&self) -> bool {
         self.held() != Held::Nothing
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -160,7 +160,7 @@
     };
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
-    entry.report(end);
+    entry.end_after_close(end).await;
 }
 
 /// Serves the load balancer's readiness check; never returns.
--- a/camphorweir-standin/tests/front/holders.rs
+++ b/camphorweir-standin/tests/front/holders.rs
@@ -20,7 +20,8 @@
 /// Rest of a silence of a second.
 const REST: Duration = Duration::from_millis(300);
 
-async fn metric(bench: &Bench, name: &str, value: &str) {
+/// Waits until a metric has a value.
+pub(crate) async fn metric(bench: &Bench, name: &str, value: &str) {
     let scrape = Request::get("/metrics").body(Full::default()).unwrap();
     until(name, || async {
         let answer = call(bench.entries[0].metrics, &scrape).await;
--- a/camphorweir-standin/tests/front/stops.rs
+++ b/camphorweir-standin/tests/front/stops.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         bench::{Answer, Bench, Channel, KEYS, call, plain, stream, until},
+        holders::metric,
         site::site,
     },
     bytes::Bytes,
@@ -242,6 +243,23 @@
     assert!(long.await.unwrap().whole);
 }
 
+/// Guards against a request that crosses the close of its connection, and that operators can't see.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_its_connection_is_counted() {
+    let mut bench = Bench::start(1).await;
+    let mut socket = Socket::open(bench.front()).await;
+    socket.send("w");
+    assert!(socket.is_answered().await);
+    bench.entries[0].stop();
+    until("the close", || async { socket.is_closed().then_some(()) }).await;
+    socket
+        .stream
+        .write_all(b"POST /look/b HTTP/1.1\r\n")
+        .unwrap();
+    let counter = "camphorweir_connections_unanswered_total{cause=\"crossing\"";
+    metric(&bench, counter, " 1").await;
+}
+
 /// Guards against idle connections that are closed with a request on them.
 #[tokio::test]
 async fn a_request_in_the_moment_of_the_idle_close_is_answered() {
