Take no target that has failed for one that is only silent

What callers saw: a request was held for up to 1.5 s for a target to which no connection could be opened, though it could be refused at once; and a suspicion for silence kept a later failure from counting. Where requests are not ordered by rank, one that a target had refused did not wait for the silent other. Cause: whether a target may be sound went by the age of the suspicion alone, and the wait by the code of the refusal. Found by a review. Change: a failure ends the time in which the target may be sound; what a request lacks decides on the wait. The waiting room is left under the service under which it was entered.

--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -284,7 +284,7 @@
         let may_wait = {
             let router = state.router();
             router.may_wait_for_memory(request, &refusal, now)
-                || router.may_wait_for_answer(request, &refusal, now)
+                || router.may_wait_for_answer(request, now)
         };
         if !may_wait {
             return Err(refusal);
@@ -409,7 +409,8 @@
 ) -> Entered<'a> {
     let rank = described.rank;
     let mut lanes = state.waiting().lanes();
-    let lane = lanes.entry(request.service.clone()).or_default();
+    let service = request.service.clone();
+    let lane = lanes.entry(service.clone()).or_default();
     let mut router = state.router();
     let is_behind = lane.room.is_behind(&described);
     if !is_behind {
@@ -458,7 +459,7 @@
     }
     Entered::Waits(Waiter {
         state,
-        service: request.service.clone(),
+        service,
         ticket,
         verdict,
         rank,
--- a/camphorweir-relay/src/suspicion.rs
+++ b/camphorweir-relay/src/suspicion.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Records a failure beside the suspicion, which no sound target has.
+    pub fn record_failure(&mut self, now: Time) {
+        self.sound_until = self.sound_until.min(now);
+    }
+
     /// Records that a probe had no answer.
     pub fn record_silent_probe(&mut self, now: Time) {
         self.failed_at = now;
@@ -48,6 +53,6 @@
 
     /// Whether the target may be sound and answer soon.
     pub fn may_be_sound(&self, now: Time) -> bool {
-        !self.confirmed && now.saturating_sub(self.raised_at) < MAX_SOUND_SILENCE
+        !self.confirmed && now < self.sound_until
     }
 }
--- a/camphorweir-relay/src/tracker.rs
+++ b/camphorweir-relay/src/tracker.rs
@@ -77,8 +77,12 @@
     }
 
     fn suspect(&mut self, silent_since: Option<Time>, now: Time) {
-        self.suspicion
+        let suspicion = self
+            .suspicion
             .get_or_insert(Suspicion::new(silent_since, now));
+        if silent_since.is_none() {
+            suspicion.record_failure(now);
+        }
     }
 
     fn clear_suspicion(&mut self) {
--- a/camphorweir-relay/src/waiting.rs
+++ b/camphorweir-relay/src/waiting.rs
@@ -7,7 +7,6 @@
         ids::{Time, Workspace},
         router::{Admission, Lack, Router},
     },
-    camphorweir_wire::{code::Code, outcome::Refusal},
     std::{
         collections::BTreeMap,
         ops::Bound::{Excluded, Unbounded},
@@ -432,10 +431,10 @@
 impl Router {
     /// Whether a request that no target can take now may wait for silent targets, where requests are not
     /// ordered by rank: for as long as its objective allows, as it costs nobody else anything.
-    pub fn may_wait_for_answer(&self, request: &Admission, refusal: &Refusal, now: Time) -> bool {
+    pub fn may_wait_for_answer(&self, request: &Admission, now: Time) -> bool {
         let waited = now.saturating_sub(request.arrived_at);
         let longest = waiting_limit(request.route.latency_objective, waited, Duration::ZERO);
-        request.lack == Some(Lack::Answer) && refusal.code == Code::NoPath && !longest.is_zero()
+        request.lack == Some(Lack::Answer) && !longest.is_zero()
     }
 
     /// What decides on the wait of a request for capacity until `until`; `None` where the requests of its
--- a/camphorweir-relay/tests/decide/suspicion.rs
+++ b/camphorweir-relay/tests/decide/suspicion.rs
@@ -42,6 +42,20 @@
     }
 }
 
+/// Guards against requests that wait for a target which has failed, as if it were only silent.
+#[test]
+fn a_target_that_failed_is_not_held_for_one_that_is_silent() {
+    let (target, now) = (TargetId::from("t"), ms(10_000));
+    let mut tracker = Tracker::default();
+    tracker.record_suspicion(&target, ms(600), now);
+    assert!(tracker.may_be_sound(&target, now));
+    tracker.record_failure(&target, now + ms(1), true);
+    assert!(!tracker.may_be_sound(&target, now + ms(1)));
+    // The next probe without an answer is the proof.
+    tracker.record_probe(&target, false, now + ms(2));
+    assert!(tracker.is_unresponsive(&target, now + ms(2)));
+}
+
 /// A router by which the last hops of two zones were suspected after a silence of 600 ms, and what is known
 /// of each since then.
 fn silent(known: [&str; 2], now: Duration) -> Router {
@@ -81,7 +95,7 @@
         assert_eq!(request.lack, lack, "{known:?} {later}");
         // The objective is 500 ms, of which a quarter second is left for another try.
         let waits = [249, 250].map(|more| now + ms(more));
-        let waits = waits.map(|now| router.may_wait_for_answer(&request, &refusal, now));
+        let waits = waits.map(|now| router.may_wait_for_answer(&request, now));
         assert_eq!(waits, [lack == Some(Lack::Answer), false], "{known:?}");
         let is_late = refusal.retry_after > Some(ms(1_000));
         assert_eq!(is_late, lack == Some(Lack::Targets), "{known:?}");
