Ask the configuration in force again as a repeat is planned

What callers saw: a request that had failed and waited to be sent again was sent although its key had been taken away, or its route had come to allow one run, while it waited; and one could be sent after a lowered timeout had passed. Cause: the terms in force were looked at when the repeat was decided, not when it was planned. Found by a review. Change: a plan for a request that may have run goes by the stricter terms, and by the deadline under the configuration in force. The table of decisions demands it: a request whose key is gone and that may have run now ends with 502, may have run, where the table let it be planned before.

--- a/camphorweir-relay/src/revision.rs
+++ b/camphorweir-relay/src/revision.rs
@@ -10,6 +10,7 @@
         configuration::{Kind, Route},
         ids::{ServiceName, Time},
         progress::Progress,
+        retry::{Decision, Failure, retry_decide},
         router::{Admission, Router},
     },
     camphorweir_wire::{code::Code, outcome::Refusal},
@@ -46,14 +47,23 @@
     ///
     /// # Errors
     ///
-    /// The refusal of a request that has not run and is not allowed any more, or whose key can't be trusted.
+    /// The refusal of a request that has not run and is not allowed any more, or whose key can't be trusted; of
+    /// one that may have run and may not run again.
     pub fn revise(&mut self, request: &mut Admission, now: Time) -> Result<(), Refusal> {
         let Some(snapshot) = &self.snapshot else {
             return Ok(());
         };
         let bound = self.bounds().key_revocation;
         let is_current = snapshot.configuration.version == request.configuration_version;
-        if request.counts.runs > 0 || is_current && access_keys_trusted(snapshot, now, bound) {
+        if request.counts.runs > 0 {
+            let (kind, max_runs) = self.revision_terms(request);
+            let decision = retry_decide(kind, max_runs, &request.counts, Failure::Broken);
+            return match decision {
+                Decision::End(code) if !is_current => Err(self.refusal(request, code)),
+                _ => Ok(()),
+            };
+        }
+        if is_current && access_keys_trusted(snapshot, now, bound) {
             return Ok(());
         }
         let permit = access_check(Some(snapshot), &request.head, now, bound)?;
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -389,7 +389,8 @@
         if !self.has_service(&request.service) {
             return Err(self.refusal(request, Code::NoTarget));
         }
-        if request.time_left(now) < MIN_TIME_LEFT {
+        let deadline = self.revision_deadline(request);
+        if deadline.saturating_sub(now) < MIN_TIME_LEFT {
             return Err(self.refusal(request, Code::DeadlinePassed));
         }
         if let Some(refusal) = self.refuse_quarantined(request, now) {
--- a/camphorweir-relay/tests/decide/revision.rs
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -135,7 +135,10 @@
         assert_eq!((refusal.code, refusal.ran), (code, Ran::No));
         let mut run = request;
         run.counts.runs = 1;
-        assert!(router.revise(&mut run, at).is_ok());
+        // Its key is gone for good, so that it may not run again.
+        let expected = (code == Code::Unauthorized).then_some((Code::TargetFailed, Ran::Unknown));
+        let refusal = router.revise(&mut run, at).err();
+        assert_eq!(refusal.map(|refusal| (refusal.code, refusal.ran)), expected);
     }
 }
 
