Let a request that may have run wait to the end of a shutdown

What callers saw: 502 for a request that waited to be sent again as a shutdown began, while time was left. Cause: it was given up like one that has not run, which another instance can still take. Found by a review. Change: the latest start of one that may have run is the end of the process or its deadline.

--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -162,8 +162,9 @@
     /// instance ends, by what requests of its service lately took.
     pub fn latest_start(&self, request: &Admission, stop: &Stop, now: Time) -> Time {
         let last = stop.ends_at.saturating_sub(WRITE_RESERVE);
-        match request.deadline <= last {
-            true => request.deadline,
+        // A refusal would come too late for a request that may have run.
+        match request.deadline <= last || request.counts.runs > 0 {
+            true => request.deadline.min(last),
             false if Self::is_late(request, stop) => Time::ZERO,
             false => last.saturating_sub(self.pace.usual(&request.service, now)),
         }
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -163,6 +163,10 @@
         request.deadline = ms(deadline);
         let latest = router.latest_start(&request, &stop(), ms(arrived));
         assert_eq!(latest.max(ms(100_000)), ms(until), "{arrived}, {deadline}");
+        // One that may have run is sent in any case.
+        request.counts.runs = 1;
+        let latest = router.latest_start(&request, &stop(), ms(arrived));
+        assert!(latest >= ms(107_000).min(request.deadline), "{latest:?}");
     }
     // Nothing is known of a service: its plan decides.
     let request = admit_request(&mut router, "/seal/a", ms(100_000));
