A refusal that a peer makes up ends no send at a silent target

What callers saw: a 401, 404 or 429 of a peer with an older configuration in place of the answer of a target that was silent for a moment. Cause: any whole answer below 500 from a send elsewhere counted as a success. Found by a review. Change: only an answer of a target does; a peer's own refusal is one like its 503. Result: no test of its own; front and decide as a whole.

--- a/camphorweir-entry/src/front/answer.rs
+++ b/camphorweir-entry/src/front/answer.rs
@@ -33,10 +33,11 @@
         self.response.status().is_server_error()
     }
 
-    /// Whether a peer refuses what it can't place either.
+    /// Whether a peer refuses what it can't place either, or what the configuration that it knows forbids.
     pub fn is_peer_refusal(&self) -> bool {
         let is_unavailable = self.response.status() == StatusCode::SERVICE_UNAVAILABLE;
-        self.is_detour && self.grade == Grade::Refusal && is_unavailable
+        let says_not_run = is_unavailable || !self.is_failure();
+        self.is_detour && self.grade == Grade::Refusal && says_not_run
     }
 }
 
--- a/camphorweir-entry/src/front/elsewhere.rs
+++ b/camphorweir-entry/src/front/elsewhere.rs
@@ -11,6 +11,7 @@
         waiting::{waiting_plan_beside, waiting_wake},
     },
     camphorweir_relay::{
+        answer::Grade,
         configuration::Kind,
         replacement::Replacement,
         retry::Failure,
@@ -294,7 +295,7 @@
     ) -> Result<Reply, (SendError, Option<Box<Answer>>)> {
         let is_idempotent = self.request.route.kind == Kind::Idempotent;
         match result.map_err(|error| (error, None))? {
-            Reply::Whole(answer) if is_idempotent && !answer.is_failure() => {
+            Reply::Whole(answer) if is_idempotent && answer.grade == Grade::Success => {
                 Ok(Reply::Whole(answer))
             }
             Reply::Whole(answer) if answer.is_peer_refusal() => {
