Names that say what they hold: guarded bodies, waits that were suspended

Cause: two types were named Answer, a body and a whole answer of a target, and a constant said only that something is late. Change: crate::answer is crate::guarded; the constant is SUSPENSION.

--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -3,13 +3,13 @@
 use {
     crate::{
         activity::{Held, UNREAD_PAUSE, unread_bytes},
-        answer::Answer,
         front::{
             connections::{End, Entry},
             idle::Limit,
             request::handle_request,
             state::State,
         },
+        guarded,
         listener::listener_close,
     },
     bytes::Bytes,
@@ -118,7 +118,7 @@
         let (state, unanswered) = (state.clone(), requests.begin_request());
         async move {
             let response = handle_request(state, request).await;
-            Ok::<_, Infallible>(response.map(|body| Answer::new(body, unanswered)))
+            Ok::<_, Infallible>(response.map(|body| guarded::Body::new(body, unanswered)))
         }
     });
     let connection = http1::Builder::new()
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -34,14 +34,12 @@
 
 /// Pause between attempts to plan where the requests of a service are not ordered by rank.
 const CAPACITY_RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// A wait that ends later than it should by this was suspended with its instance, which then has not heard
-/// yet of the room that was freed meanwhile.
-const LATE: Duration = Duration::from_millis(100);
-/// Time to hear of it.
+/// A wait that ends so much too late was suspended with its instance.
+const SUSPENSION: Duration = Duration::from_millis(100);
+/// Time after it to hear of the room that was freed meanwhile.
 const NEWS_TIME: Duration = Duration::from_millis(50);
 /// Retry delay for requests refused during shutdown; the retry should reach another instance.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Pause between looks whether a waiting request can still be answered before the instance ends.
 const STOP_LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -511,8 +509,8 @@
                 return ("stopped", None);
             }
             () = given_up => {
-                let is_late = state.now().saturating_sub(until) >= LATE;
-                let more = if is_late { NEWS_TIME } else { Duration::ZERO };
+                let was_suspended = state.now().saturating_sub(until) >= SUSPENSION;
+                let more = if was_suspended { NEWS_TIME } else { Duration::ZERO };
                 match timeout(more, &mut self.verdict).await {
                     Ok(verdict) => verdict.ok(),
                     Err(_) => {
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub mod activity;
 pub mod admin;
-pub mod answer;
 pub mod call;
 pub mod clock;
 pub mod conn;
@@ -24,6 +23,7 @@
 pub mod front;
 pub mod gate;
 pub mod gauges;
+pub mod guarded;
 pub mod histograms;
 pub mod inner;
 pub mod instance_list;
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        answer::Answer,
         call::{self, State},
         conn::{MonitoredStream, close, refusal_bytes},
+        guarded,
         listener::listener_close,
         monitor::{Activity, Due},
     },
@@ -143,7 +143,7 @@
         let unanswered = activity.begin_request();
         async move {
             let response = call::handle(&state, &activity, request).await;
-            Ok::<_, Infallible>(response.map(|body| Answer::new(body, unanswered)))
+            Ok::<_, Infallible>(response.map(|body| guarded::Body::new(body, unanswered)))
         }
     });
     let builder = http_builder(limits.head);
