--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in last_key restore bodies; do
+for name in last_key restore bodies stop; do
     rustc --edition 2024 -O "review/standin/$name.rs" -o "target/review/$name"
 done
--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -453,6 +453,8 @@
 #[derive(Clone)]
 pub struct Server {
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Until when it sends nothing, and goes on then.
+    silent_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Server {
@@ -461,9 +463,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        let server = Self { runs: Arc::default() };
+        let server = Self { runs: Arc::default(), silent_until: Arc::default() };
         let (runs, own, log) = (server.runs.clone(), id.to_owned(), log.clone());
+        let silent = server.silent_until.clone();
+        let wait = move || {
+            let until = *silent.lock().unwrap();
+            if let Some(until) = until {
+                thread::sleep(until.saturating_duration_since(Instant::now()));
+            }
+        };
         serve(listener, move |request| {
+            if matches!(request.path.as_str(), "/healthz" | "/api/report") {
+                wait();
+            }
             let reply = match request.path.as_str() {
                 "/healthz" => return Some(Reply::new(200, "ok").with("X-Instance-Id", &own)),
                 "/api/report" => {
@@ -490,6 +502,7 @@
             let run = Run { id: id.clone(), tenant, at };
             runs.lock().unwrap().push(run);
             thread::sleep(work);
+            wait();
             let seal = format!("{own}.{id}");
             Some(reply.with("X-Attempt-Id", id).with("X-Response-Seal", seal))
         });
@@ -507,6 +520,11 @@
         server
     }
 
+    /// Falls silent for a time: it takes requests and works, and its answers come then.
+    pub fn fall_silent(&self, time: Duration) {
+        *self.silent_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
     /// Whether a request ran.
     pub fn ran(&self, id: &str) -> bool {
         self.runs.lock().unwrap().iter().any(|run| run.id == id)
@@ -610,6 +628,21 @@
         }
     }
 
+    /// Sends SIGTERM.
+    pub fn stop(&mut self) {
+        if let Some(pid) = self.pid() {
+            let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+        }
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => child.try_wait().is_ok_and(|status| status.is_some()),
+            None => true,
+        }
+    }
+
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
     }
