--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -223,7 +223,9 @@
         if method != "GET" {
             head += &format!("Content-Length: {}\r\n", body.len());
         }
-        self.writer.write_all(format!("{head}\r\n").as_bytes()).ok()?;
+        self.writer
+            .write_all(format!("{head}\r\n").as_bytes())
+            .ok()?;
         self.writer.write_all(body).ok()?;
         let (first, headers) = read_head(&mut self.reader)?;
         let body = read_body(&mut self.reader, &headers)?;
@@ -325,7 +327,10 @@
     fn read(&self, request: &Request) -> Option<Reply> {
         let topic = request.query.get("topic")?;
         let from: usize = request.query.get("from")?.parse().ok()?;
-        let wait = request.query.get("waitMs").and_then(|wait| wait.parse().ok());
+        let wait = request
+            .query
+            .get("waitMs")
+            .and_then(|wait| wait.parse().ok());
         let until = Instant::now() + ms(wait.unwrap_or(0));
         loop {
             {
@@ -400,7 +405,10 @@
         let before = state.members.len();
         state.members.retain(|_, until| now < *until);
         let has_lapsed = state.members.len() < before;
-        let is_new = state.members.insert(member.clone(), now + ms(3000)).is_none();
+        let is_new = state
+            .members
+            .insert(member.clone(), now + ms(3000))
+            .is_none();
         state.generation += u64::from(has_lapsed || is_new);
         let parts = match state.members.keys().next() == Some(&member) {
             true => format!(r#"[["{topic}",0,0]]"#),
@@ -435,7 +443,11 @@
         let word = u32::from_be_bytes([0, word[0], word[1], word[2]]);
         for index in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= chunk.len() { digit as char } else { '=' });
+            text.push(if index <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
@@ -459,11 +471,24 @@
 
 impl Server {
     /// Starts a server whose answers take `work`.
-    pub fn start(store: &Store, log: &Log, id: &str, service: &str, zone: &str, work: Duration) -> Self {
+    pub fn start(
+        store: &Store,
+        log: &Log,
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        let server = Self { runs: Arc::default(), silent_until: Arc::default() };
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
+        let server = Self {
+            runs: Arc::default(),
+            silent_until: Arc::default(),
+        };
         let (runs, own, log) = (server.runs.clone(), id.to_owned(), log.clone());
         let silent = server.silent_until.clone();
         let wait = move || {
@@ -484,12 +509,18 @@
                     );
                     return Some(Reply::new(200, body).with("Content-Type", "application/json"));
                 }
-                _ if request.header("x-expect-instance").is_some_and(|id| id != own) => {
+                _ if request
+                    .header("x-expect-instance")
+                    .is_some_and(|id| id != own) =>
+                {
                     return Some(Reply::new(421, "").with("X-Instance-Id", &own));
                 }
                 _ => Reply::new(200, format!("done by {own}")),
             };
-            let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+            let id = request
+                .header("x-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             let tenant = request.header("x-tenant").map(str::to_owned);
             log.line(&format!(
                 "server {own} runs {id}: {} {}, X-Tenant {}, body of {} bytes",
@@ -499,15 +530,23 @@
                 request.body.len()
             ));
             let at = Instant::now();
-            let run = Run { id: id.clone(), tenant, at };
+            let run = Run {
+                id: id.clone(),
+                tenant,
+                at,
+            };
             runs.lock().unwrap().push(run);
             thread::sleep(work);
             wait();
             let seal = format!("{own}.{id}");
             Some(reply.with("X-Attempt-Id", id).with("X-Response-Seal", seal))
         });
-        let (store, id, service, zone) =
-            (store.clone(), id.to_owned(), service.to_owned(), zone.to_owned());
+        let (store, id, service, zone) = (
+            store.clone(),
+            id.to_owned(),
+            service.to_owned(),
+            zone.to_owned(),
+        );
         thread::spawn(move || {
             for seq in 1.. {
                 let record = format!(
@@ -609,7 +648,10 @@
             .spawn();
         match child {
             Ok(child) => {
-                let pids = File::options().create(true).append(true).open(self.folder.join("pids"));
+                let pids = File::options()
+                    .create(true)
+                    .append(true)
+                    .open(self.folder.join("pids"));
                 let _ = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
                 log.say(&format!("{} starts", self.name));
                 self.child = Some(child);
@@ -631,7 +673,9 @@
     /// Sends SIGTERM.
     pub fn stop(&mut self) {
         if let Some(pid) = self.pid() {
-            let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-TERM", &pid.to_string()])
+                .status();
         }
     }
 
--- a/review/standin/bodies.rs
+++ b/review/standin/bodies.rs
@@ -42,14 +42,26 @@
 type Ends = Arc<Mutex<Vec<(String, Option<u16>)>>>;
 
 fn main() {
-    let Setting { log, temporary, has_trouble } = Setting::read();
+    let Setting {
+        log,
+        temporary,
+        has_trouble,
+    } = Setting::read();
     let store = Store::start();
     store.put("keyed.op", "config", configuration().as_bytes());
     let servers: Vec<Server> = (0..3)
         .map(|index| Server::start(&store, &log, &format!("i-{index}"), "hall", "pl-a", WORK))
         .collect();
     let mut entries: Vec<Entry> = (0..2)
-        .map(|index| Entry::new(&temporary, &store, &format!("front-pl-a-{index}"), "pl-a", MEMORY_MB))
+        .map(|index| {
+            Entry::new(
+                &temporary,
+                &store,
+                &format!("front-pl-a-{index}"),
+                "pl-a",
+                MEMORY_MB,
+            )
+        })
         .collect();
     entries.iter_mut().for_each(|entry| entry.start(&log));
     entries.iter().for_each(|entry| entry.wait_ready(&log));
@@ -63,13 +75,19 @@
     let mut callers = Vec::new();
     for caller in 0..SMALL {
         let (is_over, ends, log) = (is_over.clone(), ends.clone(), log.clone());
-        callers.push(thread::spawn(move || small(caller, kept, &is_over, &ends, &log)));
+        callers.push(thread::spawn(move || {
+            small(caller, kept, &is_over, &ends, &log)
+        }));
     }
     let until = Instant::now() + ms(18_000);
     for caller in 0..2 * LARGE {
         let log = log.clone();
         // Where one machine does not take the channel, the next try reaches the other.
-        let machines = if caller % 2 == 0 { [lost, kept] } else { [kept, lost] };
+        let machines = if caller % 2 == 0 {
+            [lost, kept]
+        } else {
+            [kept, lost]
+        };
         callers.push(thread::spawn(move || large(caller, machines, until, &log)));
     }
     let lost_at = Instant::now() + ms(9000);
@@ -81,7 +99,10 @@
         if has_trouble && !is_lost && now >= lost_at {
             is_lost = true;
             lost_entry.kill();
-            log.say(&format!("{} is lost, with {peak_kb} kB as the most so far", lost_entry.name));
+            log.say(&format!(
+                "{} is lost, with {peak_kb} kB as the most so far",
+                lost_entry.name
+            ));
         }
         if is_lost && !is_back && now >= lost_at + LOST_TIME {
             is_back = true;
@@ -93,7 +114,10 @@
             if resident_kb > MEMORY_MB * 1024 {
                 // "A process that exceeds `memoryMb` is killed", and started again.
                 entry.kill();
-                log.say(&format!("{} has {resident_kb} kB and is killed", entry.name));
+                log.say(&format!(
+                    "{} has {resident_kb} kB and is killed",
+                    entry.name
+                ));
                 if is_kept {
                     kills += 1;
                     back_at = Some(now + ms(1000));
@@ -107,25 +131,42 @@
         thread::sleep(ms(5));
     }
     is_over.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
     drop(entries);
 
     let ends = ends.lock().unwrap();
-    let answered = ends.iter().filter(|(_, status)| *status == Some(200)).count();
+    let answered = ends
+        .iter()
+        .filter(|(_, status)| *status == Some(200))
+        .count();
     let unanswered: Vec<_> = ends
         .iter()
         .filter(|(id, status)| status.is_none() && servers.iter().any(|server| server.ran(id)))
         .collect();
     for (id, _) in &unanswered {
-        log.say(&format!("{id} was passed on, and its kept channel was closed without an answer"));
+        log.say(&format!(
+            "{id} was passed on, and its kept channel was closed without an answer"
+        ));
     }
-    log.say(&format!("largest resident memory: {} MB of {MEMORY_MB}; the other machine was killed {kills} times", peak_kb / 1024));
-    log.say(&format!("kept channels: {answered} requests answered, {} passed on and not answered", unanswered.len()));
+    log.say(&format!(
+        "largest resident memory: {} MB of {MEMORY_MB}; the other machine was killed {kills} times",
+        peak_kb / 1024
+    ));
+    log.say(&format!(
+        "kept channels: {answered} requests answered, {} passed on and not answered",
+        unanswered.len()
+    ));
     if answered == 0 {
         exit(2);
     }
     let is_broken = unanswered.len() > 3;
-    log.say(if is_broken { "LOST: broken" } else { "LOST: held" });
+    log.say(if is_broken {
+        "LOST: broken"
+    } else {
+        "LOST: held"
+    });
     exit(i32::from(is_broken));
 }
 
@@ -153,8 +194,12 @@
             ("X-Deadline-Ms", "8000"),
             ("Authorization", "Bearer key-one"),
         ];
-        let status = open.call("POST", "/plan/small", &headers, b"{}").map(|answer| answer.status);
-        log.line(&format!("small caller {caller}: {id} ended with {status:?}"));
+        let status = open
+            .call("POST", "/plan/small", &headers, b"{}")
+            .map(|answer| answer.status);
+        log.line(&format!(
+            "small caller {caller}: {id} ended with {status:?}"
+        ));
         // The first request of a channel is not on a kept one.
         if number > 0 {
             ends.lock().unwrap().push((id, status));
@@ -184,7 +229,9 @@
         let channel = machines.find_map(|machine| Channel::open(*machine, ms(9000)));
         let answer = channel.and_then(|mut open| open.call("POST", "/plan/large", &headers, &body));
         let status = answer.map(|answer| answer.status);
-        log.line(&format!("large caller {caller}: {id} ended with {status:?}"));
+        log.line(&format!(
+            "large caller {caller}: {id} ended with {status:?}"
+        ));
         thread::sleep(ms(100));
     }
 }
--- a/review/standin/last_key.rs
+++ b/review/standin/last_key.rs
@@ -38,9 +38,17 @@
 }
 
 fn main() {
-    let Setting { log, temporary, has_trouble } = Setting::read();
+    let Setting {
+        log,
+        temporary,
+        has_trouble,
+    } = Setting::read();
     let store = Store::start();
-    store.put("keyed.op", "config", configuration(1, &["key-one", "key-two"]).as_bytes());
+    store.put(
+        "keyed.op",
+        "config",
+        configuration(1, &["key-one", "key-two"]).as_bytes(),
+    );
     let servers: Vec<Server> = (0..2)
         .map(|index| Server::start(&store, &log, &format!("i-{index}"), "hall", "z", ms(15)))
         .collect();
@@ -64,7 +72,11 @@
     }
 
     thread::sleep(ms(4000));
-    let first = store.put("keyed.op", "config", configuration(2, &["key-two"]).as_bytes());
+    let first = store.put(
+        "keyed.op",
+        "config",
+        configuration(2, &["key-two"]).as_bytes(),
+    );
     log.say("version 2 acknowledged: it takes the first key away, the tenant keeps the other");
     thread::sleep(ms(8000));
     let mut last = None;
@@ -72,7 +84,9 @@
         last = store.put("keyed.op", "config", configuration(3, &[]).as_bytes());
         log.say("version 3 acknowledged: it takes the last key away, the tenant stays without any");
     }
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
     drop(entries);
 
     let sent = sent.lock().unwrap();
@@ -86,18 +100,31 @@
     };
     let (first_runs, first_sent) = late(keys[0].0, first);
     let (last_runs, last_sent) = late(keys[1].0, last);
-    let never: Vec<_> = sent.iter().filter(|(_, (whose, _))| *whose == keys[2].0).collect();
+    let never: Vec<_> = sent
+        .iter()
+        .filter(|(_, (whose, _))| *whose == keys[2].0)
+        .collect();
     let never_runs = never.iter().filter(|(id, _)| ran(id)).count();
-    let sound = sent.iter().filter(|(id, (whose, _))| *whose == keys[1].0 && ran(id)).count();
+    let sound = sent
+        .iter()
+        .filter(|(id, (whose, _))| *whose == keys[1].0 && ran(id))
+        .count();
     log.say(&format!("first key: {first_runs} of {first_sent} ran that were sent over 5 s after the ack of version 2"));
     log.say(&format!("last key: {last_runs} of {last_sent} ran that were sent over 5 s after the ack of version 3"));
-    log.say(&format!("a key that no configuration ever held: {never_runs} of {} ran", never.len()));
+    log.say(&format!(
+        "a key that no configuration ever held: {never_runs} of {} ran",
+        never.len()
+    ));
     if sound == 0 || first_sent == 0 || never.is_empty() || has_trouble && last_sent == 0 {
         log.say("the case could not run");
         exit(2);
     }
     let is_broken = first_runs + last_runs + never_runs > 0;
-    log.say(if is_broken { "CONFIG and ROUTE: broken" } else { "CONFIG and ROUTE: held" });
+    log.say(if is_broken {
+        "CONFIG and ROUTE: broken"
+    } else {
+        "CONFIG and ROUTE: held"
+    });
     exit(i32::from(is_broken));
 }
 
--- a/review/standin/restore.rs
+++ b/review/standin/restore.rs
@@ -40,11 +40,28 @@
 const KEYS: [(&str, &str); 2] = [("the kept key", "key-one"), ("the revoked key", "key-two")];
 
 fn main() {
-    let Setting { log, temporary, has_trouble } = Setting::read();
+    let Setting {
+        log,
+        temporary,
+        has_trouble,
+    } = Setting::read();
     let store = Store::start();
-    store.put("keyed.op", "config", configuration(1, &["key-one", "key-two"]).as_bytes());
+    store.put(
+        "keyed.op",
+        "config",
+        configuration(1, &["key-one", "key-two"]).as_bytes(),
+    );
     let servers: Vec<Server> = (0..2)
-        .map(|index| Server::start(&store, &log, &format!("i-{index}"), "hall", ZONES[0], ms(15)))
+        .map(|index| {
+            Server::start(
+                &store,
+                &log,
+                &format!("i-{index}"),
+                "hall",
+                ZONES[0],
+                ms(15),
+            )
+        })
         .collect();
     let mut entries: Vec<Entry> = ZONES
         .iter()
@@ -62,7 +79,16 @@
             let (sent, log, address) = (sent.clone(), log.clone(), entry.callers);
             let name = entry.name.clone();
             callers.push(thread::spawn(move || {
-                send(index * 10 + number, address, &name, whose, key, until, &sent, &log);
+                send(
+                    index * 10 + number,
+                    address,
+                    &name,
+                    whose,
+                    key,
+                    until,
+                    &sent,
+                    &log,
+                );
             }));
         }
     }
@@ -91,21 +117,37 @@
         store.put("keyed.op", "config", second.as_bytes());
         log.say("the operator has written version 2 again");
     }
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
     drop(entries);
 
     let sent = sent.lock().unwrap();
     let ran = |id: &str| servers.iter().any(|server| server.ran(id));
-    let late: Vec<_> = sent.iter().filter(|(_, (whose, at, _))| *whose == KEYS[1].0 && *at > ack + REVOKE).collect();
+    let late: Vec<_> = sent
+        .iter()
+        .filter(|(_, (whose, at, _))| *whose == KEYS[1].0 && *at > ack + REVOKE)
+        .collect();
     let bad: Vec<_> = late.iter().filter(|(id, _)| ran(id)).collect();
     for (id, (_, at, name)) in &bad {
-        log.say(&format!("{id} was sent to {name} {:.3} s after the ack, and ran", (*at - ack).as_secs_f64()));
+        log.say(&format!(
+            "{id} was sent to {name} {:.3} s after the ack, and ran",
+            (*at - ack).as_secs_f64()
+        ));
     }
-    log.say(&format!("revoked key: {} of {} ran that were sent over 5 s after the ack of version 2", bad.len(), late.len()));
+    log.say(&format!(
+        "revoked key: {} of {} ran that were sent over 5 s after the ack of version 2",
+        bad.len(),
+        late.len()
+    ));
     if late.is_empty() || !sent.keys().any(|id| ran(id)) {
         exit(2);
     }
-    log.say(if bad.is_empty() { "CONFIG: held" } else { "CONFIG: broken" });
+    log.say(if bad.is_empty() {
+        "CONFIG: held"
+    } else {
+        "CONFIG: broken"
+    });
     exit(i32::from(!bad.is_empty()));
 }
 
@@ -126,7 +168,9 @@
         }
         let id = format!("{:016x}", (caller << 32) + number);
         let at = Instant::now();
-        sent.lock().unwrap().insert(id.clone(), (whose, at, name.to_owned()));
+        sent.lock()
+            .unwrap()
+            .insert(id.clone(), (whose, at, name.to_owned()));
         let authorization = format!("Bearer {key}");
         let headers = [
             ("X-Attempt-Id", id.as_str()),
@@ -135,7 +179,9 @@
         ];
         let answer = call(address, "POST", "/book/hall", &headers, b"{}", ms(2500));
         let status = answer.map_or("no answer".to_owned(), |answer| answer.status.to_string());
-        log.line(&format!("caller of {name} with {whose}: {id} answered {status}"));
+        log.line(&format!(
+            "caller of {name} with {whose}: {id} answered {status}"
+        ));
         thread::sleep(ms(40));
     }
 }
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -49,15 +49,36 @@
 }
 
 fn main() {
-    let Setting { log, temporary, has_trouble } = Setting::read();
+    let Setting {
+        log,
+        temporary,
+        has_trouble,
+    } = Setting::read();
     let store = Store::start();
     store.put("keyed.op", "config", configuration().as_bytes());
     let servers: Vec<Server> = (0..3)
-        .map(|index| Server::start(&store, &log, &format!("i-{index}"), "ledger", "southeast-a", ms(15)))
+        .map(|index| {
+            Server::start(
+                &store,
+                &log,
+                &format!("i-{index}"),
+                "ledger",
+                "southeast-a",
+                ms(15),
+            )
+        })
         .collect();
     let _scribe = Server::start(&store, &log, "i-3", "scribe", "southeast-a", REPORT);
     let mut entries: Vec<Entry> = (0..3)
-        .map(|index| Entry::new(&temporary, &store, &format!("front-southeast-a-{index}"), "southeast-a", 260))
+        .map(|index| {
+            Entry::new(
+                &temporary,
+                &store,
+                &format!("front-southeast-a-{index}"),
+                "southeast-a",
+                260,
+            )
+        })
         .collect();
     entries.iter_mut().for_each(|entry| entry.start(&log));
     entries.iter().for_each(|entry| entry.wait_ready(&log));
@@ -76,7 +97,11 @@
     thread::sleep(ms(4000));
     let (report_log, first) = (log.clone(), machines[0]);
     let report = thread::spawn(move || {
-        let headers = [("X-Attempt-Id", "00ee"), ("X-Deadline-Ms", "20000"), ("Authorization", "Bearer key-one")];
+        let headers = [
+            ("X-Attempt-Id", "00ee"),
+            ("X-Deadline-Ms", "20000"),
+            ("Authorization", "Bearer key-one"),
+        ];
         let answer = call(first, "GET", "/report/shift", &headers, b"", ms(20_000));
         let status = answer.map(|answer| answer.status);
         report_log.say(&format!("the report ended with {status:?}"));
@@ -92,7 +117,10 @@
     thread::sleep((stopped + SILENT_AT).saturating_duration_since(Instant::now()));
     if has_trouble {
         servers[1].fall_silent(SILENT_TIME);
-        log.say(&format!("server i-1 falls silent for {} ms", SILENT_TIME.as_millis()));
+        log.say(&format!(
+            "server i-1 falls silent for {} ms",
+            SILENT_TIME.as_millis()
+        ));
     }
     let mut ended = None;
     while ended.is_none() && stopped.elapsed() < GRACE {
@@ -103,15 +131,23 @@
         log.say("the first machine did not end in its time");
         exit(2);
     };
-    log.say(&format!("the first machine ended {:.3} s after its SIGTERM", (ended - stopped).as_secs_f64()));
+    log.say(&format!(
+        "the first machine ended {:.3} s after its SIGTERM",
+        (ended - stopped).as_secs_f64()
+    ));
     thread::sleep(ms(2500));
     is_over.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
     report.join().unwrap();
     drop(entries);
 
     let all = all.lock().unwrap();
-    let late: Vec<&Sent> = all.iter().filter(|sent| sent.at > stopped + EARLY).collect();
+    let late: Vec<&Sent> = all
+        .iter()
+        .filter(|sent| sent.at > stopped + EARLY)
+        .collect();
     let is_lost = |sent: &&&Sent| {
         let was_passed_on = servers.iter().any(|server| server.ran(&sent.id));
         sent.status.is_none() && was_passed_on && sent.end < sent.at + DEADLINE
@@ -135,12 +171,22 @@
     if late.is_empty() {
         exit(2);
     }
-    log.say(if lost.is_empty() { "LOST: held" } else { "LOST: broken" });
+    log.say(if lost.is_empty() {
+        "LOST: held"
+    } else {
+        "LOST: broken"
+    });
     exit(i32::from(!lost.is_empty()));
 }
 
 /// Sends requests, each on a new channel to the next machine; one that takes no channel is passed over.
-fn send(caller: usize, machines: &[SocketAddr], is_over: &AtomicBool, all: &Mutex<Vec<Sent>>, log: &Log) {
+fn send(
+    caller: usize,
+    machines: &[SocketAddr],
+    is_over: &AtomicBool,
+    all: &Mutex<Vec<Sent>>,
+    log: &Log,
+) {
     for number in 0.. {
         if is_over.load(Ordering::Relaxed) {
             return;
@@ -156,9 +202,17 @@
             let at = Instant::now();
             let answer = channel.call("POST", "/seal/batch", &headers, b"{}");
             let (end, status) = (Instant::now(), answer.map(|answer| answer.status));
-            log.line(&format!("{id} to machine {machine} ended after {} ms with {status:?}", (end - at).as_millis()));
+            log.line(&format!(
+                "{id} to machine {machine} ended after {} ms with {status:?}",
+                (end - at).as_millis()
+            ));
             if machine == 0 {
-                all.lock().unwrap().push(Sent { id, at, end, status });
+                all.lock().unwrap().push(Sent {
+                    id,
+                    at,
+                    end,
+                    status,
+                });
             }
         }
         thread::sleep(PAUSE);
