--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -564,6 +564,13 @@
         *self.silent_until.lock().unwrap() = Some(Instant::now() + time);
     }
 
+    /// Number of requests that ran since a time and whose ids are among some.
+    pub fn runs_since(&self, since: Instant, is_counted: impl Fn(&str) -> bool) -> usize {
+        let runs = self.runs.lock().unwrap();
+        let recent = runs.iter().rev().take_while(|run| run.at >= since);
+        recent.filter(|run| is_counted(&run.id)).count()
+    }
+
     /// Whether a request ran.
     pub fn ran(&self, id: &str) -> bool {
         self.runs.lock().unwrap().iter().any(|run| run.id == id)
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -25,6 +25,8 @@
 /// When the server falls silent after the first stop, and for how long.
 const SILENT_AT: Duration = ms(6850);
 const SILENT_TIME: Duration = ms(900);
+/// Time over which the requests that a server ran are looked at before.
+const RECENT: Duration = ms(500);
 /// Requests that were sent no later than this after the SIGTERM are excused.
 const EARLY: Duration = ms(3000);
 /// `X-Deadline-Ms` of the callers: that of `seal-shipped`.
@@ -32,6 +34,8 @@
 /// Time of the other service for a report. One is asked of the first machine just before its SIGTERM, so that it
 /// still has work for most of its time.
 const REPORT: Duration = ms(7200);
+/// Machines of the zone.
+const MACHINES: usize = 3;
 /// Callers, and the pause of each between its requests.
 const CALLERS: usize = 24;
 const PAUSE: Duration = ms(30);
@@ -69,7 +73,7 @@
         })
         .collect();
     let _scribe = Server::start(&store, &log, "i-3", "scribe", "southeast-a", REPORT);
-    let mut entries: Vec<Entry> = (0..3)
+    let mut entries: Vec<Entry> = (0..MACHINES)
         .map(|index| {
             Entry::new(
                 &temporary,
@@ -116,9 +120,16 @@
     log.say("the second machine gets SIGTERM");
     thread::sleep((stopped + SILENT_AT).saturating_duration_since(Instant::now()));
     if has_trouble {
-        servers[1].fall_silent(SILENT_TIME);
+        // The one that the first machine uses most; a machine may pass over one of three for a while.
+        let used =
+            |server: &&Server| server.runs_since(Instant::now() - RECENT, |id| machine_of(id) == 0);
+        let (index, server) = (0..)
+            .zip(&servers)
+            .max_by_key(|(_, server)| used(server))
+            .unwrap();
+        server.fall_silent(SILENT_TIME);
         log.say(&format!(
-            "server i-1 falls silent for {} ms",
+            "server i-{index} falls silent for {} ms",
             SILENT_TIME.as_millis()
         ));
     }
@@ -179,6 +190,12 @@
     exit(i32::from(!lost.is_empty()));
 }
 
+/// The machine that a request is sent to first and only, by the number in its id.
+fn machine_of(id: &str) -> usize {
+    let number = usize::from_str_radix(id, 16).unwrap_or_default();
+    ((number >> 32) + (number & 0xffff_ffff)) % MACHINES
+}
+
 /// Sends requests, each on a new channel to the next machine; one that takes no channel is passed over.
 fn send(
     caller: usize,
@@ -191,7 +208,7 @@
         if is_over.load(Ordering::Relaxed) {
             return;
         }
-        let machine = (caller + number) % machines.len();
+        let machine = (caller + number) % MACHINES;
         let id = format!("{:016x}", (caller << 32) + number);
         let headers = [
             ("X-Attempt-Id", id.as_str()),
