Leave calls late in a stop the time for a silent target

What callers saw: a stopping instance took calls up to its last half second; a sound target that was silent for 0.9 s then had them cut by the end of the process, without an answer and before their deadline. A caller of a booking could not tell whether it had been made.

Cause: admission at a stop compared what was left with the 0.95 quantile of what calls lately took, here some tens of milliseconds, though a sound target may be silent for 1.5 s.

Change: a call is taken if its deadline comes before the end, or if 1.5 s are left beside what calls take; later than 2.8 s into the stop beside the slowest remembered one. A body that arrives too late is refused at once. What has no part of an answer 0.15 s before the end gets 504 with the new code 2007 instead of a closed connection. Why it works: the silence of a sound target, or the deadline, ends before the last moment at which an answer can be written.

Two rows of the tables in decide/shutdown.rs asked for the fault (a 20 ms call taken 0.6 s before the end, a wait until then); they are replaced by rows that are as strict about the bound that the rule asks: taken 1.8 s before the end and refused 1.5 s before.

Measured: on the code before, calls_late_in_a_stop_are_answered_or_refused_at_once_while_a_target_is_silent fails ("cut: a65") and what_has_no_answer_at_the_end_of_a_stop_is_told_so fails (2004 after the end, not 2007).

--- a/camphorweir-entry/src/front/answer.rs
+++ b/camphorweir-entry/src/front/answer.rs
@@ -1,7 +1,10 @@
 //! The whole answer in hand of a request that is tried again.
 
 use {
-    crate::front::{deadline::deadline_passed, state::State},
+    crate::front::{
+        deadline::{deadline_passed, stop_begun},
+        state::State,
+    },
     bytes::Bytes,
     camphorweir_relay::{
         answer::{Choice, Grade, answer_choose, answer_is_kept, answer_tries_end},
@@ -10,7 +13,6 @@
     },
     camphorweir_wire::outcome::CODE_HEADER,
     hyper::{Response, StatusCode},
-    std::future::pending,
     tokio::time::sleep,
 };
 
@@ -117,16 +119,15 @@
     }
 }
 
-/// Completes when the tries of a request end: at its deadline, and where an answer is in hand in time before
-/// the process ends.
+/// Completes when the tries of a request end whose caller has no part of an answer: at its deadline, and in
+/// time for the answer in hand, or one that says that there is none, before the process ends.
 pub async fn tries_end(state: &State, request: &Admission, kept: Option<Grade>) {
-    let mut stop = state.subscribe_stop();
     let ending = async {
-        if kept.is_none() || stop.wait_for(Option::is_some).await.is_err() {
-            pending::<()>().await;
-        }
-        let ends_at = state.stop().map_or(request.deadline, |stop| stop.ends_at);
-        let until = answer_tries_end(kept, ends_at);
+        let stop = stop_begun(state).await;
+        let until = match kept {
+            Some(_) => answer_tries_end(kept, stop.ends_at),
+            None => stop.last_answer_at(),
+        };
         sleep(until.saturating_sub(state.now())).await;
     };
     tokio::select! {
--- a/camphorweir-entry/src/front/cut.rs
+++ b/camphorweir-entry/src/front/cut.rs
@@ -17,6 +17,8 @@
     NoPlace,
     /// The deadline passed.
     Deadline,
+    /// The process ended.
+    Stop,
     /// The caller left.
     Caller,
 }
@@ -29,6 +31,7 @@
             Self::Refused => "refused",
             Self::NoPlace => "no_place",
             Self::Deadline => "deadline",
+            Self::Stop => "stop",
             Self::Caller => "caller",
         }
     }
--- a/camphorweir-entry/src/front/deadline.rs
+++ b/camphorweir-entry/src/front/deadline.rs
@@ -1,9 +1,13 @@
-//! Waits until the deadline of a request, which a newer configuration may bring forward.
+//! Waits for the deadline of a request, which a newer configuration may bring forward, and for the end of
+//! the process.
 
 use {
     crate::front::state::State,
-    camphorweir_relay::router::Admission,
-    std::future::Future,
+    camphorweir_relay::{
+        router::Admission,
+        shutdown::{Stop, shutdown_latest_body},
+    },
+    std::future::{Future, pending},
     tokio::{select, time::sleep},
 };
 
@@ -32,3 +36,20 @@
         }
     }
 }
+
+/// Completes when the shutdown begins, with its times.
+pub async fn stop_begun(state: &State) -> Stop {
+    let mut stopping = state.subscribe_stop();
+    let stop = stopping.wait_for(Option::is_some).await;
+    match stop.ok().and_then(|stop| *stop) {
+        Some(stop) => stop,
+        None => pending().await,
+    }
+}
+
+/// Completes when a request whose body still arrives can't be answered any more before the process ends.
+pub async fn stop_passed(state: &State, request: &Admission) {
+    let stop = stop_begun(state).await;
+    let latest = shutdown_latest_body(request, &stop);
+    sleep(latest.saturating_sub(state.now())).await;
+}
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -6,7 +6,7 @@
         front::{
             answer::Kept,
             cut::{Cause, Cut, cut_record},
-            deadline::deadline_within,
+            deadline::{deadline_within, stop_begun, stop_passed},
             demand,
             exchange::{TargetResponse, Template},
             requests::{InFlight, Phase},
@@ -16,7 +16,7 @@
             send::{Reply, SendGuard, send_finish, send_start},
             state::State,
             stream::{Events, Job},
-            waiting::{waiting_plan, waiting_refusal},
+            waiting::{STOP_RETRY_AFTER, waiting_plan, waiting_refusal},
         },
         units::millis,
     },
@@ -36,7 +36,7 @@
     http_body_util::{BodyExt, Either, LengthLimitError, Limited},
     hyper::{Request, Response, body::Incoming},
     std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Limit on the wait for the rest of a request that is refused by its head.
@@ -72,7 +72,10 @@
                 "request refused on admission"
             );
             // A connection that is closed with bytes of a body under way may take the answer with it.
-            let _ = read_body(body, state.limits(), REFUSED_BODY_TIME).await;
+            tokio::select! {
+                _ = read_body(body, state.limits(), REFUSED_BODY_TIME) => {}
+                () = last_answer(&state) => {}
+            }
             return close_if_stopping(&state, refusal_response(&head.id, &refusal));
         }
     };
@@ -83,8 +86,14 @@
     admitted.counts.runs = runs_at_peer.unwrap_or_default();
     let limits = state.limits();
     let body = read_body(body, limits, admitted.time_left(arrived));
-    let body = deadline_within(&state, &admitted, body).await;
-    let body = match body.unwrap_or(Err(Code::RequestTimeout)) {
+    let body = tokio::select! {
+        biased;
+        body = deadline_within(&state, &admitted, body) => {
+            body.unwrap_or(Err(Code::RequestTimeout))
+        }
+        () = stop_passed(&state, &admitted) => Err(Code::Stopping),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(code) => {
             log::info!(
@@ -92,7 +101,14 @@
                 code = code.number();
                 "request body could not be read"
             );
-            let mut response = refusal_response(&admitted.id, &Refusal::not_run(code, ""));
+            let mut refusal = Refusal::not_run(code, "");
+            if code == Code::Stopping {
+                refusal = refusal.with_retry_after(STOP_RETRY_AFTER);
+            }
+            let mut response = match admitted.is_from_peer && code == Code::Stopping {
+                true => turned_away(),
+                false => refusal_response(&admitted.id, &refusal),
+            };
             set_connection_close(&mut response);
             return response;
         }
@@ -154,6 +170,12 @@
     close_if_stopping(&state, response)
 }
 
+/// Completes when answers that begin later would not reach their callers before the process ends.
+async fn last_answer(state: &State) {
+    let stop = stop_begun(state).await;
+    sleep(stop.last_answer_at().saturating_sub(state.now())).await;
+}
+
 fn close_if_stopping(state: &State, mut response: CallerResponse) -> CallerResponse {
     if state.is_stopping() {
         set_connection_close(&mut response);
@@ -318,8 +340,14 @@
                 guard.finish_send(Outcome::Cancelled);
                 drop(guard);
                 admitted.counts.runs += 1;
-                let refusal = state.router().refusal(admitted, Code::DeadlinePassed);
-                let cut = Some((plan, Cause::Deadline));
+                let router = state.router();
+                let (code, cause) = match router.revision_deadline(admitted) > state.now() {
+                    true => (Code::EndedFirst, Cause::Stop),
+                    false => (Code::DeadlinePassed, Cause::Deadline),
+                };
+                let refusal = router.refusal(admitted, code);
+                drop(router);
+                let cut = Some((plan, cause));
                 return Err(Unanswered { refusal, cut });
             }
         };
--- a/camphorweir-entry/src/front/send.rs
+++ b/camphorweir-entry/src/front/send.rs
@@ -4,6 +4,7 @@
     crate::front::{
         answer::{Answer, Kept, tries_end},
         cut::Cause,
+        deadline::deadline_passed,
         elsewhere::{Elsewhere, Held, News, Won},
         exchange::{Departure, SendError, TargetResponse, Template, send_request},
         request::cut_whole,
@@ -166,12 +167,19 @@
             STALL_CHECK_DELAY,
         );
         let result = loop {
-            let kept = guard.kept.as_ref().and_then(|kept| kept.grade());
+            let kept = guard.kept.as_ref().map(|kept| kept.grade());
+            let end = async {
+                match kept {
+                    Some(kept) => tries_end(guard.state, guard.admitted, kept).await,
+                    // What its caller has of a stream can only go on.
+                    None => deadline_passed(guard.state, guard.admitted).await,
+                }
+            };
             let news = tokio::select! {
                 biased;
                 result = &mut sending => break result,
                 news = elsewhere.news() => news,
-                () = tries_end(guard.state, guard.admitted, kept) => {
+                () = end => {
                     guard.admitted.take_tried(elsewhere.cancel());
                     return None;
                 }
--- a/camphorweir-entry/src/front/waiting.rs
+++ b/camphorweir-entry/src/front/waiting.rs
@@ -4,7 +4,10 @@
 
 use {
     crate::{
-        front::{deadline::deadline_passed, state::State},
+        front::{
+            deadline::{deadline_passed, stop_begun},
+            state::State,
+        },
         units::millis,
     },
     camphorweir_relay::{
@@ -39,7 +42,7 @@
 /// Time after it to hear of the room that was freed meanwhile.
 const NEWS_TIME: Duration = Duration::from_millis(50);
 /// Retry delay for requests refused during shutdown; the retry should reach another instance.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Pause between looks whether a waiting request can still be answered before the instance ends.
 const STOP_LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -535,11 +538,7 @@
 /// Completes when a waiting request can no longer start early enough to be answered before the instance
 /// ends; never before the shutdown begins.
 async fn out_of_time(state: &State, service: &ServiceName, ticket: Ticket, request: &Admission) {
-    let mut stopping = state.subscribe_stop();
-    let stop = stopping.wait_for(Option::is_some).await;
-    let Some(stop) = stop.ok().and_then(|stop| *stop) else {
-        return pending().await;
-    };
+    let stop = stop_begun(state).await;
     loop {
         let now = state.now();
         let latest = state.router().latest_start(request, &stop, now);
--- a/camphorweir-relay/src/router.rs
+++ b/camphorweir-relay/src/router.rs
@@ -581,7 +581,7 @@
         if request.counts.runs > 0 {
             refusal.ran = camphorweir_wire::outcome::Ran::Unknown;
             refusal.code = match code {
-                Code::DeadlinePassed => code,
+                Code::DeadlinePassed | Code::EndedFirst => code,
                 _ => Code::TargetFailed,
             };
             return refusal;
--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -5,13 +5,14 @@
         configuration::Kind,
         ids::{ServiceName, Time},
         router::{Admission, Destination, Plan, Router},
+        suspicion::MAX_SOUND_SILENCE,
     },
     std::{collections::BTreeMap, time::Duration},
 };
 
 /// The shutdown ends this long before the process would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Streams that arrive later than this after the shutdown began are taken by their deadline alone: the load
+/// Requests that arrive later than this after the shutdown began must end in time for certain: the load
 /// balancer sends new connections elsewhere by then, so that a refusal finds another instance.
 const PROJECTED_PERIOD: Duration = Duration::from_millis(2_800);
 /// Time left for the end of an answer to reach its caller.
@@ -26,6 +27,8 @@
 const CLASS_STEP: f64 = 1.090_507_733;
 /// Share of requests that end within the ratio by which projected times are stretched.
 const QUANTILE: f64 = 0.95;
+/// Weight below which the observations of a class are forgotten.
+const MIN_WEIGHT: f64 = 0.05;
 /// Time after which an observation counts half.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// Ratio that is assumed beside what was observed, as one observation.
@@ -38,7 +41,7 @@
 pub struct Stop {
     /// When it began.
     pub since: Time,
-    /// When the process ends at the latest; after `since`.
+    /// When the process ends at the latest; not before `since`.
     pub ends_at: Time,
 }
 
@@ -51,9 +54,14 @@
         }
     }
 
+    /// The latest time at which an answer can begin and still reach its caller.
+    pub fn last_answer_at(&self) -> Time {
+        self.ends_at.saturating_sub(WRITE_RESERVE)
+    }
+
     /// Whether a request that takes `longest` from now on is answered in time.
     fn fits(&self, longest: Duration, now: Time) -> bool {
-        now + longest + WRITE_RESERVE <= self.ends_at
+        now + longest <= self.last_answer_at()
     }
 }
 
@@ -111,36 +119,83 @@
         ratios.weights[class(observed.as_secs_f64() / projected.as_secs_f64())] += 1.0;
     }
 
+    /// Weight of the observed ratios of a service in a class, with the one that is assumed.
+    fn weight(&self, service: &str, class_index: usize, now: Time) -> f64 {
+        let ratios = self.0.get(service);
+        let observed = ratios.map_or(0.0, |ratios| {
+            ratios.weights[class_index] * ratios.decay(now)
+        });
+        observed + f64::from(u8::from(class_index == class(ASSUMED_RATIO)))
+    }
+
     /// Time within which nearly all requests of a service end that are projected to take `projected`.
     pub fn longest(&self, service: &str, projected: Duration, now: Time) -> Duration {
-        let assumed = class(ASSUMED_RATIO);
-        let weight = |class: usize| {
-            let ratios = self.0.get(service);
-            let observed = ratios.map_or(0.0, |ratios| ratios.weights[class] * ratios.decay(now));
-            observed + f64::from(u8::from(class == assumed))
-        };
+        let weight = |class: usize| self.weight(service, class, now);
         let total: f64 = (0..CLASSES).map(weight).sum();
         let mut below = 0.0;
         let within = (0..CLASSES).find(|class| {
             below += weight(*class);
             below >= QUANTILE * total
         });
-        let class = within.unwrap_or(CLASSES - 1);
-        let ratio = FIRST_RATIO * CLASS_STEP.powi(class as i32 + 1);
-        projected.max(MIN_PROJECTED).mul_f64(ratio)
+        stretch(projected, within)
     }
 
-    /// Time within which nearly all requests of a service end that are projected to take as long as
-    /// those lately observed; the least before any.
-    fn usual(&self, service: &str, now: Time) -> Duration {
+    /// Time within which all requests of a service have lately ended that are projected to take `projected`.
+    pub fn longest_observed(&self, service: &str, projected: Duration, now: Time) -> Duration {
+        let mut classes = (0..CLASSES).rev();
+        let highest = classes.find(|class| self.weight(service, *class, now) >= MIN_WEIGHT);
+        stretch(projected, highest)
+    }
+
+    /// Mean projected time of the requests of a service that were lately observed; zero before any.
+    fn mean_projected(&self, service: &str) -> Duration {
         let mean = self.0.get(service).and_then(|ratios| {
             let total: f64 = ratios.weights.iter().sum();
             Duration::try_from_secs_f64(ratios.projected_s / total).ok()
         });
-        self.longest(service, mean.unwrap_or_default(), now)
+        mean.unwrap_or_default()
+    }
+}
+
+/// The projected time by the upper bound of a class, the last one without any.
+fn stretch(projected: Duration, class: Option<usize>) -> Duration {
+    let class = class.unwrap_or(CLASSES - 1);
+    let ratio = FIRST_RATIO * CLASS_STEP.powi(class as i32 + 1);
+    projected.max(MIN_PROJECTED).mul_f64(ratio)
+}
+
+/// Whether a request must end in time for certain, by its deadline or by the slowest of late.
+fn is_late(request: &Admission, stop: &Stop) -> bool {
+    request.arrived_at > stop.since + PROJECTED_PERIOD
+}
+
+/// Time to leave for a request beside what it takes; `None` where its deadline alone decides.
+///
+/// A stream leaves a silent target for another one, and needs no time for that.
+fn least_time(request: &Admission, stop: &Stop) -> Option<Duration> {
+    match request.route.kind {
+        Kind::Stream { .. } if is_late(request, stop) => None,
+        Kind::Stream { .. } => Some(Duration::ZERO),
+        Kind::AtMostOnce | Kind::Idempotent => Some(MAX_SOUND_SILENCE),
     }
 }
 
+/// Latest time at which a request can start for which `needed` is to be left.
+fn latest_start_with(request: &Admission, stop: &Stop, needed: Option<Duration>) -> Time {
+    let last = stop.last_answer_at();
+    // A refusal would come too late for a request that may have run.
+    if request.deadline <= last || request.counts.runs > 0 {
+        return request.deadline.min(last);
+    }
+    needed.map_or(Time::ZERO, |needed| last.saturating_sub(needed))
+}
+
+/// Latest time at which the body of a request must be whole for it to be answered before the instance ends,
+/// however short it is.
+pub fn shutdown_latest_body(request: &Admission, stop: &Stop) -> Time {
+    latest_start_with(request, stop, least_time(request, stop))
+}
+
 impl Router {
     /// Projected time of a plan; `None` for a detour, of which only the peer knows.
     pub(crate) fn projected_time(&self, plan: &Plan) -> Option<Duration> {
@@ -152,34 +207,43 @@
         Duration::try_from_secs_f64(ms / 1e3).ok()
     }
 
-    /// Whether a request is taken by its deadline alone.
-    fn is_late(request: &Admission, stop: &Stop) -> bool {
-        let is_stream = matches!(request.route.kind, Kind::Stream { .. });
-        is_stream && request.arrived_at > stop.since + PROJECTED_PERIOD
+    /// Time to leave for a request with this projection, also where its target is silent for as long as a
+    /// sound one may be; `None` where its deadline alone decides.
+    fn time_needed(
+        &self,
+        request: &Admission,
+        projected: Duration,
+        stop: &Stop,
+        now: Time,
+    ) -> Option<Duration> {
+        let least = least_time(request, stop)?;
+        let longest = match is_late(request, stop) {
+            true => self.pace.longest_observed(&request.service, projected, now),
+            false => self.pace.longest(&request.service, projected, now),
+        };
+        Some(least + longest)
     }
 
     /// Latest time at which a request that has no plan yet can start and be answered before this
     /// instance ends, by what requests of its service lately took.
     pub fn latest_start(&self, request: &Admission, stop: &Stop, now: Time) -> Time {
-        let last = stop.ends_at.saturating_sub(WRITE_RESERVE);
-        // A refusal would come too late for a request that may have run.
-        match request.deadline <= last || request.counts.runs > 0 {
-            true => request.deadline.min(last),
-            false if Self::is_late(request, stop) => Time::ZERO,
-            false => last.saturating_sub(self.pace.usual(&request.service, now)),
-        }
+        let projected = self.pace.mean_projected(&request.service);
+        latest_start_with(
+            request,
+            stop,
+            self.time_needed(request, projected, stop, now),
+        )
     }
 
-    /// Whether a request that has not run can be sent as planned and be answered before this instance
-    /// ends. A request that may have run is sent in any case, as a refusal would come too late for it.
+    /// Whether a request can be sent as planned and be answered before this instance ends. One that may have
+    /// run is sent as long as any answer can reach its caller, as a refusal would come too late for it.
     pub fn ends_in_time(&self, request: &Admission, plan: &Plan, stop: &Stop, now: Time) -> bool {
+        if request.counts.runs > 0 {
+            return now < stop.last_answer_at();
+        }
         let deadline = request.time_left(now);
         let projected = self.projected_time(plan);
-        let projected = projected.filter(|_| !Self::is_late(request, stop));
-        let longest = projected.map_or(deadline, |projected| {
-            let longest = self.pace.longest(&request.service, projected, now);
-            longest.min(deadline)
-        });
-        request.counts.runs > 0 || stop.fits(longest, now)
+        let needed = projected.and_then(|time| self.time_needed(request, time, stop, now));
+        stop.fits(needed.map_or(deadline, |needed| needed.min(deadline)), now)
     }
 }
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -4,7 +4,7 @@
     crate::router::{admit_request, router},
     camphorweir_relay::{
         router::{Admission, Outcome, Router},
-        shutdown::{Pace, Stop},
+        shutdown::{Pace, Stop, shutdown_latest_body},
     },
     std::time::Duration,
 };
@@ -58,8 +58,10 @@
         ("/text/a", 1_000, 5_500, false),
         ("/text/a", 1_000, 6_700, false),
         ("/text/a", 9_000, 0, false),
-        ("/seal/a", 20, 7_000, true),
-        ("/seal/a", 20, 7_550, false),
+        // A sound target may be silent for 1.5 s before it answers a call.
+        ("/seal/a", 20, 5_800, true),
+        ("/seal/a", 20, 6_100, false),
+        ("/seal/a", 20, 7_000, false),
         ("/seal/a", 2_000, 6_000, false),
     ];
     for (path, took, after, expected) in table {
@@ -91,8 +93,74 @@
     assert!(router.ends_in_time(&request, &plan, &stop(), late));
 }
 
+/// Guards against calls that are taken shortly before the end and cut while a sound target is silent.
 #[test]
-fn a_request_that_may_have_run_is_sent_again_in_any_case() {
+fn a_call_with_its_deadline_before_the_end_is_taken_and_others_leave_time_for_a_silence() {
+    // Deadline of a call that takes 20 ms, when it is planned, and whether it is taken.
+    let table = [
+        (1_000, 6_400, true),
+        (1_000, 6_500, false),
+        (600, 6_800, true),
+        (600, 6_900, false),
+        (3_000, 5_800, true),
+        (3_000, 6_100, false),
+        (10_000, 5_800, true),
+        (10_000, 6_100, false),
+    ];
+    for (deadline, after, expected) in table {
+        let mut router = router();
+        serve(&mut router, "/seal/a", 20);
+        let at = ms(100_000 + after);
+        let mut request = admit_request(&mut router, "/seal/a", at);
+        request.deadline = at + ms(deadline);
+        let plan = router.plan(&mut request, at).unwrap();
+        let taken = router.ends_in_time(&request, &plan, &stop(), at);
+        assert_eq!(taken, expected, "deadline {deadline} ms, after {after} ms");
+    }
+}
+
+/// Guards against calls that are taken late by a quantile, which the slowest of them exceed.
+#[test]
+fn late_in_a_stop_the_slowest_call_of_late_decides() {
+    let mut router = router();
+    // One in forty takes two seconds.
+    for index in 0..80 {
+        let at = ms(98_000 + index);
+        let mut request = admit_request(&mut router, "/seal/a", at);
+        let plan = router.plan(&mut request, at).unwrap();
+        let took = if index % 40 == 0 { 2_000 } else { 200 };
+        let outcome = Outcome::Answered { is_success: true };
+        router.finish_send(&mut request, &plan, outcome, at + ms(took));
+    }
+    // Early in a stop nearly all must end, and the caller has nowhere else to go.
+    assert!(ends_in_time(&mut router, "/seal/a", 102_700));
+    assert!(!ends_in_time(&mut router, "/seal/a", 104_500));
+}
+
+/// Guards against bodies that arrive until the process ends.
+#[test]
+fn a_body_may_arrive_until_the_shortest_request_would_come_too_late() {
+    // Path, when the request arrives, its deadline, and until when its body may arrive.
+    let table = [
+        ("/seal/a", 100_000, 107_000, 107_000),
+        ("/seal/a", 100_000, 120_000, 105_950),
+        ("/seal/a", 104_000, 120_000, 105_950),
+        ("/text/a", 100_000, 120_000, 107_450),
+        ("/text/a", 104_000, 120_000, 100_000),
+    ];
+    for (path, arrived, deadline, until) in table {
+        let mut router = router();
+        serve(&mut router, path, 3_000);
+        let mut request = admit_request(&mut router, path, ms(arrived));
+        request.deadline = ms(deadline);
+        let latest = shutdown_latest_body(&request, &stop());
+        let latest = latest.max(ms(100_000));
+        assert_eq!(latest, ms(until), "{path}, {arrived}, {deadline}");
+    }
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_while_an_answer_can_reach_its_caller() {
     let mut router = router();
     serve(&mut router, "/text/a", 9_000);
     let at = ms(105_000);
@@ -100,6 +168,10 @@
     request.counts.runs = 1;
     let plan = router.plan(&mut request, at).unwrap();
     assert!(router.ends_in_time(&request, &plan, &stop(), at));
+    let last = stop().last_answer_at();
+    assert!(router.ends_in_time(&request, &plan, &stop(), last - ms(1)));
+    assert!(!router.ends_in_time(&request, &plan, &stop(), last));
+    assert!(last < stop().ends_at);
 }
 
 #[test]
@@ -133,7 +205,7 @@
         ("/text/a", 5_000, 1_500, 2_450),
         ("/text/a", 1_000, 6_000, 6_450),
         ("/text/a", 9_000, 0, 0),
-        ("/seal/a", 20, 7_300, 7_450),
+        ("/seal/a", 20, 5_800, 5_950),
     ];
     for (path, took, least, most) in table {
         let mut router = router();
@@ -170,5 +242,5 @@
     }
     // Nothing is known of a service: its plan decides.
     let request = admit_request(&mut router, "/seal/a", ms(100_000));
-    assert!(router.latest_start(&request, &stop(), ms(100_000)) > ms(107_000));
+    assert!(router.latest_start(&request, &stop(), ms(100_000)) > ms(105_500));
 }
--- a/camphorweir-standin/tests/front/stops.rs
+++ b/camphorweir-standin/tests/front/stops.rs
@@ -18,7 +18,7 @@
     tokio::{
         io::AsyncReadExt,
         net::TcpSocket,
-        task::JoinSet,
+        task::{JoinHandle, JoinSet},
         time::{Instant, sleep, sleep_until},
     },
 };
@@ -27,6 +27,10 @@
 const GRACE: Duration = Duration::from_secs(8);
 /// Pause after each event of a stream of 5.4 s.
 const SLOW: ResponseFault = ResponseFault::SlowBy(900);
+/// Pause after each event of a stream of 7 s.
+const LONG: ResponseFault = ResponseFault::SlowBy(1_170);
+/// Silence of a sound target.
+const SILENT: ResponseFault = ResponseFault::LateBy(1_000);
 /// Longest Retry-After with which a caller still comes back at once, in seconds.
 const SHORT_S: f64 = 0.5;
 /// Time within which a refusal counts as given at once.
@@ -243,6 +247,109 @@
     assert!(long.await.unwrap().whole);
 }
 
+/// Lets a stream begin that keeps the instance busy for nearly all of the grace, and stops the instance;
+/// returns when the instance ended, where a process does with all that it has.
+async fn stop_while_busy(bench: &mut Bench) -> (JoinHandle<Answer>, JoinHandle<Instant>) {
+    let front = bench.front();
+    bench.parts.iter().for_each(|part| part.inject(LONG));
+    let long = tokio::spawn(async move { call(front, &patient("long")).await });
+    until("the run", || async {
+        (bench.runs("long") == 1).then_some(())
+    })
+    .await;
+    bench.parts.iter().for_each(|part| part.clear_faults());
+    let mut entry = bench.entries.remove(0);
+    entry.stop();
+    let end = tokio::spawn(async move {
+        entry.ended().await.unwrap();
+        Instant::now()
+    });
+    (long, end)
+}
+
+/// Guards against calls that are taken late in a stop and cut while a sound target is silent.
+#[tokio::test]
+async fn calls_late_in_a_stop_are_answered_or_refused_at_once_while_a_target_is_silent() {
+    let mut bench = Bench::start(1).await;
+    let front = bench.front();
+    used_channels(front, 20).await;
+    let begun = Instant::now();
+    let (long, end) = stop_while_busy(&mut bench).await;
+    let mut calls = JoinSet::new();
+    for index in 0..76 {
+        calls.spawn(async move {
+            sleep_until(begun + ms(5_000 + 25 * index)).await;
+            let path = ["/seal/b", "/look/b"][index as usize % 2];
+            let sent = Instant::now();
+            let answer = call(front, &plain(path, &format!("a{index}"), KEYS[0])).await;
+            (index, (sent, Instant::now()), answer)
+        });
+    }
+    sleep_until(begun + ms(6_300)).await;
+    for target in &bench.calls {
+        (0..100).for_each(|_| target.inject(SILENT));
+    }
+    let (mut served, mut refused) = (0, 0);
+    let end = end.await.unwrap();
+    for (index, (sent, answered), answer) in calls.join_all().await {
+        match answer.status {
+            200 => {
+                assert!(answered <= end, "cut: a{index}");
+                served += 1;
+            }
+            status => {
+                assert_eq!((status, answer.header("camphorweir-code")), (503, "2005"));
+                assert!(answered - sent < AT_ONCE, "{:?}", answered - sent);
+                assert_eq!(bench.runs(&format!("a{index}")), 0);
+                refused += 1;
+            }
+        }
+    }
+    assert!(served > 0 && refused > 0, "{served} {refused}");
+    assert!(long.await.unwrap().whole);
+}
+
+/// Guards against connections that close on a request without an answer as the process ends.
+#[tokio::test]
+async fn what_has_no_answer_at_the_end_of_a_stop_is_told_so() {
+    let mut bench = Bench::start(1).await;
+    let front = bench.front();
+    let begun = Instant::now();
+    let (long, end) = stop_while_busy(&mut bench).await;
+    bench
+        .calls
+        .iter()
+        .for_each(|target| target.inject(ResponseFault::Hang));
+    let mut partial = Socket::open(front).await;
+    let head = format!(
+        "POST /seal/b HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: p1\r\nx-deadline-ms: 20000\r\n\
+         authorization: Bearer {}\r\ncontent-length: 4\r\n\r\nab",
+        KEYS[0]
+    );
+    partial.stream.write_all(head.as_bytes()).unwrap();
+    let mut request = plain("/seal/b", "a1", KEYS[0]);
+    let deadline = "20000".parse().unwrap();
+    request.headers_mut().insert("x-deadline-ms", deadline);
+    let answer = call(front, &request).await;
+    let answered = Instant::now();
+    assert_eq!((answer.status, bench.runs("a1")), (504, 1), "{answer:?}");
+    let (code, ran) = ("camphorweir-code", "camphorweir-ran");
+    assert_eq!(
+        (answer.header(code), answer.header(ran)),
+        ("2007", "unknown")
+    );
+    assert!(
+        answered - begun > GRACE - ms(1_000),
+        "{:?}",
+        answered - begun
+    );
+    assert!(partial.is_answered().await);
+    assert!(answered <= end.await.unwrap());
+    let text = String::from_utf8_lossy(&partial.received).into_owned();
+    assert!(text.starts_with("HTTP/1.1 503") && text.contains("camphorweir-code: 2005"));
+    assert!(long.await.unwrap().whole);
+}
+
 /// Guards against a request that crosses the close of its connection, and that operators can't see.
 #[tokio::test]
 async fn a_request_that_crosses_the_close_of_its_connection_is_counted() {
--- a/camphorweir-wire/src/code.rs
+++ b/camphorweir-wire/src/code.rs
@@ -104,6 +104,8 @@
     Stopping = 2005, 503, "Send it again; the balancer chooses another entry.";
     /// The answer ran past the entry's memory bound.
     AnswerTooLarge = 2006, 502, "Ask for less.";
+    /// This entry ended before the target had answered; the request may have run.
+    EndedFirst = 2007, 504, "Send it again if it may be repeated.";
     /// No chain of live targets covers every layer of the model.
     NoPath = 3001, 503, "Come back after `Retry-After`.";
     /// No live target serves this service.
