Close a configuration whose workspaces have no API key

What callers saw: once a version took the last API key away, every request was let in, with either revoked key or one that never was, and ran without a workspace for as long as that version was in force.

Cause: the adapter flattened the workspaces into a map of keys, so that no section, an empty one and workspaces without keys were one value; access_check and Router::current_route each took an empty map for "no key is needed".

Change: configuration::Access is Open or Keyed, and Configuration::keys_for alone says whether a request needs a key. A request in flight runs on no further target if its route needs a key by now that it lacks, also where it was admitted without one. Instances warn of a configuration without keys; `camphorweir check` warns of a workspace with routes and no key (5157), and a change that takes the last key away says that all its callers are refused.

--- a/camphorweir-config/src/describe_warn.rs
+++ b/camphorweir-config/src/describe_warn.rs
@@ -142,6 +142,9 @@
     let removed = old.keys.iter().filter(|key| !new.keys.contains(key));
     match removed.count() {
         0 => {}
+        count if new.keys.is_empty() => texts.push(format!(
+            "workspace {name} loses {count} of its keys, and has none left: all its callers are refused"
+        )),
         count => texts.push(format!(
             "workspace {name} loses {count} of its keys: callers that present them are refused"
         )),
--- a/camphorweir-config/src/fault.rs
+++ b/camphorweir-config/src/fault.rs
@@ -113,6 +113,8 @@
     DeadlineTooShort = 5155, "Lengthen the deadline or lower `max_tokens` of the pipeline.";
     /// A warning: other limits of the workspace keep it from ever reaching this limit.
     UnreachableLimit = 5156, "Lower this limit or raise the limit named.";
+    /// A warning: the workspace has routes, but no key with which callers may use them.
+    NoKeys = 5157, "Add a key, or remove the routes.";
 }
 
 /// A position in the text: line and column, both from 1.
--- a/camphorweir-config/src/findings.rs
+++ b/camphorweir-config/src/findings.rs
@@ -35,6 +35,11 @@
             let place = ["workspaces", name, "routes"];
             found.push(Fault::new(Code::NoRoutes, &place, text));
         }
+        if workspace.keys.is_empty() && !workspace.routes.is_empty() {
+            let text = "the workspace has routes but no key, so every request is refused";
+            let place = ["workspaces", name, "keys"];
+            found.push(Fault::new(Code::NoKeys, &place, text));
+        }
         shadowed_find(name, &workspace.routes, &mut found);
         deadlines_find(document, name, workspace, &served, &mut found);
         limits_find(document, name, workspace, &mut found);
--- a/camphorweir-config/tests/build.rs
+++ b/camphorweir-config/tests/build.rs
@@ -157,7 +157,10 @@
         |d| depot(d).limits.concurrent = 1,
         "limit concurrent lowered from 256 to 1",
     );
-    expect(|d| depot(d).keys.clear(), "loses 1 of its keys");
+    expect(
+        |d| depot(d).keys.clear(),
+        "loses 1 of its keys, and has none left: all its callers are refused",
+    );
     expect(
         |d| {
             depot(d).routes.remove("seal");
--- a/camphorweir-config/tests/findings.rs
+++ b/camphorweir-config/tests/findings.rs
@@ -28,7 +28,7 @@
         assert_eq!(found.trim_end(), expected.trim_end(), "{name}");
         count += 1;
     }
-    assert_eq!(count, 18);
+    assert_eq!(count, 19);
 }
 
 /// Guards against a warning that disagrees with how entries match requests.
--- a/camphorweir-config/tests/parse.rs
+++ b/camphorweir-config/tests/parse.rs
@@ -35,7 +35,7 @@
         assert_eq!(found.trim_end(), expected.trim_end(), "{name}");
         count += 1;
     }
-    assert_eq!(count, 17);
+    assert_eq!(count, 19);
 }
 
 #[test]
--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -23,7 +23,11 @@
         store::{Cursor, Shown},
     },
     camphorweir_wire::replication::List,
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -141,11 +145,8 @@
             return None;
         }
     };
-    let (version, routes, keys) = (
-        configuration.version,
-        configuration.routes.len(),
-        configuration.keys.len(),
-    );
+    let (version, routes) = (configuration.version, configuration.routes.len());
+    let keys = configuration.access.keys().map(HashMap::len);
     if state
         .router()
         .set_configuration(Arc::new(configuration), confirmed_at)
@@ -154,7 +155,19 @@
         state.connections().set_limits(state.limits());
         state.configuration_changed(version);
         waiting_revise(state);
-        log::info!(version = version, routes = routes, keys = keys; "configuration in force");
+        log::info!(
+            version = version,
+            routes = routes,
+            is_open = keys.is_none(),
+            keys = keys.unwrap_or_default();
+            "configuration in force"
+        );
+        if keys == Some(0) {
+            log::warn!(
+                version = version;
+                "no workspace has an API key; only requests on public routes are admitted"
+            );
+        }
     }
     Some(version)
 }
--- a/camphorweir-relay/src/access.rs
+++ b/camphorweir-relay/src/access.rs
@@ -61,17 +61,14 @@
         return Err(Refusal::not_run(Code::NoSuchPath, ""));
     };
     let route = route.clone();
-    if route.public || configuration.keys.is_empty() {
+    let Some(keys) = configuration.keys_for(&route) else {
         return Ok(Permit { route, owner: None });
-    }
+    };
     // An unknown key may be newer than this configuration, so the age is checked first.
     if !access_keys_trusted(snapshot, now, bound) {
         return Err(Refusal::not_run(Code::KeysStale, "").with_retry_after(STALE_KEYS_RETRY_AFTER));
     }
-    let owner = head
-        .key
-        .as_ref()
-        .and_then(|key| configuration.keys.get(key));
+    let owner = head.key.as_ref().and_then(|key| keys.get(key));
     match owner {
         Some(owner) => Ok(Permit {
             route,
--- a/camphorweir-relay/src/configuration.rs
+++ b/camphorweir-relay/src/configuration.rs
@@ -20,8 +20,31 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on what callers may send.
     pub limits: Limits,
-    /// The owner of each API key.
-    pub keys: HashMap<String, Arc<Owner>>,
+    /// Whose requests are admitted.
+    pub access: Access,
+}
+
+/// The owner of each API key.
+pub type Keys = HashMap<String, Arc<Owner>>;
+
+/// Whose requests a configuration admits on routes that are not public.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Access {
+    /// Everyone's, as the configuration has no section of workspaces.
+    #[default]
+    Open,
+    /// Those with one of these keys; nobody's where there are none.
+    Keyed(Keys),
+}
+
+impl Access {
+    /// The keys of which a request needs one; `None` where it needs none.
+    pub fn keys(&self) -> Option<&Keys> {
+        match self {
+            Self::Open => None,
+            Self::Keyed(keys) => Some(keys),
+        }
+    }
 }
 
 /// Owner of an API key.
@@ -145,6 +168,11 @@
 }
 
 impl Configuration {
+    /// The keys of which a request on a route needs one; `None` where it needs none.
+    pub fn keys_for(&self, route: &Route) -> Option<&Keys> {
+        self.access.keys().filter(|_| !route.public)
+    }
+
     /// The route with the longest prefix of `path` on this host.
     ///
     /// Linear in the routes, whose number is bounded by the size of one record in the store.
--- a/camphorweir-relay/src/features.rs
+++ b/camphorweir-relay/src/features.rs
@@ -1,7 +1,7 @@
 //! Features that a configuration calls for, by service.
 
 use {
-    crate::configuration::{Configuration, Engine},
+    crate::configuration::{Configuration, Engine, Keys},
     std::{cmp::Ordering, collections::BTreeMap},
 };
 
@@ -91,7 +91,11 @@
 ///
 /// Linear in the keys.
 pub fn features_usual_priority(configuration: &Configuration) -> Option<u8> {
-    let owners = configuration.keys.values();
+    let owners = configuration
+        .access
+        .keys()
+        .into_iter()
+        .flat_map(Keys::values);
     let priorities = owners.filter_map(|owner| Some((&owner.workspace, owner.priority?)));
     let by_workspace: BTreeMap<_, _> = priorities.collect();
     let mut counts: BTreeMap<u8, usize> = BTreeMap::new();
--- a/camphorweir-relay/src/revision.rs
+++ b/camphorweir-relay/src/revision.rs
@@ -86,7 +86,7 @@
     }
 
     /// Route of a request in the configuration in force, if that is not the one that admitted it. `Err` where
-    /// its key was taken away.
+    /// its key was taken away, or it has none where one is needed by now.
     fn current_route(&self, request: &Admission) -> Result<Option<&Arc<Route>>, ()> {
         let Some(current) = self.configuration() else {
             return Ok(None);
@@ -95,13 +95,17 @@
             return Ok(None);
         }
         let route = current.find_route(&request.head.host, &request.head.path);
-        let needs_key = !current.keys.is_empty() && route.is_none_or(|route| !route.public);
+        let keys = match route {
+            Some(route) => current.keys_for(route),
+            // Without its route a request keeps what its key allowed, if it was admitted by one.
+            None => current
+                .access
+                .keys()
+                .filter(|_| request.workspace.is_some()),
+        };
         let key = request.head.key.as_ref();
-        let has_key = key.is_some_and(|key| current.keys.contains_key(key));
-        match needs_key && request.workspace.is_some() && !has_key {
-            true => Err(()),
-            false => Ok(route),
-        }
+        let is_allowed = keys.is_none_or(|keys| key.is_some_and(|key| keys.contains_key(key)));
+        is_allowed.then_some(route).ok_or(())
     }
 
     /// Deadline of a request, which a configuration that lowers the timeout of its route brings forward until
--- a/camphorweir-relay/tests/decide/access.rs
+++ b/camphorweir-relay/tests/decide/access.rs
@@ -1,7 +1,7 @@
 use {
     camphorweir_relay::{
         access::{Snapshot, access_check},
-        configuration::{Configuration, Kind, Owner, Route},
+        configuration::{Access, Configuration, Keys, Kind, Owner, Route},
         head::Head,
     },
     camphorweir_wire::{code::Code, outcome::Ran},
@@ -40,7 +40,7 @@
         configuration: Arc::new(Configuration {
             version: 4,
             routes,
-            keys: [("key".to_owned(), owner)].into(),
+            access: Access::Keyed([("key".to_owned(), owner)].into()),
             ..Configuration::default()
         }),
         confirmed_at: Duration::from_secs(10),
@@ -91,6 +91,28 @@
     assert_eq!(code("/open/", None, 99.0), None);
 }
 
+/// Guards against a configuration without keys that is taken for one that needs none.
+#[test]
+fn workspaces_without_keys_admit_nobody_and_no_workspaces_everyone() {
+    for (access, expected) in [
+        (Access::Keyed(Keys::new()), Some(Code::Unauthorized)),
+        (Access::Open, None),
+    ] {
+        let mut snapshot = snapshot();
+        Arc::make_mut(&mut snapshot.configuration).access = access;
+        let check = |path: &str, key| {
+            let now = Duration::from_secs(10);
+            let permit = access_check(Some(&snapshot), &head(path, key), now, REVOCATION_BOUND);
+            permit.map(|permit| permit.owner)
+        };
+        for key in [None, Some("key"), Some("none"), Some("")] {
+            let code = check("/a/", key).err().map(|refusal| refusal.code);
+            assert_eq!(code, expected, "{key:?}");
+            assert_eq!(check("/open/", key).unwrap(), None);
+        }
+    }
+}
+
 #[test]
 fn without_a_configuration_no_path_is_reported_as_unknown() {
     let refusal =
--- a/camphorweir-relay/tests/decide/features.rs
+++ b/camphorweir-relay/tests/decide/features.rs
@@ -2,7 +2,7 @@
 
 use {
     camphorweir_relay::{
-        configuration::{Configuration, Engine, Hardware, Kind, Owner, Route, Service},
+        configuration::{Access, Configuration, Engine, Hardware, Kind, Owner, Route, Service},
         features::{Ranks, features_of, features_usual_priority},
     },
     std::{sync::Arc, time::Duration},
@@ -118,7 +118,7 @@
             (key.to_string(), Arc::new(owner))
         });
         features_usual_priority(&Configuration {
-            keys: keys.collect(),
+            access: Access::Keyed(keys.collect()),
             ..Configuration::default()
         })
     };
--- a/camphorweir-relay/tests/decide/revision.rs
+++ b/camphorweir-relay/tests/decide/revision.rs
@@ -3,7 +3,7 @@
 use {
     crate::router::router,
     camphorweir_relay::{
-        configuration::{Configuration, Kind, Owner, Route, Service},
+        configuration::{Access, Configuration, Keys, Kind, Owner, Route, Service},
         head::Head,
         progress::Progress,
         retry::{Decision, Failure},
@@ -44,7 +44,7 @@
         version: current.version + 1,
         routes: look.into_iter().map(Arc::new).collect(),
         services,
-        keys: [("key".to_owned(), owner)].into(),
+        access: Access::Keyed([("key".to_owned(), owner)].into()),
         ..Configuration::default()
     }
 }
@@ -79,8 +79,8 @@
 /// Puts a configuration in force with another key.
 fn publish_other_key(router: &mut Router) {
     let mut next = configuration(router, Some(look()));
-    let owner = next.keys.remove("key").unwrap();
-    next.keys.insert("another".to_owned(), owner);
+    let owner = next.access.keys().unwrap()["key"].clone();
+    next.access = Access::Keyed([("another".to_owned(), owner)].into());
     assert!(router.set_configuration(Arc::new(next), LATER));
 }
 
@@ -185,6 +185,53 @@
     assert_eq!(decision, Decision::End(Code::TargetFailed));
 }
 
+/// Guards against requests in flight for which a configuration that takes the last key away counts as open.
+#[test]
+fn a_request_whose_workspace_lost_its_last_key_runs_on_no_further_target() {
+    let begin = |before: Access, after: Access| {
+        let mut router = router();
+        let mut first = configuration(&router, Some(look()));
+        first.access = before;
+        router.set_configuration(Arc::new(first), NOW);
+        let head = Head {
+            id: "a".into(),
+            host: "h".to_owned(),
+            path: "/look/a".to_owned(),
+            key: Some("key".to_owned()),
+            timeout: Some(Duration::from_secs(10)),
+            ..Head::default()
+        };
+        let mut request = router.admit(&head, NOW).unwrap();
+        let plan = router.plan(&mut request, NOW).unwrap();
+        let mut next = configuration(&router, Some(look()));
+        next.access = after;
+        assert!(router.set_configuration(Arc::new(next), LATER));
+        (router, request, plan)
+    };
+    let keyed = || configuration(&router(), Some(look())).access;
+    let closed = || Access::Keyed(Keys::new());
+    for (before, after, is_allowed) in [
+        (keyed(), closed(), false),
+        (keyed(), Access::Open, true),
+        // One that was admitted without a workspace needs a key by now too.
+        (Access::Open, closed(), false),
+        (Access::Open, keyed(), true),
+    ] {
+        let (mut router, mut request, plan) = begin(before.clone(), after.clone());
+        let waiting = router.revise(&mut request.clone(), LATER).err();
+        let expected = (!is_allowed).then_some((Code::Unauthorized, Ran::No));
+        assert_eq!(
+            waiting.map(|refusal| (refusal.code, refusal.ran)),
+            expected,
+            "{before:?} {after:?}"
+        );
+        let failed = Outcome::Failed(Failure::Broken, None);
+        let decision = router.finish_send(&mut request, &plan, failed, LATER);
+        let is_again = decision == Decision::Again;
+        assert_eq!(is_again, is_allowed, "{before:?} {after:?}");
+    }
+}
+
 #[test]
 fn a_request_runs_again_only_if_both_configurations_allow_it() {
     let stream = |resumable| Kind::Stream { resumable };
--- a/camphorweir-relay/tests/decide/router.rs
+++ b/camphorweir-relay/tests/decide/router.rs
@@ -3,7 +3,7 @@
 use {
     camphorweir_relay::{
         budget::Policy,
-        configuration::{Configuration, Engine, Hardware, Kind, Owner, Route, Service},
+        configuration::{Access, Configuration, Engine, Hardware, Kind, Owner, Route, Service},
         fleet::Target,
         head::Head,
         ids::ids_tag,
@@ -346,13 +346,14 @@
         prefix: "/own/".to_owned(),
         ..route
     }));
-    for (key, priority) in [("ranked", Some(4)), ("plain", None)] {
+    let owners = [("ranked", Some(4)), ("plain", None)].map(|(key, priority)| {
         let owner = Owner {
             workspace: key.into(),
             priority,
         };
-        configuration.keys.insert(key.to_owned(), Arc::new(owner));
-    }
+        (key.to_owned(), Arc::new(owner))
+    });
+    configuration.access = Access::Keyed(owners.into());
     router.set_configuration(Arc::new(configuration), ms(0));
     let mut priority = |key: &str| {
         let head = Head {
--- a/camphorweir-standin/tests/front/configurations.rs
+++ b/camphorweir-standin/tests/front/configurations.rs
@@ -139,6 +139,49 @@
     tokio::spawn(async move { call(front, &request).await })
 }
 
+/// Guards against a deployment that lets everyone in once a configuration takes its last API key away.
+#[tokio::test]
+async fn a_configuration_without_keys_lets_nobody_in_and_one_without_workspaces_everyone() {
+    let bench = start().await;
+    let workspaces = [
+        (
+            json!([{"name": "w", "apiKeys": [KEYS[0]]}]),
+            true,
+            [200, 401, 401],
+        ),
+        (json!([{"name": "w", "apiKeys": []}]), true, [401; 3]),
+        // A malformed section keeps the configuration in force.
+        (Value::Null, false, [401; 3]),
+        (json!([{"name": "w", "apiKeys": null}]), false, [401; 3]),
+        (json!([]), true, [401; 3]),
+    ];
+    let ask = async |version: u64, expected: [u16; 3]| {
+        for (index, key) in [KEYS[0], KEYS[1], "key-of-nobody"].into_iter().enumerate() {
+            let id = format!("v{version}-{index}");
+            let answer = call(bench.front(), &plain("/look/b", &id, key)).await;
+            assert_eq!(answer.status, expected[index], "{id}");
+            assert_eq!(bench.runs(&id), usize::from(expected[index] == 200), "{id}");
+        }
+    };
+    for (version, (tenants, is_valid, expected)) in (3..).zip(workspaces) {
+        let mut site = patient_site(version);
+        site["tenants"] = tenants;
+        match is_valid {
+            true => publish(&bench, site).await,
+            false => {
+                let text = site.to_string();
+                bench.store.put("keyed.op", "config", text.as_bytes());
+                sleep(REVOCATION).await;
+            }
+        }
+        ask(version, expected).await;
+    }
+    let mut site = patient_site(8);
+    site.as_object_mut().unwrap().remove("tenants");
+    publish(&bench, site).await;
+    ask(8, [200; 3]).await;
+}
+
 /// A caller that has sent its head and a part of its body.
 struct Halting(TcpStream);
 
