Begin no request once an entry has decided to end

Cause: the core decides to end when no request is in flight; a body that still arrives is none, and the call that came of it was begun after that.

Change: from that decision on the core refuses requests with 2005, which is true and finds another entry; the answer is still written, as the connections are waited for.

Measured: a_call_whose_body_arrives_as_the_entry_ends_is_answered fails on the code before (an empty answer after 2.3 s) and passes; the other tests of stops and of the policy pass.

--- a/camphorweir-policy/src/core.rs
+++ b/camphorweir-policy/src/core.rs
@@ -105,6 +105,8 @@
     pub(crate) stopping_since: Option<Duration>,
     /// Time of the last tick, if nothing prevented the process from exiting then.
     exit_ready_at: Option<Duration>,
+    /// Whether [`Action::Exit`] was given; nothing is begun after it.
+    is_exiting: bool,
     pub(crate) out: Vec<Action>,
 }
 
@@ -137,6 +139,7 @@
             start_after: Duration::ZERO,
             stopping_since: None,
             exit_ready_at: None,
+            is_exiting: false,
             out: Vec::new(),
         }
     }
@@ -204,6 +207,11 @@
     }
 
     fn handle_request(&mut self, call: Call) {
+        if self.is_exiting {
+            // Its body arrived after the listener had closed.
+            let refusal = Refusal::not_run(Code::Stopping, "the entry is ending");
+            return self.refuse_unadmitted(call.id, refusal);
+        }
         let Some(view) = self.view.clone() else {
             let refusal = Refusal::not_run(Code::NoConfiguration, "no configuration is in force");
             return self.refuse_unadmitted(call.id, refusal.with_retry_after(admit::RETRY_AFTER));
@@ -305,6 +313,7 @@
             .exit_ready_at
             .is_some_and(|at| self.now.mono <= at + TICK * 2);
         if exit_ready && was_ready {
+            self.is_exiting = true;
             self.out.push(Action::Exit);
         }
         self.exit_ready_at = exit_ready.then_some(self.now.mono);
--- a/camphorweir-standin/tests/process/deployment.rs
+++ b/camphorweir-standin/tests/process/deployment.rs
@@ -95,6 +95,8 @@
     pub(crate) seal_ms: u64,
     /// Milliseconds from SIGTERM to an entry's listener closing.
     pub(crate) grace: u64,
+    /// Milliseconds without traffic after which entries close a connection.
+    pub(crate) idle: u64,
 }
 
 impl Default for Plan {
@@ -105,6 +107,7 @@
             batch: 32,
             seal_ms: 20_000,
             grace: 200,
+            idle: 60_000,
         }
     }
 }
@@ -231,13 +234,15 @@
 
     /// The text of an entry's settings file.
     pub(crate) fn entry_settings(&self, name: &str, zone: &str) -> String {
-        let (log, list, grace) = (self.log.address, self.list.address, self.plan.grace);
+        let (log, list) = (self.log.address, self.list.address);
+        let Plan { grace, idle, .. } = self.plan;
         format!(
             "entry: {name}\nzone: {zone}\n\
              listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  admin: 127.0.0.1:0\n\
              platform:\n  log: http://{log}\n  instances: http://{list}/instances\n\
              keys:\n  peers: peers.key\n  admin_read: read.key\n\
-             limits:\n  body: 64KiB\n  head_time: 500ms\n  body_time: 500ms\n\
+             limits:\n  body: 64KiB\n  head_time: 500ms\n  body_time: 500ms\n  \
+             idle: {idle}ms\n\
              balancer_grace: {grace}ms\n"
         )
     }
--- a/camphorweir-standin/tests/process/stops.rs
+++ b/camphorweir-standin/tests/process/stops.rs
@@ -6,13 +6,21 @@
         child::{LOOK, until},
         deployment::{Deployment, Plan, Told, serving},
     },
+    camphorweir_standin::fleet,
     serde_json::{Value, json},
     std::time::Duration,
-    tokio::time::{Instant, sleep},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, sleep, sleep_until},
+    },
+    uuid::Uuid,
 };
 
 /// The promise: a leaving target gets no new work after this time.
 const LEAVE: Duration = Duration::from_secs(3);
+/// Pause between the two parts of a request, within the time that entries have for a body.
+const BODY_PAUSE: Duration = Duration::from_millis(350);
 
 /// Seals under way on the ledgers.
 async fn seals(deployment: &Deployment, caller: Caller, count: usize) -> Vec<Seal> {
@@ -108,6 +116,51 @@
     other.right_chat("the other one goes on", 5).await;
 }
 
+/// Guards against a call whose body arrives as the entry ends, and which is cut by the end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_whose_body_arrives_as_the_entry_ends_is_answered() {
+    let plan = Plan {
+        entries: 1,
+        idle: 450,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await;
+    deployment
+        .service_faults("ledger", json!({"run_ms": 2500}))
+        .await;
+    let Caller(address) = deployment.entries[0].caller;
+    deployment.entries[0].child.signal("TERM");
+    let begun = Instant::now();
+    // They connect before the listener closes, and their bodies are whole after it.
+    let calls = (0..4).map(|index| async move {
+        sleep_until(begun + Duration::from_millis(100 + 20 * index)).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST /services/seal/batches/1/seal HTTP/1.1\r\nhost: entry\r\n\
+             authorization: Bearer {}\r\nidempotency-key: {}\r\ncontent-length: 11\r\n\
+             connection: close\r\n\r\n{{\"batch\"",
+            fleet::KEY,
+            Uuid::now_v7(),
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        sleep(BODY_PAUSE).await;
+        stream.write_all(b": 1}").await.unwrap();
+        let mut text = String::new();
+        // A reset shows as an answer that is not there.
+        let _ = stream.read_to_string(&mut text).await;
+        text
+    });
+    for text in futures::future::join_all(calls).await {
+        let is_served = text.starts_with("HTTP/1.1 200");
+        let is_refused = text.starts_with("HTTP/1.1 503");
+        assert!(
+            is_served || is_refused && text.contains("camphorweir-code: 2005"),
+            "{text:?}"
+        );
+    }
+    assert_eq!(deployment.entries[0].child.exit().await, Some(0));
+}
+
 /// Stops the first entry in a log outage, with seals and a stream under way that must not be cut.
 async fn stop_in_outage(deployment: &mut Deployment) -> Vec<Seal> {
     let ledger = json!({"run_ms": 800});
