--- a/camphorweir/tests/check.rs
+++ b/camphorweir/tests/check.rs
@@ -64,12 +64,14 @@
         "5154 zones.southeast-c at 4:3: no target is in this zone",
         "5152 workspaces.depot-7.routes at 17:3: the workspace has keys but no route, so every \
          request is refused",
+        "5157 workspaces.depot-8.keys at 20:3: the workspace has routes but no key, so every \
+         request is refused",
     ];
     assert_eq!((report.exit, &warnings[..]), (Exit::Done, &expected[..]));
     let value: Value = serde_json::from_str(&check(&["--json", WARNED]).text).unwrap();
     assert_eq!(value["outcome"], "good");
     assert_eq!(value["warnings"][0]["code"], 5154);
-    assert_eq!(value["warnings"].as_array().unwrap().len(), 2);
+    assert_eq!(value["warnings"].as_array().unwrap().len(), 3);
     assert_eq!(value.get("notes"), None);
 }
 
