--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -9,7 +9,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
@@ -36,6 +36,8 @@
 
 impl Log {
     pub fn create(path: &str) -> Self {
+        // A fault of the test ends all processes too.
+        std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
         let file =
             File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
         Self {
@@ -431,6 +433,13 @@
         true
     }
 
+    /// Appends a record and is away at once: the writer has its ack, and no reader has the record.
+    pub fn put_and_leave(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut state = self.state.lock().unwrap();
+        state.append(topic, key, value);
+        state.is_away = true;
+    }
+
     /// Is away from now on: channels are closed without an answer.
     pub fn leave(&self) {
         self.state.lock().unwrap().is_away = true;
@@ -732,7 +741,8 @@
 
 impl Entries {
     pub fn kill_all() {
-        for child in CHILDREN.lock().unwrap().iter_mut() {
+        let mut children = CHILDREN.lock().unwrap_or_else(PoisonError::into_inner);
+        for child in children.iter_mut() {
             let _ = child.kill();
             let _ = child.wait();
         }
