--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -807,6 +807,15 @@
         CHILDREN.lock().unwrap().push(child);
     }
 
+    /// Puts another limit on memory into the settings of an entry that is not started yet.
+    pub fn set_memory_mb(&self, memory_mb: u64) {
+        let settings = std::fs::read_to_string(&self.settings).unwrap_or_default();
+        let settings = settings.replace("\"memoryMb\":260", &format!("\"memoryMb\":{memory_mb}"));
+        if let Err(error) = std::fs::write(&self.settings, settings) {
+            cannot_run(&error.to_string());
+        }
+    }
+
     pub fn pid(&self) -> u32 {
         self.pid.unwrap_or_default()
     }
