--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -62,6 +62,7 @@
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
     Entries::kill_all();
+    let _ = std::fs::remove_dir_all(folder_path());
     std::process::exit(2)
 }
 
@@ -951,9 +952,13 @@
 // ---------------------------------------------------------------------------------------------------------------
 // A run.
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("camphorweir-review-{}", std::process::id()))
+}
+
 /// A temporary folder that is removed at the end.
 pub fn temporary_folder() -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("camphorweir-review-{}", std::process::id()));
+    let folder = folder_path();
     if let Err(error) = std::fs::create_dir_all(&folder) {
         cannot_run(&error.to_string());
     }
