--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -403,6 +403,29 @@
         store
     }
 
+    /// The store as one machine reaches it: turned away with 503 while the flag is set.
+    pub fn door(&self, turns_away: Arc<AtomicBool>) -> Self {
+        let state = self.state.clone();
+        let handler: Handler = Arc::new(move |request| {
+            // What was asked before the machine is turned away may be answered no more.
+            let is_open = !turns_away.load(Ordering::SeqCst);
+            let answer = is_open.then(|| answer_store(&state, request)).flatten();
+            match turns_away.load(Ordering::SeqCst) {
+                false => answer,
+                true => {
+                    let era = state.lock().unwrap().era;
+                    reply(503, &[("Store-Era", era.to_string())], "")
+                }
+            }
+        });
+        let server = Server::start(any_port(), handler);
+        let server = server.unwrap_or_else(|error| cannot_run(&error.to_string()));
+        Self {
+            state: self.state.clone(),
+            address: server.address,
+        }
+    }
+
     /// Ends the entries of servers that were silent for too long.
     fn expire(&self) {
         let state = self.state.lock().unwrap();
@@ -434,13 +457,6 @@
         true
     }
 
-    /// Appends a record and is away at once: the writer has its ack, and no reader has the record.
-    pub fn put_and_leave(&self, topic: &str, key: &str, value: &[u8]) {
-        let mut state = self.state.lock().unwrap();
-        state.append(topic, key, value);
-        state.is_away = true;
-    }
-
     /// Is away from now on: channels are closed without an answer.
     pub fn leave(&self) {
         self.state.lock().unwrap().is_away = true;
@@ -808,15 +824,6 @@
         CHILDREN.lock().unwrap().push(child);
     }
 
-    /// Puts another limit on memory into the settings of an entry that is not started yet.
-    pub fn set_memory_mb(&self, memory_mb: u64) {
-        let settings = std::fs::read_to_string(&self.settings).unwrap_or_default();
-        let settings = settings.replace("\"memoryMb\":260", &format!("\"memoryMb\":{memory_mb}"));
-        if let Err(error) = std::fs::write(&self.settings, settings) {
-            cannot_run(&error.to_string());
-        }
-    }
-
     pub fn pid(&self) -> u32 {
         self.pid.unwrap_or_default()
     }
--- a/review/standin-2/lost_version.rs
+++ b/review/standin-2/lost_version.rs
@@ -1,4 +1,4 @@
-//! A key is taken away; right after the ack the store is away, and it comes back from an older copy.
+//! A key is taken away while the store turns one machine away; then the store comes back from an older copy.
 #![allow(dead_code)]
 
 #[path = "common.rs"]
@@ -7,7 +7,10 @@
 use {
     common::*,
     std::{
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -15,10 +18,15 @@
 
 /// `revokeMs` of the settings.
 const REVOKE: Duration = Duration::from_millis(5_000);
-/// How long the store is away.
-const AWAY_MS: u64 = 4_000;
+/// How long before the ack the store begins to turn one of the three machines away.
+const TURNED_AWAY_BEFORE_MS: u64 = 1_200;
+/// When the store goes away, after the ack, and how long it is away; the machine is turned away until then.
+const AWAY_AT_MS: u64 = 4_200;
+const AWAY_MS: u64 = 500;
 /// Time after its return at which the operator has repeated its write.
 const REPEAT_MS: u64 = 1_900;
+/// One machine in each.
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const KEYS: [&str; 2] = ["key-of-tenant-one", "key-of-tenant-two"];
 
 fn configuration(version: u64, with_second_key: bool) -> String {
@@ -65,14 +73,25 @@
     let store = Store::start();
     let runs: Runs = Arc::new(Mutex::new(Vec::new()));
     store.put("keyed.op", "config", configuration(1, true).as_bytes());
-    let _servers: Vec<_> = (1..=3)
-        .map(|index| {
-            let id = format!("ledger-{index}");
-            start_plain(&store, &runs, "ledger", "zone-a", &id, ms(15))
+    let _servers: Vec<_> = ZONES
+        .iter()
+        .map(|zone| {
+            start_plain(
+                &store,
+                &runs,
+                "ledger",
+                zone,
+                &format!("ledger-{zone}"),
+                ms(15),
+            )
         })
         .collect();
-    let mut entries: Vec<Entry> = (1..=2)
-        .map(|index| Entry::new(&folder, &format!("front-zone-a-{index}"), "zone-a", &store))
+    let turns_away = Arc::new(AtomicBool::new(false));
+    let doors = [store.clone(), store.clone(), store.door(turns_away.clone())];
+    let mut entries: Vec<Entry> = ZONES
+        .iter()
+        .zip(&doors)
+        .map(|(zone, door)| Entry::new(&folder, &format!("front-{zone}-1"), zone, door))
         .collect();
     entries.iter_mut().for_each(Entry::start);
     wait_for("entries ready", ms(15_000), || {
@@ -85,38 +104,44 @@
             });
         }
     }
-    log.line("version 1 in force at both entries; both keys are served");
+    log.line("version 1 in force at all entries; both keys are served");
     thread::sleep(ms(8_000));
 
+    // ONLY=away or ONLY=drill leaves the other of the two disruptions out.
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let has_drill = trouble && only != "away";
+    if trouble && only != "drill" {
+        turns_away.store(true, Ordering::SeqCst);
+        log.line("the store turns the machine of zone-c away");
+    }
+    thread::sleep(ms(TURNED_AWAY_BEFORE_MS - 500));
     let copied = Instant::now();
     thread::sleep(ms(500));
     let version = configuration(2, false);
-    match trouble {
-        true => {
-            store.put_and_leave("keyed.op", "config", version.as_bytes());
-            log.line(
-                "the store acks version 2, which takes the key of tenant two away, and is away",
-            );
-        }
-        false => {
-            store.put("keyed.op", "config", version.as_bytes());
-            log.line("the store acks version 2, which takes the key of tenant two away");
-        }
-    }
+    store.put("keyed.op", "config", version.as_bytes());
     let acked = Instant::now();
+    log.line("the store acks version 2, which takes the key of tenant two away");
     // The requesters of both tenants go on all the while.
-    let (mut is_back, mut has_repeated) = (!trouble, !trouble);
+    let (mut is_away, mut is_back, mut has_repeated) = (!has_drill, !has_drill, !has_drill);
     let (mut sent, mut checked) = (0, 0);
     let mut late = Vec::new();
-    while acked.elapsed() < ms(8_500) {
-        if !is_back && acked.elapsed() >= ms(AWAY_MS) {
+    while acked.elapsed() < ms(9_000) {
+        if acked.elapsed() >= ms(AWAY_AT_MS) {
+            turns_away.store(false, Ordering::SeqCst);
+        }
+        if !is_away && acked.elapsed() >= ms(AWAY_AT_MS) {
+            is_away = true;
+            store.leave();
+            log.line("the store is away; it turns no machine away any more");
+        }
+        if !is_back && acked.elapsed() >= ms(AWAY_AT_MS + AWAY_MS) {
             is_back = true;
             store.restore(copied);
             log.line(
-                "the store is back from a copy of 0.5 s before the ack: Store-Era rises by one",
+                "the store is back, for all, from a copy of before the ack: Store-Era rises by one",
             );
         }
-        if !has_repeated && acked.elapsed() >= ms(AWAY_MS + REPEAT_MS) {
+        if !has_repeated && acked.elapsed() >= ms(AWAY_AT_MS + AWAY_MS + REPEAT_MS) {
             has_repeated = true;
             store.put("keyed.op", "config", version.as_bytes());
             log.line("the operator writes version 2 again");
