--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -9,6 +9,7 @@
 mod cuts;
 mod elsewhere;
 mod endless;
+mod extremes;
 mod handovers;
 mod holders;
 mod leaving;
