--- a/camphorweir-relay/src/settings.rs
+++ b/camphorweir-relay/src/settings.rs
@@ -27,7 +27,7 @@
     pub peer_ports: (u16, u16),
     /// Bandwidth of the instance's link in Mbit/s.
     pub link_mbps: u32,
-    /// Number of file descriptors that sockets may use.
+    /// Number of file descriptors that sockets may use; below 2^32.
     pub max_sockets: usize,
     /// Bounds that the instance must keep.
     pub bounds: Bounds,
