A start waits for addresses that a predecessor or another process holds

Cause: callers' and readiness' addresses were bound once, and any failure ended the process with status 1, also while a predecessor drained or another socket held an address for a moment. Bound in this order, a successor could also serve callers beside its predecessor, as that one shuts its callers' listener up to 0.5 s before its end: a bind with SO_REUSEADDR succeeds beside a socket that is shut but not closed (the mutant start_callers_first shows it).

SIGTERM ends the wait with status 0, SIGHUP ends its pause.

--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -29,6 +29,7 @@
 pub mod run;
 pub mod send;
 pub mod stall;
+pub mod start;
 pub mod state;
 pub mod store;
 pub mod stream;
--- a/camphorweir-entry/src/front/reload.rs
+++ b/camphorweir-entry/src/front/reload.rs
@@ -45,6 +45,11 @@
     pub fn request_reload(&self) {
         self.reload_requested.notify_one();
     }
+
+    /// Notified at each request for a reload; a start that waits tries again then.
+    pub fn reload_requested(&self) -> &Notify {
+        &self.reload_requested
+    }
 }
 
 /// Applies changed settings; never returns. New bounds take effect at once, names and addresses
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -11,6 +11,7 @@
             placement::placement_run,
             probe::probe_run,
             reload::{SettingsSource, reload_run},
+            start::Listeners,
             state::State,
             watch::{watch_configuration, watch_lapses, watch_targets},
         },
@@ -47,18 +48,28 @@
     metrics_port: Option<u16>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let (callers, ready) = (settings.callers_address, settings.ready_address);
     log::info!(
         instance = settings.instance,
         zone:% = settings.zone,
-        callers:% = callers,
+        callers:% = settings.callers_address,
         store:% = settings.store_address;
         "instance starting"
     );
-    let metrics_address = metrics_port.map(|port| SocketAddr::new(callers.ip(), port));
+    let own_ip = settings.callers_address.ip();
+    let metrics_address = metrics_port.map(|port| SocketAddr::new(own_ip, port));
+    tokio::pin!(stop);
+    let listeners = tokio::select! {
+        biased;
+        () = &mut stop => {
+            log::info!("stopped before the start was complete");
+            log::logger().flush();
+            return Ok(());
+        }
+        listeners = Listeners::bind(&settings, &settings_source) => listeners,
+    };
+    let Listeners { callers, ready } = listeners.map_err(|failure| failure.to_string())?;
+    // The time since the start counts from here, as the instance does nothing before.
     let state = State::new(settings, Metrics::new()?);
-    let callers = bind(callers).await.map_err(|error| error.to_string())?;
-    let ready = bind(ready).await.map_err(|error| error.to_string())?;
     let digest_socket = bind_digests(&state)
         .await
         .map_err(|error| error.to_string())?;
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod startup;
 pub mod streams;
 pub mod supervise;
 pub mod telemetry;
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -11,6 +11,7 @@
         peer::{PeerReceiver, PeerSender},
         server::Server,
         settings::{Listen, Settings},
+        startup::Wait,
         streams::LogClient,
         supervise::Supervisor,
         telemetry::Metrics,
@@ -24,7 +25,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc, watch},
         time::{sleep, timeout},
     },
 };
@@ -32,6 +33,10 @@
 /// Added to the idle timeout so that the last responses are written before shutdown.
 const DRAIN_MARGIN: Duration = Duration::from_secs(1);
 
+/// Limit on the time beside the balancer's grace for which a start waits for a predecessor to close its
+/// connections; whoever starts the process tries again after it.
+const MAX_DRAIN_WAIT: Duration = Duration::from_secs(25);
+
 /// Why an entry can't start or can't continue.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display("{} {}: {what}", code.number(), code.name()))]
@@ -74,13 +79,24 @@
     admin: Arc<TcpListener>,
 }
 
-/// Starts an entry.
+/// Starts an entry. An address that another process may give back is waited for.
 ///
 /// # Errors
 ///
 /// [`Failure`] when an address can't be bound or metrics can't be set up.
 pub async fn start(settings: Settings) -> Result<Entry, Failure> {
-    let listeners = Listeners::bind(settings.listen).await?;
+    start_with(settings, &Notify::new()).await
+}
+
+/// Starts an entry as [`start`] does, and tries to bind an awaited address at once when `retry_now` is notified.
+///
+/// # Errors
+///
+/// [`Failure`] when an address can't be bound or metrics can't be set up.
+pub async fn start_with(settings: Settings, retry_now: &Notify) -> Result<Entry, Failure> {
+    let drain = settings.limits.idle + DRAIN_MARGIN;
+    let limit = settings.balancer_grace + drain.min(MAX_DRAIN_WAIT);
+    let listeners = Listeners::bind(settings.listen, Wait::new(limit, retry_now)).await?;
     let addresses = listeners.addresses()?;
     let metrics = Metrics::new().map_err(|error| failure(Code::Internal, &error))?;
     let (supervisor, fatal) = Supervisor::new();
@@ -204,11 +220,16 @@
 }
 
 impl Listeners {
-    async fn bind(listen: Listen) -> Result<Self, Failure> {
+    /// Binds callers' address last: a predecessor closes it first, and nobody accepts connections there before
+    /// the start is complete.
+    async fn bind(listen: Listen, wait: Wait<'_>) -> Result<Self, Failure> {
+        let admin = wait.bind("administration's address", listen.admin).await?;
+        let peers = wait.bind("peers' address", listen.peers).await?;
+        let callers = wait.bind("callers' address", listen.callers).await?;
         Ok(Self {
-            callers: bind(listen.callers).await?,
-            peers: bind(listen.peers).await?,
-            admin: bind(listen.admin).await?,
+            callers,
+            peers,
+            admin,
         })
     }
 
@@ -280,14 +301,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<Arc<TcpListener>, Failure> {
-    let bound = TcpListener::bind(address).await;
-    bound.map(Arc::new).map_err(|error| Failure {
-        code: Code::AddressInUse,
-        what: format!("{address}: {error}"),
-    })
-}
-
 fn address(listener: &TcpListener) -> Result<SocketAddr, Failure> {
     listener
         .local_addr()
