A start waits for its settings file, and handles signals before anything else

Cause: a settings file that was missing, empty or half written as the process started ended it with status 2, although it was whole a moment later. The handlers of SIGTERM, SIGINT and SIGHUP were set after the settings were read and the log had started, so that a signal before that ended the process by itself.

Change: the runtime and the handlers come first, then the log, then the settings.

--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        startup::Failed,
         units::{parse_duration, parse_size},
         yaml::{self, Fault, Mapping},
     },
@@ -10,6 +11,7 @@
     hyper::{Uri, http::uri::Scheme},
     std::{
         fmt, fs,
+        io::ErrorKind,
         net::SocketAddr,
         path::{Path, PathBuf},
         time::Duration,
@@ -156,17 +158,29 @@
 ///
 /// Every fault of the file.
 pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
-    let text = fs::read_to_string(path).map_err(|error| {
-        let what = format!("the file can't be read: {error}");
-        vec![Fault {
+    load_at_start(path).map_err(|failed| failed.reason)
+}
+
+/// Loads the settings as [`load`] does, and tells whether the file is not written yet: it is missing or empty.
+///
+/// # Errors
+///
+/// Every fault of the file.
+pub fn load_at_start(path: &Path) -> Result<Settings, Failed<Vec<Fault>>> {
+    let text = fs::read_to_string(path).map_err(|error| Failed {
+        passes: error.kind() == ErrorKind::NotFound,
+        reason: vec![Fault {
             code: Code::BadSettings,
             line: 0,
             column: 0,
             field: String::new(),
-            what,
-        }]
+            what: format!("the file can't be read: {error}"),
+        }],
     })?;
-    parse(&text, path.parent().unwrap_or(Path::new(".")))
+    parse(&text, path.parent().unwrap_or(Path::new("."))).map_err(|faults| Failed {
+        reason: faults,
+        passes: text.trim().is_empty(),
+    })
 }
 
 /// Parses and validates the text of a settings file; relative paths in it are relative to `folder`.
--- a/camphorweir-entry/src/startup.rs
+++ b/camphorweir-entry/src/startup.rs
@@ -1,5 +1,5 @@
-//! Waits at the start of the process for what comes without an operator, as an address that another process is
-//! about to give back.
+//! Waits at the start of the process for what comes without an operator: a settings file that is being
+//! written, an address that another process is about to give back.
 
 use {
     crate::process::Failure,
@@ -13,6 +13,9 @@
     },
 };
 
+/// Limit on the wait for the settings file. Whoever starts the process writes the file at about the same
+/// time; one that stays away needs an operator.
+pub const SETTINGS_WAIT: Duration = Duration::from_secs(10);
 /// Added to the time in which a predecessor shuts down, as it may be told to stop only after this start and
 /// is gone a moment after it was killed.
 pub const PREDECESSOR_MARGIN: Duration = Duration::from_secs(10);
--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -4,12 +4,15 @@
 
 use {
     camphorweir_entry::startup::{Failed, Wait, startup_bind_passes},
-    process::{Machine, get, until},
+    camphorweir_platform::settings::settings_parse,
+    process::{Entry, Machine, get, program, until},
     rustix::io::Errno,
     std::{
+        fs,
         future::ready,
         io,
         net::{TcpListener, TcpStream},
+        path::Path,
         sync::Arc,
         thread::sleep,
         time::Duration,
@@ -87,9 +90,50 @@
     assert!(took < AT_ONCE, "{took:?}");
 }
 
+#[test]
+fn settings_that_are_missing_empty_or_cut_short_are_waited_for() {
+    let machine = Machine::new(4);
+    let whole = machine.settings.to_string();
+    for early in [None, Some(""), Some(&whole[..whole.len() - 40])] {
+        let _ = fs::remove_file(machine.file());
+        if let Some(early) = early {
+            fs::write(machine.file(), early).unwrap();
+        }
+        let mut entry = machine.start_as_is();
+        entry.await_line(&["start waits", "settings file"]);
+        entry.signal("HUP");
+        sleep(Duration::from_millis(300));
+        assert_eq!(entry.lines(&["start waits"]).len(), 1);
+        fs::write(machine.file(), &whole).unwrap();
+        entry.await_line(&["start continues", "settings file"]);
+        entry.await_line(&["instance starting"]);
+    }
+    fs::remove_file(machine.file()).unwrap();
+    let mut entry = machine.start_as_is();
+    entry.await_line(&["start waits"]);
+    entry.signal("TERM");
+    let (end, took) = entry.end();
+    assert_eq!(end, Ok(0));
+    assert!(took < AT_ONCE, "{took:?}");
+}
+
 #[test]
 fn a_fault_that_stays_ends_the_start_at_once() {
     let mut machine = Machine::new(5);
+    let mut missing_field = machine.settings.clone();
+    missing_field.as_object_mut().unwrap().remove("zone");
+    let mut wrong_type = machine.settings.clone();
+    wrong_type["limits"]["maxFds"] = "many".into();
+    let no_json = machine.settings.to_string().replacen(':', ";", 1);
+    for text in [missing_field.to_string(), wrong_type.to_string(), no_json] {
+        fs::write(machine.file(), &text).unwrap();
+        let (end, took) = machine.start_as_is().end();
+        assert_eq!(end, Ok(2), "{text}");
+        assert!(took < AT_ONCE, "{took:?}: {text}");
+    }
+    let mut unset = program();
+    unset.arg("--platform").env_remove("CAMPHORWEIR_CONFIG");
+    assert_eq!(Entry::start(unset).end().0, Ok(2));
     // A link-local address without a scope is no address of a machine.
     machine.settings["listen"]["ready"] = "[fe80::1]:18220".into();
     let mut entry = machine.start();
@@ -99,6 +143,35 @@
     until("code", || entry.lines(&["6102 AddressInUse"]).pop());
 }
 
+#[test]
+fn an_entry_of_operators_waits_for_its_settings_and_addresses() {
+    let machine = Machine::new(7);
+    let holder = TcpListener::bind(machine.callers()).unwrap();
+    let cases = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/cases/settings");
+    let good = fs::read_to_string(cases.join("good.yaml")).unwrap();
+    let text = good
+        .replace("127.0.0.1:8080", &machine.callers().to_string())
+        .replace("127.0.0.1:808", "127.0.12.7:1808")
+        .replace("keys/", &format!("{}/keys/", cases.display()));
+    let file = machine.file().with_extension("yaml");
+    let _ = fs::remove_file(&file);
+    let mut command = program();
+    command.arg("--settings").arg(&file);
+    let mut entry = Entry::start(command);
+    entry.await_line(&["waiting up to"]);
+    entry.signal("HUP");
+    fs::write(&file, text).unwrap();
+    entry.await_line(&["start waits", "callers' address"]);
+    drop(holder);
+    until("callers", || get(machine.callers(), "/"));
+    let check = program()
+        .arg("--settings")
+        .arg("none.yaml")
+        .arg("--check-settings")
+        .output();
+    assert_eq!(check.unwrap().status.code(), Some(2));
+}
+
 #[test]
 fn which_failures_pass() {
     let passing = [
@@ -115,6 +188,17 @@
     for errno in [Errno::ACCESS, Errno::PERM, Errno::INVAL, Errno::AFNOSUPPORT] {
         assert!(!startup_bind_passes(&errno.into()), "{errno}");
     }
+    let settings = Machine::new(8).settings.to_string();
+    for end in 0..settings.len() {
+        let error = settings_parse(&settings.as_bytes()[..end]).unwrap_err();
+        assert!(error.passes(), "{end} bytes: {error}");
+    }
+    for text in ["[]", "{\"node\": 1}", "{} {", "{\"node\"; 1}"] {
+        assert!(
+            !settings_parse(text.as_bytes()).unwrap_err().passes(),
+            "{text}"
+        );
+    }
 }
 
 #[tokio::test(start_paused = true)]
