An instance serves without its metrics' port and its peers' ports

Cause: any failure to bind the metrics' port or a peers' port ended the process with status 1, though callers are served without either.

Change: each is bound by a supervised task, which tries again every second for as long as the process runs, and says once that it serves without and once that it no longer does. `State::ports` holds the sockets for traffic between instances. Until they are there an instance runs as one whose datagrams are all lost, with two differences: it reads the list of instances but doesn't register, and it gives no permits while the list shows others, however long that lasts (`Grantor::record_deaf`). Metric `camphorweir_peer_ports`.

--- a/camphorweir-entry/src/front/demand.rs
+++ b/camphorweir-entry/src/front/demand.rs
@@ -5,7 +5,6 @@
     camphorweir_relay::router::Admission,
     camphorweir_wire::{code::Code, codec, demand::Demand, digest::Datagram, outcome::Refusal},
     std::net::SocketAddr,
-    tokio::net::UdpSocket,
 };
 
 /// Number of digests for each message on demand.
@@ -13,7 +12,7 @@
 
 /// Sends the demand at this instance to the aggregator of the zone, or as the aggregator the sum of all to
 /// the zone; only where some service has ordered ranks.
-pub fn send(state: &State, socket: &UdpSocket) {
+pub fn send(state: &State) {
     let now = state.now();
     let own = &state.settings().instance;
     let aggregator = state.roles().aggregator(now).map(str::to_owned);
@@ -46,8 +45,7 @@
     let recipients: Vec<SocketAddr> = recipients.map(|(_, address)| *address).collect();
     let bytes = encode_fitting(demand);
     for address in recipients {
-        // A full socket buffer drops this datagram; the next one carries the same state.
-        let _ = socket.try_send_to(&bytes, address);
+        state.ports().send(&bytes, address);
     }
 }
 
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -26,11 +26,8 @@
     },
     http_body_util::{BodyExt, Either, Full, Limited},
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::TcpListener,
-        time::{sleep, timeout},
-    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
 /// Path of the endpoint that followers poll.
@@ -182,9 +179,10 @@
 }
 
 /// Serves the polls of followers; never returns.
-pub async fn follow_serve(state: State, listener: Arc<TcpListener>) {
+pub async fn follow_serve(state: State) {
+    let sockets = state.ports().bound().await;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = sockets.followers.accept().await else {
             sleep(SOURCE_CHECK_PAUSE).await;
             continue;
         };
--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -6,6 +6,7 @@
         front::{
             demand::{self, DEMAND_ROUNDS, encode_refused, receive_demand},
             permits::{permits_run, receive_account, receive_ask, receive_grant, receive_news},
+            ports::Sockets,
             state::State,
             store::Store,
             suspects::{self, receive_suspects, store_run},
@@ -28,15 +29,10 @@
     },
     std::{
         collections::BTreeMap,
-        io,
         net::{IpAddr, SocketAddr},
-        sync::Arc,
         time::Duration,
     },
-    tokio::{
-        net::{TcpListener, UdpSocket},
-        time::{interval, sleep},
-    },
+    tokio::time::{interval, sleep, timeout},
 };
 
 /// Pause between digests to the aggregator of the zone: about the time between the starts of two
@@ -77,56 +73,29 @@
 /// Timeout of the registration; appends of instances that start together wait for each other.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Binds the UDP socket for digests to the first free port of the configured range.
-///
-/// # Errors
-///
-/// The error of the last port when none can be bound.
-pub async fn bind_digests(state: &State) -> io::Result<Arc<UdpSocket>> {
-    bind_first_free(state, UdpSocket::bind).await
-}
-
-/// Binds the listener for followers to the first free port of the configured range.
-///
-/// # Errors
-///
-/// The error of the last port when none can be bound.
-pub async fn bind_followers(state: &State) -> io::Result<Arc<TcpListener>> {
-    bind_first_free(state, TcpListener::bind).await
-}
-
-async fn bind_first_free<T>(
-    state: &State,
-    bind: impl AsyncFn(SocketAddr) -> io::Result<T>,
-) -> io::Result<Arc<T>> {
-    let settings = state.settings();
-    let (first, last) = settings.peer_ports;
-    let mut result = Err(io::ErrorKind::AddrNotAvailable.into());
-    for port in first..=last {
-        result = bind(SocketAddr::new(settings.callers_address.ip(), port)).await;
-        if result.is_ok() {
-            break;
-        }
-    }
-    result.map(Arc::new)
-}
-
 /// Registers this instance in the store and exchanges digests with the other instances; never
 /// returns.
-pub async fn gossip_run(state: State, socket: Arc<UdpSocket>, follow_address: SocketAddr) {
+pub async fn gossip_run(state: State) {
     tokio::join!(
-        sync_instances(&state, &socket, follow_address),
-        send_datagrams(&state, &socket, follow_address),
-        receive_datagrams(&state, &socket),
+        sync_instances(&state),
+        send_datagrams(&state),
+        receive_datagrams(&state),
         store_run(&state),
-        permits_run(&state, &socket),
+        permits_run(&state),
     );
 }
 
-async fn sync_instances(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
+async fn sync_instances(state: &State) {
     let mut store = Store::new(state);
+    // Without its ports the instance is not listed, and hears of others from the list alone.
+    let sockets = loop {
+        match timeout(FIRST_LIST_PAUSE, state.ports().bound()).await {
+            Ok(sockets) => break sockets,
+            Err(_) => drop(read_instances(state, &mut store).await),
+        }
+    };
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
-    while !register(state, socket, follow_address, &mut store).await {
+    while !register(state, sockets, &mut store).await {
         sleep(backoff.next_delay()).await;
     }
     let mut era = state.era();
@@ -140,7 +109,7 @@
         if state.era() != era {
             // The record may be lost; instances look for theirs one after the other.
             sleep(RESTORE_SPREAD.mul_f64(place_in_order(&state.settings().instance))).await;
-            if register(state, socket, follow_address, &mut store).await {
+            if register(state, sockets, &mut store).await {
                 era = state.era();
                 log::info!(era = era.0; "this instance is listed after the restore of the store");
             }
@@ -173,18 +142,10 @@
 
 /// Makes sure that the store lists this instance, and learns of the others; returns whether both
 /// succeeded.
-async fn register(
-    state: &State,
-    socket: &UdpSocket,
-    follow_address: SocketAddr,
-    store: &mut Store,
-) -> bool {
-    let Ok(address) = socket.local_addr() else {
-        return false;
-    };
+async fn register(state: &State, sockets: &Sockets, store: &mut Store) -> bool {
     let addresses = Addresses {
-        digest: address.to_string(),
-        follow: follow_address.to_string(),
+        digest: sockets.digest_address.to_string(),
+        follow: sockets.follow_address.to_string(),
         zone: state.settings().zone.to_string(),
         link_mbps: state.settings().link_mbps,
         formats: FORMATS,
@@ -227,19 +188,15 @@
 /// Sends datagrams of this instance, numbered in the order of their rounds.
 struct Sender<'a> {
     state: &'a State,
-    socket: &'a UdpSocket,
-    follow_address: SocketAddr,
     incarnation: u64,
     round: u64,
     /// Whether this instance was the aggregator, and its source, in the last round.
     last_role: (bool, roles::Source),
 }
 
-async fn send_datagrams(state: &State, socket: &UdpSocket, follow_address: SocketAddr) {
+async fn send_datagrams(state: &State) {
     let mut sender = Sender {
         state,
-        socket,
-        follow_address,
         incarnation: rand::random(),
         round: 0,
         last_role: (false, roles::Source::Unknown),
@@ -250,12 +207,12 @@
         sender.log_role();
         let bytes_sent = sender.send_digest();
         sender.send_summaries();
-        suspects::report(state, socket);
+        suspects::report(state);
         if sender.round.is_multiple_of(SUSPECTS_ROUNDS) {
-            suspects::repeat(state, socket);
+            suspects::repeat(state);
         }
         if sender.round.is_multiple_of(DEMAND_ROUNDS) {
-            demand::send(state, socket);
+            demand::send(state);
         }
         sender.round += 1;
         // Keeps the rate of digests within its limit where they are large.
@@ -324,7 +281,10 @@
         self.state.router().peers.use_digests(now);
         waiting_wake_all(self.state);
         let version = self.state.configuration_version();
-        let assignment = self.state.roles().assign(self.follow_address, version, now);
+        let assignment = self
+            .state
+            .roles()
+            .assign(self.follow_address(), version, now);
         if self.round.is_multiple_of(CROSS_ZONE_ROUNDS) {
             self.send_to_other_zones(now);
         }
@@ -340,6 +300,13 @@
         }
     }
 
+    /// Where this instance is followed. Without its ports it tells nobody, and only has to know itself.
+    fn follow_address(&self) -> SocketAddr {
+        let sockets = self.state.ports().sockets();
+        let own_ip = self.state.settings().callers_address.ip();
+        sockets.map_or(SocketAddr::new(own_ip, 0), |sockets| sockets.follow_address)
+    }
+
     fn send_to_other_zones(&self, now: Time) {
         let summaries = summary_for_others(&self.state.router(), now);
         let own_zone = &self.state.settings().zone;
@@ -406,13 +373,13 @@
             log::warn!(bytes = bytes.len(); "datagram exceeds the size limit; not sent");
             return 0;
         }
-        // A full socket buffer drops this datagram; the next one carries the same state.
-        let _ = self.socket.try_send_to(bytes, address);
+        self.state.ports().send(bytes, address);
         bytes.len()
     }
 }
 
-async fn receive_datagrams(state: &State, socket: &UdpSocket) {
+async fn receive_datagrams(state: &State) {
+    let socket = &state.ports().bound().await.digests;
     let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
     let mut unread = Unread::default();
     loop {
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -6,6 +6,7 @@
         front::{listen::serve_internal, state::State},
         histograms::{DurationHistogram, Labels, WorkspaceLabels},
         rate_limited_log::dropped_lines,
+        startup::startup_background,
     },
     bytes::Bytes,
     camphorweir_relay::{
@@ -25,7 +26,8 @@
     prometheus::{Registry, TextEncoder},
     std::{
         collections::BTreeSet,
-        sync::{Arc, Mutex, PoisonError},
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
         time::Duration,
     },
     tokio::{net::TcpListener, time::sleep},
@@ -72,6 +74,7 @@
     peers: Gauge<u64>,
     formats: Gauge<u64>,
     lease: Gauge<u64>,
+    peer_ports: Gauge<u64>,
     left_out: Gauge<u64>,
 }
 
@@ -199,6 +202,10 @@
                 "Listed instances, by the revision of their messages",
             ),
             lease: gauge("camphorweir.lease", "1 while this entry places layers"),
+            peer_ports: gauge(
+                "camphorweir.peer_ports",
+                "1 while this entry has its peers' ports",
+            ),
             left_out: gauge(
                 "camphorweir.log.left_out",
                 "Log lines left out to bound the rate",
@@ -411,6 +418,8 @@
         }
         self.in_flight.record(state.requests().count() as u64, &[]);
         self.lease.record(u64::from(state.holds_lease()), &[]);
+        let has_ports = state.ports().sockets().is_some();
+        self.peer_ports.record(u64::from(has_ports), &[]);
         self.left_out.record(dropped_lines(), &[]);
     }
 }
@@ -475,8 +484,9 @@
     }
 }
 
-/// Serves the metrics over HTTP; never returns.
-pub async fn metrics_serve(state: State, listener: Arc<TcpListener>) {
+/// Serves the metrics over HTTP as soon as the address can be bound; never returns.
+pub async fn metrics_run(state: State, address: SocketAddr) {
+    let listener = startup_background("metrics' port", || TcpListener::bind(address)).await;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -21,6 +21,7 @@
 pub mod permits;
 pub mod placement;
 pub mod pool;
+pub mod ports;
 pub mod probe;
 pub mod reload;
 pub mod request;
--- a/camphorweir-entry/src/front/permits.rs
+++ b/camphorweir-entry/src/front/permits.rs
@@ -26,11 +26,10 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+        sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{
-        net::UdpSocket,
         sync::oneshot,
         time::{interval, sleep, timeout},
     },
@@ -63,7 +62,6 @@
 /// Permits that this instance gives and asks for.
 #[derive(Debug)]
 pub struct Permits {
-    socket: OnceLock<Arc<UdpSocket>>,
     inner: Mutex<Inner>,
 }
 
@@ -86,7 +84,6 @@
     /// Permits of an instance that starts.
     pub fn new(now: Time) -> Self {
         Self {
-            socket: OnceLock::new(),
             inner: Mutex::new(Inner {
                 grantor: Grantor::new(now),
                 silences: Silences::default(),
@@ -118,24 +115,22 @@
         inner.last_number += 1;
         inner.last_number
     }
+}
 
-    fn send(&self, datagram: &Datagram, address: SocketAddr) {
-        if let Some(socket) = self.socket.get() {
-            // A full socket buffer drops this datagram; it is sent again or counts as lost.
-            let _ = socket.try_send_to(&codec::encode(datagram), address);
-        }
-    }
+fn send(state: &State, datagram: &Datagram, address: SocketAddr) {
+    state.ports().send(&codec::encode(datagram), address);
 }
 
 /// Tells other instances of limits, and checks targets that take nothing; never returns.
-pub async fn permits_run(state: &State, socket: &Arc<UdpSocket>) {
-    // The task may start again with the same socket.
-    let _ = state.permits().socket.set(socket.clone());
+pub async fn permits_run(state: &State) {
     let mut ticks = interval(NEWS_PAUSE);
     for round in 0u64.. {
         ticks.tick().await;
         let now = state.now();
         state.permits().inner().grantor.record_running(now);
+        if state.ports().sockets().is_none() {
+            state.permits().inner().grantor.record_deaf(now);
+        }
         ask_for_news(state);
         {
             let mut router = state.router();
@@ -166,7 +161,7 @@
         state.permits().inner().news_questions -= 1;
     }
     for address in others {
-        state.permits().send(&Datagram::Limits(Vec::new()), address);
+        send(state, &Datagram::Limits(Vec::new()), address);
     }
 }
 
@@ -182,7 +177,7 @@
     };
     known.truncate(MAX_NEWS);
     if !known.is_empty() {
-        state.permits().send(&Datagram::Limits(known), address);
+        send(state, &Datagram::Limits(known), address);
     }
 }
 
@@ -211,7 +206,7 @@
     let addresses = addresses.choose_multiple(&mut rand::rng(), recipients);
     let datagram = Datagram::Limits(news);
     for address in addresses {
-        state.permits().send(&datagram, address);
+        send(state, &datagram, address);
     }
 }
 
@@ -233,7 +228,7 @@
         });
         let others = candidates(state, &target).into_iter();
         for address in others.filter_map(|candidate| candidate.address) {
-            state.permits().send(&datagram, address);
+            send(state, &datagram, address);
         }
     }
 }
@@ -429,7 +424,8 @@
     let call = permits.next_number();
     let (sender, receiver) = oneshot::channel();
     permits.inner().pending.insert(call, sender);
-    permits.send(
+    send(
+        state,
         &Datagram::Ask(Ask {
             call,
             ..ask.clone()
@@ -503,7 +499,7 @@
             },
             news: known,
         };
-        state.permits().send(&Datagram::Grant(grant), address);
+        send(&state, &Datagram::Grant(grant), address);
     });
 }
 
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -4,11 +4,12 @@
     crate::{
         front::{
             follow::{follow_run, follow_serve},
-            gossip::{bind_digests, bind_followers, gossip_run},
+            gossip::gossip_run,
             idle::LAST_REQUESTS_WAIT,
             listen::{listen_callers, listen_ready},
-            metrics::{Metrics, metrics_serve},
+            metrics::{Metrics, metrics_run},
             placement::placement_run,
+            ports::ports_run,
             probe::probe_run,
             reload::{SettingsSource, reload_run},
             start::Listeners,
@@ -18,11 +19,8 @@
         supervise::Supervisor,
     },
     camphorweir_relay::settings::Settings,
-    std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::TcpListener,
-        time::{Instant, sleep, timeout_at},
-    },
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tokio::time::{Instant, sleep, timeout_at},
 };
 
 /// Pause between checks whether all requests have ended.
@@ -70,24 +68,13 @@
     let Listeners { callers, ready } = listeners.map_err(|failure| failure.to_string())?;
     // The time since the start counts from here, as the instance does nothing before.
     let state = State::new(settings, Metrics::new()?);
-    let digest_socket = bind_digests(&state)
-        .await
-        .map_err(|error| error.to_string())?;
     let (supervisor, mut fatal) = Supervisor::new();
-    let follow_listener = bind_followers(&state)
-        .await
-        .map_err(|error| error.to_string())?;
-    let follow_address = follow_listener
-        .local_addr()
-        .map_err(|error| error.to_string())?;
     let shared = state.clone();
-    supervisor.spawn("gossip", move || {
-        gossip_run(shared.clone(), digest_socket.clone(), follow_address)
-    });
+    supervisor.spawn("ports", move || ports_run(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("followers", move || {
-        follow_serve(shared.clone(), follow_listener.clone())
-    });
+    supervisor.spawn("gossip", move || gossip_run(shared.clone()));
+    let shared = state.clone();
+    supervisor.spawn("followers", move || follow_serve(shared.clone()));
     let shared = state.clone();
     supervisor.spawn("follow", move || follow_run(shared.clone()));
     let shared = state.clone();
@@ -101,11 +88,8 @@
     let shared = state.clone();
     supervisor.spawn("ask", move || probe_run(shared.clone()));
     if let Some(address) = metrics_address {
-        let listener = bind(address).await.map_err(|error| error.to_string())?;
         let shared = state.clone();
-        supervisor.spawn("metrics", move || {
-            metrics_serve(shared.clone(), listener.clone())
-        });
+        supervisor.spawn("metrics", move || metrics_run(shared.clone(), address));
     }
     let shared = state.clone();
     supervisor.spawn("settings", move || {
@@ -155,10 +139,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> io::Result<Arc<TcpListener>> {
-    TcpListener::bind(address).await.map(Arc::new)
-}
-
 async fn sweep(state: State) {
     loop {
         sleep(SWEEP_PAUSE).await;
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{
             body::Collector, client::Client, clock::Clock, connections::Connections, feed::Feed,
-            instances::Instances, metrics::Metrics, permits::Permits, pool::Pool,
+            instances::Instances, metrics::Metrics, permits::Permits, pool::Pool, ports::Ports,
             requests::Requests, stall::Reports, waiting::Waiting,
         },
         units::millis,
@@ -51,6 +51,7 @@
     stall_reports: Reports,
     feed: Feed,
     permits: Permits,
+    ports: Ports,
     waiting: Waiting,
     metrics: Metrics,
     holds_lease: AtomicBool,
@@ -86,6 +87,7 @@
             collector: Collector::default(),
             stall_reports: Reports::default(),
             feed: Feed::default(),
+            ports: Ports::default(),
             waiting: Waiting::default(),
             metrics,
             holds_lease: AtomicBool::new(false),
@@ -141,6 +143,11 @@
         &self.0.permits
     }
 
+    /// The ports for traffic between instances.
+    pub fn ports(&self) -> &Ports {
+        &self.0.ports
+    }
+
     /// Requests that wait for capacity.
     pub fn waiting(&self) -> &Waiting {
         &self.0.waiting
--- a/camphorweir-entry/src/front/suspects.rs
+++ b/camphorweir-entry/src/front/suspects.rs
@@ -22,7 +22,7 @@
     },
     rand::seq::IteratorRandom,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::time::sleep,
 };
 
 /// Pause between looks for quarantined requests that the store does not have.
@@ -33,7 +33,7 @@
 const HEADER_BYTES: usize = 32;
 
 /// Reports what has changed of suspects to the instances that have to know it.
-pub fn report(state: &State, socket: &UdpSocket) {
+pub fn report(state: &State) {
     let news = state.router().suspects.news(state.now());
     if news.is_empty() {
         return;
@@ -62,28 +62,27 @@
     }
     for (recipient, suspects) in by_recipient {
         if let Some(address) = addresses.get(recipient) {
-            send(socket, &suspects, *address);
+            send(state, &suspects, *address);
         }
     }
 }
 
 /// Reports all that is quarantined to one other instance, which makes up for reports that were lost.
-pub fn repeat(state: &State, socket: &UdpSocket) {
+pub fn repeat(state: &State) {
     let quarantined = state.router().suspects.quarantined(state.now());
     if quarantined.is_empty() {
         return;
     }
     let addresses = state.instances().digest_addresses().into_values();
     if let Some(address) = addresses.choose(&mut rand::rng()) {
-        send(socket, &quarantined, address);
+        send(state, &quarantined, address);
     }
 }
 
-fn send(socket: &UdpSocket, suspects: &[Suspect], address: SocketAddr) {
+fn send(state: &State, suspects: &[Suspect], address: SocketAddr) {
     for suspects in datagrams(suspects) {
         let bytes = codec::encode_named(&Datagram::Suspects(suspects));
-        // A full socket buffer drops this datagram; later ones carry the same.
-        let _ = socket.try_send_to(&bytes, address);
+        state.ports().send(&bytes, address);
     }
 }
 
--- a/camphorweir-entry/src/startup.rs
+++ b/camphorweir-entry/src/startup.rs
@@ -9,7 +9,7 @@
     tokio::{
         net::TcpListener,
         sync::Notify,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -21,6 +21,8 @@
 pub const PREDECESSOR_MARGIN: Duration = Duration::from_secs(10);
 /// Pause between two attempts at the start.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two attempts of a process that serves without what it tries to get.
+const BACKGROUND_PAUSE: Duration = Duration::from_secs(1);
 
 /// Why an attempt failed.
 #[derive(Debug)]
@@ -148,3 +150,28 @@
         )
     )
 }
+
+/// Repeats an attempt until it succeeds, for what the process serves without. Says once that `missing` is
+/// missing, and when it is there.
+pub async fn startup_background<T, F>(missing: &str, mut attempt: impl FnMut() -> F) -> T
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let mut since = None;
+    loop {
+        match attempt().await {
+            Ok(value) => {
+                if let Some(since) = since {
+                    log::info!(missing = missing, waited_ms = waited_ms(since); "no longer missing");
+                }
+                return value;
+            }
+            Err(error) if since.is_none() => {
+                since = Some(Instant::now());
+                log::warn!(missing = missing, reason:% = error; "serving without; trying again");
+            }
+            Err(_) => {}
+        }
+        sleep(BACKGROUND_PAUSE).await;
+    }
+}
--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -4,14 +4,21 @@
 
 use {
     camphorweir_entry::startup::{Failed, Wait, startup_bind_passes},
-    camphorweir_platform::settings::settings_parse,
+    camphorweir_platform::{
+        settings::settings_parse,
+        store::{CONFIGURATION_TOPIC, INSTANCES_TOPIC},
+    },
+    camphorweir_standin::{
+        metadata::Store,
+        platform_target::{Setup, Target},
+    },
     process::{Entry, Machine, get, program, until},
     rustix::io::Errno,
     std::{
         fs,
         future::ready,
         io,
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpStream, UdpSocket},
         path::Path,
         sync::Arc,
         thread::sleep,
@@ -20,6 +27,16 @@
     tokio::{sync::Notify, time::Instant},
 };
 
+/// A configuration with one service.
+const CONFIGURATION: &str = r#"{
+    "version": 1,
+    "routes": [{
+        "name": "look", "host": "h", "pathPrefix": "/look/", "kind": "idempotent", "timeoutMs": 8000,
+        "targetLatencyMs": 500, "service": "ledger", "maxAttempts": 2
+    }],
+    "services": [{"name": "ledger", "maxConnections": 100}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+}"#;
 /// Path of the readiness check.
 const READY_PATH: &str = "/api/readyz";
 /// An end "at once" takes less; waits last longer.
@@ -143,6 +160,47 @@
     until("code", || entry.lines(&["6102 AddressInUse"]).pop());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_serves_without_its_metrics_and_peers_ports() {
+    let mut machine = Machine::new(6);
+    let (store, address) = Store::spawn().await.unwrap();
+    machine.settings["platform"]["address"] = address.to_string().into();
+    store.put(CONFIGURATION_TOPIC, "config", CONFIGURATION.as_bytes());
+    let setup = Setup {
+        id: "ledger-0".to_owned(),
+        service: "ledger".to_owned(),
+        zone: "z".to_owned(),
+        kind: String::new(),
+    };
+    let _target = Target::spawn(setup, store.clone()).await.unwrap();
+    let metrics = TcpListener::bind(machine.address(19_464)).unwrap();
+    let digests = UdpSocket::bind(machine.address(17_340)).unwrap();
+    let mut entry = machine.start();
+    entry.await_line(&["serving without", "metrics' port"]);
+    entry.await_line(&["serving without", "peers' ports"]);
+    until("ready", || {
+        get(machine.ready(), READY_PATH).filter(|answer| answer.starts_with("HTTP/1.1 200"))
+    });
+    assert_eq!(store.value(INSTANCES_TOPIC, "entry-6"), None);
+    drop(metrics);
+    entry.await_line(&["no longer missing", "metrics' port"]);
+    let held = |count: u8| {
+        let text = get(machine.address(19_464), "/metrics").unwrap_or_default();
+        let mut lines = text
+            .lines()
+            .filter(|line| line.starts_with("camphorweir_peer_ports"));
+        lines
+            .any(|line| line.ends_with(&format!(" {count}")))
+            .then_some(())
+    };
+    until("gauge without ports", || held(0));
+    drop(digests);
+    entry.await_line(&["no longer missing", "peers' ports"]);
+    until("gauge with ports", || held(1));
+    until("listed", || store.value(INSTANCES_TOPIC, "entry-6"));
+    assert_eq!(entry.lines(&["serving without"]).len(), 2);
+}
+
 #[test]
 fn an_entry_of_operators_waits_for_its_settings_and_addresses() {
     let machine = Machine::new(7);
--- a/camphorweir-relay/src/permit.rs
+++ b/camphorweir-relay/src/permit.rs
@@ -308,6 +308,12 @@
         self.heard_at = now;
     }
 
+    /// Records that this instance can hear of no other: they run for all it knows, and it gives no permits
+    /// beside them, however long that lasts.
+    pub fn record_deaf(&mut self, now: Time) {
+        self.heard_at = self.heard_at.max(now.saturating_sub(CUT_OFF));
+    }
+
     /// Records that others may have given permits in the place of this instance until now.
     fn record_absence(&mut self, now: Time) {
         self.running_since = now;
--- a/camphorweir-relay/tests/decide/permit.rs
+++ b/camphorweir-relay/tests/decide/permit.rs
@@ -192,6 +192,18 @@
     ));
 }
 
+#[test]
+fn an_instance_that_can_hear_no_other_gives_none_for_as_long() {
+    let mut grantor = running();
+    let mut given = 0;
+    for at in (START + 600..START + 60_000).step_by(10) {
+        grantor.record_deaf(ms(at));
+        let answer = grantor.grant(&question(90.0, at), ms(at));
+        given += usize::from(matches!(answer, Answer::After(_)));
+    }
+    assert_eq!(given, 0);
+}
+
 #[test]
 fn what_an_earlier_release_may_send_is_left_to_it() {
     let mut grantor = running();
