--- a/camphorweir-entry/src/front/watch.rs
+++ b/camphorweir-entry/src/front/watch.rs
@@ -363,8 +363,8 @@
 ///
 /// # Errors
 ///
-/// The [`Error`] of the first page that fails; [`Error::Outdated`] where the store was restored
-/// between two pages.
+/// The [`Error`] of the first page that fails or does not go on after the last one;
+/// [`Error::Outdated`] where the store was restored between two pages.
 pub async fn read_newest(store: &mut Store, topic: &str) -> Result<Read, Error> {
     let mut records: Vec<Record> = Vec::new();
     let mut after: Option<String> = None;
@@ -381,10 +381,14 @@
             return Err(Error::Outdated);
         }
         records.extend(page.records);
-        after = page.last_key;
-        if after.is_none() {
+        if page.last_key.is_none() {
             return Ok(Read { records, next });
         }
+        if page.last_key == after {
+            let reason = "the next page ends where the last one did".to_owned();
+            return Err(Error::Malformed { reason });
+        }
+        after = page.last_key;
     }
 }
 
--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -44,7 +44,7 @@
 }
 
 impl Request {
-    /// Value of a query parameter; empty when absent.
+    /// Value of a query parameter, decoded; empty when absent.
     pub fn query(&self, name: &str) -> String {
         let mut fields = self
             .query
@@ -52,7 +52,7 @@
             .filter_map(|field| field.split_once('='));
         let parameter = fields.find(|(field, _)| *field == name);
         parameter
-            .map(|(_, value)| value.to_owned())
+            .map(|(_, value)| unescape(value))
             .unwrap_or_default()
     }
 
@@ -63,6 +63,26 @@
     }
 }
 
+/// Decodes a value of a query; bytes that are not text are replaced.
+fn unescape(value: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let digits = after
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        let escaped = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        let (byte, after) = match (first, escaped) {
+            (b'%', Some(byte)) => (byte, &after[2..]),
+            (b'+', _) => (b' ', after),
+            _ => (*first, after),
+        };
+        bytes.push(byte);
+        rest = after;
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// What the server does with a request.
 #[derive(Debug)]
 pub enum Reply {
--- a/camphorweir-standin/src/metadata.rs
+++ b/camphorweir-standin/src/metadata.rs
@@ -16,6 +16,9 @@
 /// Interval at which a waiting read checks for new records.
 const READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Limit on the records of a page of newest records.
+const MAX_PAGE_RECORDS: usize = 500;
+
 /// How the store responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behavior {
@@ -49,6 +52,8 @@
     /// Behavior of each listener, in the order in which they were added.
     behaviors: Vec<Behavior>,
     request_count: usize,
+    /// Whether each page of newest records is the first one.
+    repeats_pages: bool,
 }
 
 /// The store; clones share its state.
@@ -150,6 +155,11 @@
         keys
     }
 
+    /// Sets whether each page of newest records is the first one, whatever a call asks for.
+    pub fn set_repeats_pages(&self, repeats_pages: bool) {
+        self.state().repeats_pages = repeats_pages;
+    }
+
     /// Number of requests received so far.
     pub fn request_count(&self) -> usize {
         self.state().request_count
@@ -208,16 +218,22 @@
         for (offset, record) in records.iter().enumerate() {
             newest.insert(&record.key, (offset, &record.value));
         }
+        let after = match state.repeats_pages {
+            true => String::new(),
+            false => request.query("after"),
+        };
         let present = newest
             .into_iter()
-            .filter(|(_, (_, value))| !value.is_empty());
+            .filter(|(key, (_, value))| **key > after && !value.is_empty());
         let items = present.map(|(key, (offset, value))| {
             json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
         });
-        let items: Vec<_> = items.collect();
+        let mut items: Vec<_> = items.collect();
+        let has_more = items.len() > MAX_PAGE_RECORDS;
+        items.truncate(MAX_PAGE_RECORDS);
         Reply::json(
             200,
-            &json!({"items": items, "hasMore": false, "end": records.len()}),
+            &json!({"items": items, "hasMore": has_more, "end": records.len()}),
         )
     }
 
