Only a status from 200 to 599 makes a response an answer

Cause: the HTTP library refuses 000 to 099, but hands out 600 to 999, and 101, as the head of a final response. The status was looked at only where it was 503, 421 or a failure, and 600 and more is no failure by the library's classes: an idempotent call got the 600 of its target, with the body, the seal and headers such as `Server-Leaving`; with `X-Not-Executed` a call that may run once was told that it had not run; `Server-Limit: 0` in it closed the target for all.

Change: `response_head::head_receive` is the one place where the head of a response is taken: from targets, peers and the store, and without `--platform` from targets and the log service. A status that is not final ends the send as broken, like bytes that are no response, before any header is read. The reason is logged.

--- a/camphorweir-entry/src/fetch.rs
+++ b/camphorweir-entry/src/fetch.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the platform and for peers, with a limit on the response size and a timeout.
 
 use {
+    crate::response_head::{self, head_receive},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Method, Request, StatusCode, header::CONTENT_TYPE},
@@ -109,7 +110,11 @@
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Bytes, Error> {
         let broken = |what: String| Error::Broken { what };
-        let response = self.client.request(request).await;
+        let response = head_receive(request, |request| async {
+            let sent = self.client.request(request).await;
+            sent.map_err(response_head::Error::connection)
+        })
+        .await;
         let (head, body) = response
             .map_err(|error| broken(error.to_string()))?
             .into_parts();
--- a/camphorweir-entry/src/forward.rs
+++ b/camphorweir-entry/src/forward.rs
@@ -5,6 +5,7 @@
         clock::Clock,
         core_task::Payload,
         gate::{Gate, GatedStream},
+        response_head::{Error, head_receive},
     },
     bytes::Bytes,
     camphorweir_policy::{
@@ -14,8 +15,7 @@
     camphorweir_wire::outcome::{self, Answer},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
-        HeaderMap, Request, Response,
-        body::Incoming,
+        HeaderMap, Request,
         client::conn::http1::{self, SendRequest},
         header::{CONTENT_TYPE, HOST},
     },
@@ -195,8 +195,14 @@
     max_answer: usize,
 ) -> Option<Received> {
     sender.ready().await.ok()?;
-    let response: Response<Incoming> = sender.send_request(request).await.ok()?;
-    let (head, body) = response.into_parts();
+    let response = head_receive(request, |request| async {
+        let sent = sender.send_request(request).await;
+        sent.map_err(Error::connection)
+    });
+    let response = response.await.inspect_err(|error| {
+        log::info!(reason:% = error; "no response to a request that was sent");
+    });
+    let (head, body) = response.ok()?.into_parts();
     let header_is = |name: &str, value: &str| header_text(&head.headers, name) == value;
     let answered = |body: Vec<u8>| Answered {
         not_run: header_is(outcome::RAN_HEADER, outcome::Ran::No.as_str()),
--- a/camphorweir-entry/src/front/client.rs
+++ b/camphorweir-entry/src/front/client.rs
@@ -1,7 +1,10 @@
 //! HTTP client for small calls to the store, to targets and to peers.
 
 use {
-    crate::front::pool::Connection,
+    crate::{
+        front::pool::Connection,
+        response_head::{Error as HeadError, head_receive},
+    },
     bytes::{Bytes, BytesMut},
     camphorweir_platform::store::{Call, Error},
     http_body_util::{BodyExt, Full, Limited},
@@ -118,8 +121,12 @@
             .body(Full::new(call.body))
             .map_err(no_response)?;
         connection.expect_next();
-        let response = connection.sender.send_request(request).await;
-        let response = response.map_err(no_response)?;
+        let sender = &mut connection.sender;
+        let response = head_receive(request, |request| async {
+            let sent = sender.send_request(request).await;
+            sent.map_err(HeadError::connection)
+        });
+        let response = response.await.map_err(no_response)?;
         let (head, body) = response.into_parts();
         let mut body = Limited::new(body, self.max_response_bytes);
         let mut collected = BytesMut::new();
--- a/camphorweir-entry/src/front/exchange.rs
+++ b/camphorweir-entry/src/front/exchange.rs
@@ -1,10 +1,13 @@
 //! Sends a request to a target once, up to the head of the response.
 
 use {
-    crate::front::{
-        permits::permits_acquire,
-        pool::{CONNECT_TIMEOUT, Connection},
-        state::State,
+    crate::{
+        front::{
+            permits::permits_acquire,
+            pool::{CONNECT_TIMEOUT, Connection},
+            state::State,
+        },
+        response_head::{Error, head_receive},
     },
     bytes::Bytes,
     camphorweir_platform::{
@@ -127,17 +130,33 @@
     let request = request.body(body).map_err(|_| unsent)?;
     connection.expect_next();
     departure.store(true, Ordering::Relaxed);
-    let result = connection.sender.try_send_request(request).await;
+    let sender = &mut connection.sender;
+    let result = head_receive(request, |request| async {
+        let sent = sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Error::Unsent,
+            None => Error::connection(error.error()),
+        })
+    });
+    let result = result.await;
     if is_new && !plan.is_detour() {
         match result {
             Ok(_) => state.record_answer(&plan.target),
-            // The connection was closed before any response.
+            // The connection ended before any response.
             Err(_) => state.record_silence(&plan.target),
         }
     }
-    let response = result.map_err(|mut error| match error.take_message() {
-        Some(_) => unsent,
-        None => (Failure::Broken, None),
+    let response = result.map_err(|error| match error {
+        Error::Unsent => unsent,
+        error => {
+            log::info!(
+                request:% = admitted.id,
+                target_name:% = plan.target,
+                reason:% = error;
+                "no response to a request that was sent"
+            );
+            (Failure::Broken, None)
+        }
     })?;
     let (mut parts, body) = response.into_parts();
     if plan.is_detour() && is_turned_away(&parts) {
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod process;
 pub mod rate_limited_log;
 pub mod refusal;
+pub mod response_head;
 pub mod routing;
 pub mod seal;
 pub mod server;
--- a/camphorweir-standin/tests/front/main.rs
+++ b/camphorweir-standin/tests/front/main.rs
@@ -20,6 +20,7 @@
 mod silence;
 #[path = "../support/site.rs"]
 mod site;
+mod statuses;
 mod stops;
 mod streams;
 mod waiting;
