More than eight interim responses end a send

Cause: interim responses (1xx) were dropped without a limit but that on bytes, 256 KiB, and without one outside of `--platform`. A server that sends one now and then, a few bytes each, held a request until its deadline.

Change: `head_receive` counts them, and ends the send as broken at the ninth, so that it is tried elsewhere where that is allowed. Their headers count for nothing, as before.

One, two and eight interim responses before an answer change nothing.

--- a/camphorweir-entry/src/response_head.rs
+++ b/camphorweir-entry/src/response_head.rs
@@ -1,13 +1,24 @@
-//! Heads of the responses that an entry receives: which statuses are final.
+//! Heads of the responses that an entry receives: which statuses are final, and how many interim responses
+//! may come before.
 
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming},
+    hyper::{Request, Response, body::Incoming, ext::on_informational},
     snafu::Snafu,
-    std::{future::Future, ops::RangeInclusive},
+    std::{
+        future::Future,
+        ops::RangeInclusive,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::sync::Notify,
 };
 
+/// Most interim responses before a final one.
+pub const MAX_INTERIM_RESPONSES: usize = 8;
 /// Statuses of final responses. The HTTP library accepts others too.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -23,6 +34,9 @@
         /// The error of the HTTP library.
         reason: String,
     },
+    /// More interim responses came than [`MAX_INTERIM_RESPONSES`].
+    #[snafu(display("more than {MAX_INTERIM_RESPONSES} interim responses"))]
+    Interim,
     /// The status is not final.
     #[snafu(display("{status} is not the status of a final response"))]
     Status {
@@ -52,13 +66,24 @@
 ///
 /// [`Error`]. Nothing in the head of a response without a final status is to be believed.
 pub async fn head_receive<F>(
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     send: impl FnOnce(Request<Full<Bytes>>) -> F,
 ) -> Result<Response<Incoming>, Error>
 where
     F: Future<Output = Result<Response<Incoming>, Error>>,
 {
-    let response = send(request).await?;
+    let excess = Arc::new(Notify::new());
+    let (count, notifier) = (AtomicUsize::new(0), excess.clone());
+    on_informational(&mut request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notifier.notify_one();
+        }
+    });
+    let response = tokio::select! {
+        biased;
+        () = excess.notified() => return Err(Error::Interim),
+        response = send(request) => response?,
+    };
     let status = response.status().as_u16();
     if !status_is_final(status) {
         return Err(Error::Status { status });
--- a/camphorweir-entry/tests/response_head.rs
+++ b/camphorweir-entry/tests/response_head.rs
@@ -7,7 +7,7 @@
         fetch::HttpClient,
         forward::{self, Pool},
         front::client::Client,
-        response_head::status_is_final,
+        response_head::{MAX_INTERIM_RESPONSES, status_is_final},
     },
     camphorweir_platform::{control::control_report_call, store::Error},
     camphorweir_policy::{action::Forward, event::Exchange},
@@ -146,3 +146,19 @@
         assert_eq!(exchanges(&whole(line), false).await, [false; 3], "{line}");
     }
 }
+
+/// Guards against interim responses without end, which hold a request until its time limit.
+#[tokio::test]
+async fn a_response_comes_after_few_interim_ones_or_is_none() {
+    let good = whole("HTTP/1.1 200 OK");
+    for (count, is_response) in [
+        (0, true),
+        (1, true),
+        (MAX_INTERIM_RESPONSES, true),
+        (MAX_INTERIM_RESPONSES + 1, false),
+    ] {
+        let bytes = format!("{}{good}", INTERIM.repeat(count));
+        assert_eq!(exchanges(&bytes, false).await, [is_response; 3], "{count}");
+    }
+    assert_eq!(exchanges("", true).await, [false; 3]);
+}
--- a/camphorweir-standin/tests/front/statuses.rs
+++ b/camphorweir-standin/tests/front/statuses.rs
@@ -50,6 +50,10 @@
 /// What follows the status line; each header would count in an answer.
 const REST: &str = "\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\nserver-leaving: 1\r\n\
     server-limit: 0\r\nretry-after: 60\r\ncontent-length: 5\r\n\r\nwrong";
+/// An interim response whose headers would count in an answer.
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nserver-leaving: 1\r\nserver-limit: 0\r\n\r\n";
+/// Pause between interim responses without end, so that few bytes arrive.
+const PAUSE: Duration = Duration::from_millis(40);
 /// Time within which a request ends, half of what its caller waits.
 const ENDED: Duration = Duration::from_millis(1_500);
 /// Time in which records of new addresses travel, and changed settings are in force.
@@ -59,14 +63,22 @@
 #[derive(Clone, Debug)]
 struct Fault {
     bytes: String,
+    /// Sent again and again after a pause each.
+    more: &'static str,
     /// Number of calls that are answered well before.
     after: usize,
 }
 
 fn faults() -> Vec<Fault> {
     let lines = NOT_FINAL.iter().map(|line| format!("{line}{REST}"));
-    let fault = |bytes| Fault { bytes, after: 0 };
-    lines.map(fault).collect()
+    let fault = |bytes, more| Fault {
+        bytes,
+        more,
+        after: 0,
+    };
+    let mut faults: Vec<_> = lines.map(|bytes| fault(bytes, "")).collect();
+    faults.push(fault(String::new(), INTERIM));
+    faults
 }
 
 /// The fault of the next call at any of some servers.
@@ -105,6 +117,10 @@
     let id = id.split('\r').next()?;
     let bytes = fault.bytes.replace("{id}", id);
     client.write_all(bytes.as_bytes()).await.ok()?;
+    while !fault.more.is_empty() {
+        client.write_all(fault.more.as_bytes()).await.ok()?;
+        sleep(PAUSE).await;
+    }
     // The connection stays open, as no end of it may be needed.
     while client.read_buf(&mut request).await.ok()? > 0 {}
     None
@@ -262,3 +278,39 @@
         bench.parts.iter().for_each(Target::clear_faults);
     }
 }
+
+/// Guards against interim responses, or an earlier version, that spoil a sound answer.
+#[tokio::test]
+async fn an_answer_after_interim_responses_is_passed_on() {
+    let (bench, script) = start().await;
+    for (index, before) in ["", INTERIM, "HTTP/1.1 100 Continue\r\n\r\n"]
+        .iter()
+        .enumerate()
+    {
+        for (version, kind) in [
+            ("1.1", "look"),
+            ("1.0", "look"),
+            ("1.1", "seal"),
+            ("1.0", "seal"),
+        ] {
+            let id = format!("{kind}-{version}-{index}");
+            let fault = Fault {
+                bytes: format!(
+                    "{}HTTP/{version} 200 OK\r\nx-attempt-id: {{id}}\r\nx-response-seal: s\r\n\
+                     content-length: 5\r\n\r\nright",
+                    before.repeat(2),
+                ),
+                more: "",
+                after: 0,
+            };
+            let request = plain(&format!("/{kind}/b"), &id, KEYS[0]);
+            let answer = meet(&bench, &script, &request, &fault).await;
+            let seal = answer.header("x-response-seal");
+            assert_eq!(
+                (answer.status, seal, &answer.body[..]),
+                (200, "s", &b"right"[..]),
+                "{fault:?}"
+            );
+        }
+    }
+}
