Pass an answer in HTTP/1.0 on as HTTP/1.1

Cause: the version of a target's answer went to the caller with it, so that a caller who had asked in HTTP/1.1 was answered in HTTP/1.0.

Change: `head_receive` sets the version that the entry speaks.

Measured: before, (200, HTTP/1.0) at the caller for a call of each kind, with a raw socket as the target; now HTTP/1.1. The mutant dies. The whole of front: 117 passed, in 108 s at a load of 7 to 14.

--- a/camphorweir-entry/src/response_head.rs
+++ b/camphorweir-entry/src/response_head.rs
@@ -4,7 +4,7 @@
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, ext::on_informational},
+    hyper::{Request, Response, Version, body::Incoming, ext::on_informational},
     snafu::Snafu,
     std::{
         future::Future,
@@ -79,7 +79,7 @@
             notifier.notify_one();
         }
     });
-    let response = tokio::select! {
+    let mut response = tokio::select! {
         biased;
         () = excess.notified() => return Err(Error::Interim),
         response = send(request) => response?,
@@ -88,5 +88,7 @@
     if !status_is_final(status) {
         return Err(Error::Status { status });
     }
+    // A response is passed on in the version that this entry speaks.
+    *response.version_mut() = Version::HTTP_11;
     Ok(response)
 }
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -14,7 +14,7 @@
         platform_target::{Setup, Target},
     },
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1},
+    hyper::{HeaderMap, Request, Response, Version, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
@@ -41,6 +41,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
+    pub(crate) version: Version,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Whether the body came whole.
@@ -354,6 +355,7 @@
     }
     Answer {
         status: parts.status.as_u16(),
+        version: parts.version,
         headers: parts.headers,
         body: bytes.into(),
         whole,
--- a/camphorweir-standin/tests/front/statuses.rs
+++ b/camphorweir-standin/tests/front/statuses.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     camphorweir_standin::platform_target::{ResponseFault, STREAM_EVENTS, Setup, Target, event},
     http_body_util::Full,
-    hyper::Request,
+    hyper::{Request, Version},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -307,8 +307,8 @@
             let answer = meet(&bench, &script, &request, &fault).await;
             let seal = answer.header("x-response-seal");
             assert_eq!(
-                (answer.status, seal, &answer.body[..]),
-                (200, "s", &b"right"[..]),
+                (answer.status, answer.version, seal, &answer.body[..]),
+                (200, Version::HTTP_11, "s", &b"right"[..]),
                 "{fault:?}"
             );
         }
