End with a line of the log that says why, whatever becomes of the outputs

What operators saw: the log of a process that failed ended with `instance starting`. With standard output a pipe that is full and not read, a process that was told to stop, or that could not start, never ended and kept its addresses. With both outputs closed a failed start had status 101.

Cause: a fatal error was a bare line on standard error, by eprintln, which panics when that is closed. The flush at the end waited for the thread of the asynchronous appender without a limit, and gave up at once when its queue was full; its build panics when no thread can be started.

Change: log_writer::Writer takes the place of logforth's appenders for both outputs. The type of front::run's error in the tests' bench follows.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -5,7 +5,7 @@
     crate::{
         front::{listen::serve_internal, state::State},
         histograms::{DurationHistogram, Labels, WorkspaceLabels},
-        rate_limited_log::dropped_lines,
+        log_writer::dropped_lines,
     },
     bytes::Bytes,
     camphorweir_relay::{
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -14,10 +14,12 @@
             state::State,
             watch::{watch_configuration, watch_lapses, watch_targets},
         },
+        process::Failure,
         supervise::Supervisor,
     },
     camphorweir_relay::settings::Settings,
-    std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
+    camphorweir_wire::code::Code,
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         time::{Instant, sleep, timeout_at},
@@ -40,13 +42,13 @@
 ///
 /// # Errors
 ///
-/// A message for operators when an address can't be bound or a task fails repeatedly.
+/// [`Failure`] when an address can't be bound or a task fails repeatedly.
 pub async fn run(
     settings: Settings,
     settings_source: SettingsSource,
     metrics_port: Option<u16>,
     stop: impl Future<Output = ()>,
-) -> Result<(), String> {
+) -> Result<(), Failure> {
     let (callers, ready) = (settings.callers_address, settings.ready_address);
     log::info!(
         instance = settings.instance,
@@ -56,19 +58,13 @@
         "instance starting"
     );
     let metrics_address = metrics_port.map(|port| SocketAddr::new(callers.ip(), port));
-    let state = State::new(settings, Metrics::new()?);
-    let callers = bind(callers).await.map_err(|error| error.to_string())?;
-    let ready = bind(ready).await.map_err(|error| error.to_string())?;
-    let digest_socket = bind_digests(&state)
-        .await
-        .map_err(|error| error.to_string())?;
+    let state = State::new(settings, Metrics::new().map_err(internal)?);
+    let callers = bind(callers).await?;
+    let ready = bind(ready).await?;
+    let digest_socket = bind_digests(&state).await.map_err(internal)?;
     let (supervisor, mut fatal) = Supervisor::new();
-    let follow_listener = bind_followers(&state)
-        .await
-        .map_err(|error| error.to_string())?;
-    let follow_address = follow_listener
-        .local_addr()
-        .map_err(|error| error.to_string())?;
+    let follow_listener = bind_followers(&state).await.map_err(internal)?;
+    let follow_address = follow_listener.local_addr().map_err(internal)?;
     let shared = state.clone();
     supervisor.spawn("gossip", move || {
         gossip_run(shared.clone(), digest_socket.clone(), follow_address)
@@ -90,7 +86,7 @@
     let shared = state.clone();
     supervisor.spawn("ask", move || probe_run(shared.clone()));
     if let Some(address) = metrics_address {
-        let listener = bind(address).await.map_err(|error| error.to_string())?;
+        let listener = bind(address).await?;
         let shared = state.clone();
         supervisor.spawn("metrics", move || {
             metrics_serve(shared.clone(), listener.clone())
@@ -110,7 +106,7 @@
     });
     tokio::select! {
         () = stop => {}
-        _ = fatal.recv() => return Err("a task failed repeatedly".to_owned()),
+        _ = fatal.recv() => return Err(internal("a task failed repeatedly")),
     }
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
@@ -133,7 +129,6 @@
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
-    log::logger().flush();
     Ok(())
 }
 
@@ -144,8 +139,19 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> io::Result<Arc<TcpListener>> {
-    TcpListener::bind(address).await.map(Arc::new)
+async fn bind(address: SocketAddr) -> Result<Arc<TcpListener>, Failure> {
+    let bound = TcpListener::bind(address).await;
+    bound.map(Arc::new).map_err(|error| Failure {
+        code: Code::AddressInUse,
+        what: format!("{address}: {error}"),
+    })
+}
+
+fn internal(error: impl ToString) -> Failure {
+    Failure {
+        code: Code::Internal,
+        what: error.to_string(),
+    }
 }
 
 async fn sweep(state: State) {
--- a/camphorweir-entry/src/main.rs
+++ b/camphorweir-entry/src/main.rs
@@ -2,21 +2,25 @@
 #![forbid(unsafe_code)]
 
 use {
-    bpaf::Bpaf,
+    bpaf::{Args, Bpaf},
     camphorweir_entry::{
+        exit::{End, exit_block_on, exit_run, exit_usage, print},
         front::{reload::SettingsSource, run::run as run_front},
-        process, rate_limited_log, settings, telemetry,
+        process::{self, Failure},
+        rate_limited_log,
+        settings::{self, Logs, Settings},
+        telemetry,
     },
     camphorweir_platform::settings::settings_load,
-    std::{path::PathBuf, process::ExitCode},
+    camphorweir_wire::code::Code,
+    std::{
+        io,
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
-/// Exit status for invalid settings.
-const EXIT_BAD_SETTINGS: u8 = 2;
-/// Exit status for an entry that can't start or continue.
-const EXIT_FAILED: u8 = 1;
-
 /// Runs an entry of camphorweir.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
@@ -34,62 +38,76 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
-    if options.platform {
-        return run_platform(options.metrics);
-    }
-    let settings = match settings::load(&options.settings) {
+    let options = match options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return exit_usage(failure),
+    };
+    exit_run(|| match options {
+        Options {
+            platform: true,
+            metrics,
+            ..
+        } => run_platform(metrics),
+        Options {
+            settings,
+            check_settings,
+            ..
+        } => run_library(&settings, check_settings),
+    })
+}
+
+/// Runs an entry with a settings file of its own, or only checks that.
+fn run_library(file: &Path, check_settings: bool) -> End {
+    let settings = match settings::load(file) {
         Ok(settings) => settings,
         Err(faults) => {
-            let file = options.settings.display();
-            faults.iter().for_each(|fault| eprintln!("{file}:{fault}"));
-            return ExitCode::from(EXIT_BAD_SETTINGS);
+            if !check_settings {
+                telemetry::start_logs(Logs::default());
+            }
+            let lines = faults
+                .iter()
+                .map(|fault| format!("{}:{fault}", file.display()));
+            return End::BadSettings(lines.collect::<Vec<_>>().join("\n"));
         }
     };
-    if options.check_settings {
-        println!("{}: settings are valid", options.settings.display());
-        return ExitCode::SUCCESS;
+    if check_settings {
+        print(&format!("{}: settings are valid", file.display()));
+        return End::Shown;
     }
     telemetry::start_logs(settings.logs);
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("camphorweir-entry: {error}");
-            ExitCode::from(EXIT_FAILED)
-        }
+    match tokio::runtime::Runtime::new() {
+        Ok(runtime) => exit_block_on(runtime, run(settings)).into(),
+        Err(error) => End::Failed(internal(&error)),
     }
 }
 
 /// Runs an entry on the users' platform, with a single thread as its machines have one core.
-fn run_platform(metrics: Option<u16>) -> ExitCode {
+fn run_platform(metrics: Option<u16>) -> End {
+    rate_limited_log::start(log::LevelFilter::Info);
     let settings_source =
         SettingsSource::new(|| settings_load().map_err(|error| error.to_string()));
     let settings = match settings_source.load() {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("camphorweir-entry: {error}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
+        Err(error) => return End::BadSettings(error),
     };
-    rate_limited_log::start(log::LevelFilter::Info);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(async {
-            let stop = stop_signal()?;
-            let hangup_signals = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
-            tokio::spawn(reload_on_hangup(hangup_signals, settings_source.clone()));
-            run_front(settings, settings_source, metrics, stop).await
-        }),
-        Err(error) => Err(error.to_string()),
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("camphorweir-entry: {error}");
-            ExitCode::from(EXIT_FAILED)
+    match runtime {
+        Ok(runtime) => {
+            let entry = async {
+                let stop = stop_signal()?;
+                let hangup_signals =
+                    signal(SignalKind::hangup()).map_err(|error| internal(&error))?;
+                tokio::spawn(reload_on_hangup(hangup_signals, settings_source.clone()));
+                let mut signal_name = "";
+                let stop = async { signal_name = stop.await };
+                run_front(settings, settings_source, metrics, stop).await?;
+                Ok(signal_name)
+            };
+            exit_block_on(runtime, entry).into()
         }
+        Err(error) => End::Failed(internal(&error)),
     }
 }
 
@@ -100,25 +118,31 @@
     }
 }
 
-/// Completes at SIGTERM or SIGINT; the handlers stay installed, so further signals don't cut the
-/// shutdown short.
-fn stop_signal() -> Result<impl Future<Output = ()>, String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+/// Completes at SIGTERM or SIGINT with the signal's name; the handlers stay installed, so further signals
+/// don't cut the shutdown short.
+fn stop_signal() -> Result<impl Future<Output = &'static str>, Failure> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| internal(&error))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| internal(&error))?;
     Ok(async move {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
         }
     })
 }
 
-#[tokio::main]
-async fn run(settings: settings::Settings) -> Result<(), String> {
+async fn run(settings: Settings) -> Result<&'static str, Failure> {
     // The signal handlers are installed before the entry starts.
     let stop = stop_signal()?;
-    let entry = process::start(settings)
-        .await
-        .map_err(|failure| failure.to_string())?;
-    entry.run(stop).await.map_err(|failure| failure.to_string())
+    let mut signal_name = "";
+    let stop = async { signal_name = stop.await };
+    process::start(settings).await?.run(stop).await?;
+    Ok(signal_name)
+}
+
+fn internal(error: &io::Error) -> Failure {
+    Failure {
+        code: Code::Internal,
+        what: error.to_string(),
+    }
 }
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -273,7 +273,6 @@
             Some(code) = fatal.recv() => Err(failed_part(code)),
             drained = shutdown => {
                 log::info!(drained = drained.is_ok(), connections = open.open(); "shut down");
-                log::logger().flush();
                 Ok(())
             }
         }
--- a/camphorweir-entry/src/rate_limited_log.rs
+++ b/camphorweir-entry/src/rate_limited_log.rs
@@ -1,19 +1,19 @@
-//! Rate-limited logging with a background writer that never blocks a request.
+//! Rate-limited logging that never blocks a request.
 
 use {
+    crate::{
+        exit::LAST_LINE_TARGET,
+        log_writer::{Writer, count_dropped_line, log_panics},
+        output::STDOUT,
+    },
     logforth::{
         Diagnostic, Filter,
-        append::{Stdout, asynchronous},
         filter::FilterResult,
         layout::JsonLayout,
         record::{FilterCriteria, Level},
     },
     std::{
-        panic,
-        sync::{
-            Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Mutex, PoisonError},
         time::Instant,
     },
 };
@@ -23,16 +23,6 @@
 const LINES_PER_SECOND: f64 = 150.0;
 /// Warnings and errors per second, limited separately.
 const WARNINGS_PER_SECOND: f64 = 30.0;
-/// Lines queued for the writer; further ones are dropped.
-const MAX_QUEUED_LINES: usize = 4_096;
-
-/// Lines that the rate limit has dropped since the start.
-static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
-
-/// Lines that the rate limit has dropped since the start of the process.
-pub fn dropped_lines() -> u64 {
-    DROPPED_LINES.load(Ordering::Relaxed)
-}
 
 /// A token bucket: the lines that may be written now, and when that was computed.
 #[derive(Debug)]
@@ -69,6 +59,9 @@
 
 impl Filter for RateLimit {
     fn enabled(&self, criteria: &FilterCriteria, _: &[Box<dyn Diagnostic>]) -> FilterResult {
+        if criteria.target() == LAST_LINE_TARGET {
+            return FilterResult::Neutral;
+        }
         let bucket = match criteria.level() >= Level::Warn {
             true => &self.warnings,
             false => &self.normal,
@@ -76,7 +69,7 @@
         if bucket.try_acquire() {
             return FilterResult::Neutral;
         }
-        DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        count_dropped_line();
         FilterResult::Reject
     }
 }
@@ -84,12 +77,7 @@
 /// Starts logging to standard output, one JSON object per line; has no effect if called again in
 /// the same process.
 pub fn start(level: log::LevelFilter) {
-    let stdout = Stdout::default().with_layout(JsonLayout::default());
-    let writer = asynchronous::AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(MAX_QUEUED_LINES))
-        .overflow_drop_incoming()
-        .append(stdout)
-        .build();
+    let writer = Writer::start(&STDOUT, JsonLayout::default());
     let rate_limit = RateLimit {
         normal: Bucket::new(LINES_PER_SECOND),
         warnings: Bucket::new(WARNINGS_PER_SECOND),
@@ -99,9 +87,6 @@
         .try_apply();
     if started.is_ok() {
         log::set_max_level(level);
-        // A task that panics ends its connection without an answer.
-        panic::set_hook(Box::new(
-            |panic| log::error!(reason:% = panic; "a task panicked"),
-        ));
+        log_panics();
     }
 }
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -119,6 +119,15 @@
     pub level: log::LevelFilter,
 }
 
+impl Default for Logs {
+    fn default() -> Self {
+        Self {
+            format: Format::Json,
+            level: log::LevelFilter::Info,
+        }
+    }
+}
+
 /// The format of a log line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
@@ -285,9 +294,10 @@
     let format = mapping.optional("format", parse_format, faults);
     let level = mapping.optional("level", parse_level, faults);
     mapping.reject_unknown_fields(faults);
+    let default = Logs::default();
     Logs {
-        format: format.unwrap_or(Format::Json),
-        level: level.unwrap_or(log::LevelFilter::Info),
+        format: format.unwrap_or(default.format),
+        level: level.unwrap_or(default.level),
     }
 }
 
--- a/camphorweir-entry/src/telemetry.rs
+++ b/camphorweir-entry/src/telemetry.rs
@@ -4,15 +4,14 @@
     crate::{
         gauges::{Gauges, class_label},
         histograms::{DurationHistogram, Labels, WorkspaceLabels},
+        log_writer::{Writer, log_panics},
+        output::STDERR,
         settings::{Format, Logs},
         units::millis,
     },
     camphorweir_policy::action::{Ended, Note},
     camphorweir_wire::{code::Code, status::Status},
-    logforth::{
-        append::Stderr,
-        layout::{JsonLayout, PlainTextLayout},
-    },
+    logforth::layout::{JsonLayout, PlainTextLayout},
     opentelemetry::{
         KeyValue,
         metrics::{Counter, MeterProvider},
@@ -32,15 +31,16 @@
 
 /// Starts logging; has no effect if called again in the same process.
 pub fn start_logs(logs: Logs) {
-    let stderr = match logs.format {
-        Format::Json => Stderr::default().with_layout(JsonLayout::default()),
-        Format::Text => Stderr::default().with_layout(PlainTextLayout::default()),
+    let writer = match logs.format {
+        Format::Json => Writer::start(&STDERR, JsonLayout::default()),
+        Format::Text => Writer::start(&STDERR, PlainTextLayout::default()),
     };
     let started = logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.append(stderr))
+        .dispatch(|dispatch| dispatch.append(writer))
         .try_apply();
     if started.is_ok() {
         log::set_max_level(logs.level);
+        log_panics();
     }
 }
 
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -3,7 +3,10 @@
 use {
     crate::{port::free, site::site},
     bytes::Bytes,
-    camphorweir_entry::front::{reload::SettingsSource, run::run},
+    camphorweir_entry::{
+        front::{reload::SettingsSource, run::run},
+        process::Failure,
+    },
     camphorweir_relay::{
         budget,
         settings::{Bounds, Settings},
@@ -66,7 +69,7 @@
     /// What its settings file would say now.
     pub(crate) settings: Arc<Mutex<Result<Settings, String>>>,
     stop: Option<oneshot::Sender<()>>,
-    task: JoinHandle<Result<(), String>>,
+    task: JoinHandle<Result<(), Failure>>,
 }
 
 impl Drop for Entry {
@@ -249,7 +252,7 @@
     }
 
     /// Waits for its end.
-    pub(crate) async fn ended(mut self) -> Result<(), String> {
+    pub(crate) async fn ended(mut self) -> Result<(), Failure> {
         timeout(GUARD, &mut self.task).await.unwrap().unwrap()
     }
 }
