--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -16,9 +16,11 @@
             state::State,
             watch::{watch_configuration, watch_lapses, watch_targets},
         },
+        process::Failure,
         supervise::Supervisor,
     },
     camphorweir_relay::settings::Settings,
+    camphorweir_wire::code::Code,
     std::{future::Future, net::SocketAddr, time::Duration},
     tokio::time::{Instant, sleep, timeout_at},
 };
@@ -39,13 +41,13 @@
 ///
 /// # Errors
 ///
-/// A message for operators when an address can't be bound or a task fails repeatedly.
+/// [`Failure`] when an address can't be bound or a task fails repeatedly.
 pub async fn run(
     settings: Settings,
     settings_source: SettingsSource,
     metrics_port: Option<u16>,
     stop: impl Future<Output = ()>,
-) -> Result<(), String> {
+) -> Result<(), Failure> {
     log::info!(
         instance = settings.instance,
         zone:% = settings.zone,
@@ -60,14 +62,13 @@
         biased;
         () = &mut stop => {
             log::info!("stopped before the start was complete");
-            log::logger().flush();
             return Ok(());
         }
         listeners = Listeners::bind(&settings, &settings_source) => listeners,
     };
-    let Listeners { callers, ready } = listeners.map_err(|failure| failure.to_string())?;
+    let Listeners { callers, ready } = listeners?;
     // The time since the start counts from here, as the instance does nothing before.
-    let state = State::new(settings, Metrics::new()?);
+    let state = State::new(settings, Metrics::new().map_err(internal)?);
     let (supervisor, mut fatal) = Supervisor::new();
     let shared = state.clone();
     supervisor.spawn("ports", move || ports_run(shared.clone()));
@@ -105,7 +106,7 @@
     });
     tokio::select! {
         () = stop => {}
-        _ = fatal.recv() => return Err("a task failed repeatedly".to_owned()),
+        _ = fatal.recv() => return Err(internal("a task failed repeatedly")),
     }
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
@@ -128,7 +129,6 @@
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
-    log::logger().flush();
     Ok(())
 }
 
@@ -139,6 +139,13 @@
     }
 }
 
+fn internal(error: impl ToString) -> Failure {
+    Failure {
+        code: Code::Internal,
+        what: error.to_string(),
+    }
+}
+
 async fn sweep(state: State) {
     loop {
         sleep(SWEEP_PAUSE).await;
--- a/camphorweir-entry/src/main.rs
+++ b/camphorweir-entry/src/main.rs
@@ -2,16 +2,19 @@
 #![forbid(unsafe_code)]
 
 use {
-    bpaf::Bpaf,
+    bpaf::{Args, Bpaf},
     camphorweir_entry::{
+        exit::{End, exit_block_on, exit_run, exit_usage, print, print_error},
         front::{reload::SettingsSource, run::run as run_front},
-        process, rate_limited_log,
-        settings::{self, Settings},
+        process::{self, Failure},
+        rate_limited_log,
+        settings::{self, Logs, Settings},
         startup::{Failed, SETTINGS_WAIT, Wait},
         telemetry,
         yaml::Fault,
     },
     camphorweir_platform::settings::settings_load,
+    camphorweir_wire::code::Code,
     std::{
         fmt::{self, Display},
         future::ready,
@@ -27,11 +30,6 @@
     },
 };
 
-/// Exit status for invalid settings.
-const EXIT_BAD_SETTINGS: u8 = 2;
-/// Exit status for an entry that can't start or continue.
-const EXIT_FAILED: u8 = 1;
-
 /// Runs an entry of camphorweir.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
@@ -49,7 +47,13 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
+    match options().run_inner(Args::current_args()) {
+        Ok(options) => exit_run(|| start(options)),
+        Err(failure) => exit_usage(failure),
+    }
+}
+
+fn start(options: Options) -> End {
     if options.check_settings && !options.platform {
         return check_settings(&options.settings);
     }
@@ -59,14 +63,20 @@
         false => Builder::new_multi_thread().enable_all().build(),
     };
     match runtime {
-        Ok(runtime) => runtime.block_on(run(options)),
-        Err(error) => failed(&error),
+        Ok(runtime) => exit_block_on(runtime, run(options)),
+        Err(error) => {
+            telemetry::start_logs(Logs::default());
+            failed(&error)
+        }
     }
 }
 
 /// Runs an entry. Signals are handled before anything else, so that none ends the process by itself.
-async fn run(options: Options) -> ExitCode {
+async fn run(options: Options) -> End {
     let signals = stop_signal().and_then(|stop| Ok((stop, signal(SignalKind::hangup())?)));
+    if options.platform {
+        rate_limited_log::start(log::LevelFilter::Info);
+    }
     let (stop, hangup_signals) = match signals {
         Ok(signals) => signals,
         Err(error) => return failed(&error),
@@ -77,18 +87,19 @@
     }
 }
 
-fn failed(error: &dyn Display) -> ExitCode {
-    eprintln!("camphorweir-entry: {error}");
-    ExitCode::from(EXIT_FAILED)
+fn failed(error: &io::Error) -> End {
+    End::Failed(Failure {
+        code: Code::Internal,
+        what: error.to_string(),
+    })
 }
 
 /// Runs an entry on the users' platform.
 async fn run_platform(
     metrics: Option<u16>,
     hangup_signals: Signal,
-    stop: impl Future<Output = ()>,
-) -> ExitCode {
-    rate_limited_log::start(log::LevelFilter::Info);
+    stop: impl Future<Output = &'static str>,
+) -> End {
     let settings_source =
         SettingsSource::new(|| settings_load().map_err(|error| error.to_string()));
     let reloads = settings_source.clone();
@@ -104,36 +115,25 @@
     };
     let settings = tokio::select! {
         biased;
-        () = &mut stop => {
-            log::info!("stopped before the start was complete");
-            log::logger().flush();
-            return ExitCode::SUCCESS;
-        }
+        signal_name = &mut stop => return End::Stopped(signal_name),
         settings = wait.attempt("settings file", load) => settings,
     };
     let settings = match settings {
         Ok(settings) => settings,
-        Err(error) => {
-            log::logger().flush();
-            eprintln!("camphorweir-entry: {error}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
+        Err(error) => return End::BadSettings(error.to_string()),
     };
-    match run_front(settings, settings_source, metrics, stop).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::logger().flush();
-            failed(&error)
-        }
-    }
+    let mut signal_name = "";
+    let stop = async { signal_name = stop.await };
+    let ended = run_front(settings, settings_source, metrics, stop).await;
+    ended.map(|()| signal_name).into()
 }
 
 /// Runs an entry with the settings file of operators.
 async fn run_library(
     path: &Path,
     hangup_signals: Signal,
-    stop: impl Future<Output = ()>,
-) -> ExitCode {
+    stop: impl Future<Output = &'static str>,
+) -> End {
     let retry_now = Arc::new(Notify::new());
     let notified = retry_now.clone();
     tokio::spawn(on_hangup(hangup_signals, move || notified.notify_one()));
@@ -142,25 +142,25 @@
         let settings = load_settings(path, &retry_now).await?;
         telemetry::start_logs(settings.logs);
         let entry = process::start_with(settings, &retry_now).await;
-        entry.map_err(|failure| failed(&failure))
+        entry.map_err(End::Failed)
     };
     let entry = tokio::select! {
         biased;
-        () = &mut stop => return ExitCode::SUCCESS,
+        signal_name = &mut stop => return End::Stopped(signal_name),
         entry = started => entry,
     };
-    match entry {
-        Ok(entry) => match entry.run(stop).await {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(failure) => failed(&failure),
-        },
-        Err(code) => code,
-    }
+    let entry = match entry {
+        Ok(entry) => entry,
+        Err(end) => return end,
+    };
+    let mut signal_name = "";
+    let ended = entry.run(async { signal_name = stop.await }).await;
+    ended.map(|()| signal_name).into()
 }
 
 /// Loads the settings file, and waits for one that is missing or empty. The file says how to log, so what
 /// there is to say before it is read goes to standard error as it is.
-async fn load_settings(path: &Path, retry_now: &Notify) -> Result<Settings, ExitCode> {
+async fn load_settings(path: &Path, retry_now: &Notify) -> Result<Settings, End> {
     let mut is_told = false;
     let load = || {
         let loaded = settings::load_at_start(path);
@@ -168,30 +168,29 @@
             let reason = Faults(path, reason);
             if passes && !is_told {
                 is_told = true;
-                eprint!("{reason}");
-                eprintln!("{}: waiting up to {SETTINGS_WAIT:?}", path.display());
+                let file = path.display();
+                print_error(&format!(
+                    "{reason}\n{file}: waiting up to {SETTINGS_WAIT:?}"
+                ));
             }
             Failed { reason, passes }
         }))
     };
     let settings = Wait::new(SETTINGS_WAIT, retry_now).attempt("settings file", load);
     settings.await.map_err(|faults| {
-        eprint!("{faults}");
-        ExitCode::from(EXIT_BAD_SETTINGS)
+        telemetry::start_logs(Logs::default());
+        End::BadSettings(faults.to_string())
     })
 }
 
 /// Reports every fault of the settings file.
-fn check_settings(path: &Path) -> ExitCode {
+fn check_settings(path: &Path) -> End {
     match settings::load(path) {
         Ok(_) => {
-            println!("{}: settings are valid", path.display());
-            ExitCode::SUCCESS
-        }
-        Err(faults) => {
-            eprint!("{}", Faults(path, faults));
-            ExitCode::from(EXIT_BAD_SETTINGS)
+            print(&format!("{}: settings are valid", path.display()));
+            End::Shown
         }
+        Err(faults) => End::BadSettings(Faults(path, faults).to_string()),
     }
 }
 
@@ -201,8 +200,11 @@
 impl Display for Faults<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self(path, faults) = self;
-        let mut faults = faults.iter();
-        faults.try_for_each(|fault| writeln!(formatter, "{}:{fault}", path.display()))
+        for (index, fault) in faults.iter().enumerate() {
+            let line_break = if index > 0 { "\n" } else { "" };
+            write!(formatter, "{line_break}{}:{fault}", path.display())?;
+        }
+        Ok(())
     }
 }
 
@@ -213,15 +215,15 @@
     }
 }
 
-/// Completes at SIGTERM or SIGINT; the handlers stay installed, so further signals don't cut the
-/// shutdown short.
-fn stop_signal() -> io::Result<impl Future<Output = ()>> {
+/// Completes at SIGTERM or SIGINT with the signal's name; the handlers stay installed, so further signals
+/// don't cut the shutdown short.
+fn stop_signal() -> io::Result<impl Future<Output = &'static str>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     Ok(async move {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
         }
     })
 }
