Failed starts of the tests of ends use an address that no machine can bind

Cause: a start now waits for an address that may come later, so the tests' foreign address no longer fails at once. Change: a link-local address without a scope takes its place; every assertion stands as it was.

--- a/camphorweir-entry/tests/exit.rs
+++ b/camphorweir-entry/tests/exit.rs
@@ -19,8 +19,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// Bytes that a new pipe holds.
 const PIPE_BYTES: usize = 65_536;
-/// An address of no machine, reserved for documentation.
-const FOREIGN: &str = "192.0.2.1:8080";
+/// A link-local address without a scope, which no machine can bind.
+const UNUSABLE: &str = "[fe80::1]:8080";
 
 /// A process that is killed when dropped.
 struct Entry(Child);
@@ -128,7 +128,7 @@
 
 #[test]
 fn a_failed_start_names_address_code_and_status() {
-    let settings = settings("failed", FOREIGN);
+    let settings = settings("failed", UNUSABLE);
     let mut entry = Entry::start(&settings, Stdio::piped(), Stdio::null());
     assert_eq!(entry.ended_in_time().code(), Some(1));
     let line = entry.last_line();
@@ -137,7 +137,7 @@
     assert_eq!(line["kvs"]["code"], 6102);
     assert_eq!(line["kvs"]["code_name"], "AddressInUse");
     assert!(
-        line["kvs"]["reason"].as_str().unwrap().contains(FOREIGN),
+        line["kvs"]["reason"].as_str().unwrap().contains(UNUSABLE),
         "{line}"
     );
 }
@@ -165,7 +165,7 @@
 
 #[test]
 fn outputs_that_are_full_do_not_hold_up_a_failed_start() {
-    let settings = settings("full-start", FOREIGN);
+    let settings = settings("full-start", UNUSABLE);
     let ((_stdout, full_stdout), (_stderr, full_stderr)) = (full_pipe(), full_pipe());
     let mut entry = Entry::start(&settings, full_stdout, full_stderr);
     assert_eq!(entry.ended_in_time().code(), Some(1));
@@ -173,7 +173,7 @@
 
 #[test]
 fn outputs_that_are_closed_do_not_change_the_status() {
-    let settings = settings("closed", FOREIGN);
+    let settings = settings("closed", UNUSABLE);
     let mut entry = Entry::start(&settings, closed_pipe(), closed_pipe());
     assert_eq!(entry.ended_in_time().code(), Some(1));
 }
