Restart tasks that callers don't need for as long as the process runs

What callers saw: eight failures in 30 s of any task, be it the one that serves metrics, ended the process at once, with all requests in flight cut.

Cause: the supervisor knew one kind of child that is restarted, and both ways to run an entry returned at its report, before their shutdown.

Change: Supervisor::spawn_optional restarts a child after 5 s at the latest, for as long as the process runs; on the platform that is each task but the two listeners for callers and readiness, else `peers`, `admin` and `instances`. A child that callers need ends the process as a signal does, with the same shutdown, and is named in the last line; only `core`, without which no request can end, still ends it at once. `task failed` says how often, camphorweir_task_failures_total counts by task, and a child that ran for 30 s starts again with the first delay.

--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -50,6 +50,7 @@
     permits: Counter<u64>,
     unread: Counter<u64>,
     stop_cuts: Counter<u64>,
+    task_failures: Counter<u64>,
     unanswered: Counter<u64>,
     admission: Counter<u64>,
     duration: DurationHistogram,
@@ -136,6 +137,7 @@
                 "camphorweir.stop.cut",
                 "Requests cut by the end of the process, by phase",
             ),
+            task_failures: counter("camphorweir.task.failures", "Tasks that failed, by task"),
             unanswered: counter(
                 "camphorweir.connections.unanswered",
                 "Callers' connections that ended with a request that was not answered, by cause",
@@ -346,6 +348,11 @@
         self.quarantines.add(1, &[]);
     }
 
+    /// Counts the failures of tasks.
+    pub fn task_failures(&self) -> Counter<u64> {
+        self.task_failures.clone()
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self, state: &State) -> String {
         self.update_gauges(state);
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -42,7 +42,8 @@
 ///
 /// # Errors
 ///
-/// [`Failure`] when an address can't be bound or a task fails repeatedly.
+/// [`Failure`] when an address can't be bound or a task that callers need keeps failing; in the second
+/// case requests in flight have ended in the same way.
 pub async fn run(
     settings: Settings,
     settings_source: SettingsSource,
@@ -63,51 +64,49 @@
     let ready = bind(ready).await?;
     let digest_socket = bind_digests(&state).await.map_err(internal)?;
     let (supervisor, mut fatal) = Supervisor::new();
+    let supervisor = supervisor.with_counter(state.metrics().task_failures());
     let follow_listener = bind_followers(&state).await.map_err(internal)?;
     let follow_address = follow_listener.local_addr().map_err(internal)?;
     let shared = state.clone();
-    supervisor.spawn("gossip", move || {
+    supervisor.spawn_optional("gossip", move || {
         gossip_run(shared.clone(), digest_socket.clone(), follow_address)
     });
     let shared = state.clone();
-    supervisor.spawn("followers", move || {
+    supervisor.spawn_optional("followers", move || {
         follow_serve(shared.clone(), follow_listener.clone())
     });
     let shared = state.clone();
-    supervisor.spawn("follow", move || follow_run(shared.clone()));
+    supervisor.spawn_optional("follow", move || follow_run(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("configuration", move || watch_configuration(shared.clone()));
+    supervisor.spawn_optional("configuration", move || watch_configuration(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("targets", move || watch_targets(shared.clone()));
+    supervisor.spawn_optional("targets", move || watch_targets(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("lapses", move || watch_lapses(shared.clone()));
+    supervisor.spawn_optional("lapses", move || watch_lapses(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("duty", move || placement_run(shared.clone()));
+    supervisor.spawn_optional("duty", move || placement_run(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("ask", move || probe_run(shared.clone()));
+    supervisor.spawn_optional("ask", move || probe_run(shared.clone()));
     if let Some(address) = metrics_address {
         let listener = bind(address).await?;
         let shared = state.clone();
-        supervisor.spawn("metrics", move || {
+        supervisor.spawn_optional("metrics", move || {
             metrics_serve(shared.clone(), listener.clone())
         });
     }
     let shared = state.clone();
-    supervisor.spawn("settings", move || {
+    supervisor.spawn_optional("settings", move || {
         reload_run(shared.clone(), settings_source.clone())
     });
     let shared = state.clone();
-    supervisor.spawn("sweep", move || sweep(shared.clone()));
+    supervisor.spawn_optional("sweep", move || sweep(shared.clone()));
     let shared = state.clone();
     supervisor.spawn("ready", move || listen_ready(shared.clone(), ready.clone()));
     let shared = state.clone();
     supervisor.spawn("callers", move || {
         listen_callers(shared.clone(), callers.clone())
     });
-    tokio::select! {
-        () = stop => {}
-        _ = fatal.recv() => return Err(internal("a task failed repeatedly")),
-    }
+    let result = supervisor.wait_for(&mut fatal, stop).await;
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
     let left = state.stop().map(|stop| stop.ends_at - stop.since);
@@ -129,7 +128,7 @@
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
-    Ok(())
+    result
 }
 
 /// Waits until no request is in flight.
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -32,6 +32,9 @@
 /// Added to the idle timeout so that the last responses are written before shutdown.
 const DRAIN_MARGIN: Duration = Duration::from_secs(1);
 
+/// Name of the task without which no request can end.
+const CORE_TASK: &str = "core";
+
 /// Why an entry can't start or can't continue.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display("{} {}: {what}", code.number(), code.name()))]
@@ -53,6 +56,7 @@
     closing: watch::Sender<bool>,
     ready: watch::Receiver<bool>,
     finished: watch::Receiver<bool>,
+    supervisor: Supervisor,
     fatal: mpsc::Receiver<Code>,
 }
 
@@ -84,6 +88,7 @@
     let addresses = listeners.addresses()?;
     let metrics = Metrics::new().map_err(|error| failure(Code::Internal, &error))?;
     let (supervisor, fatal) = Supervisor::new();
+    let supervisor = supervisor.with_counter(metrics.task_failures());
     let (core_handle, inputs) = core_task::channel();
     let (closing, closing_receiver) = watch::channel(false);
     let (ready_sender, ready) = watch::channel(false);
@@ -116,7 +121,7 @@
         seed,
     };
     supervisor.spawn_once(
-        "core",
+        CORE_TASK,
         Driver::new(Core::new(setup), environment).run(inputs),
     );
     let state = call::State::new(core_handle.clone(), settings.limits, ready.clone());
@@ -153,6 +158,7 @@
         closing,
         ready,
         finished,
+        supervisor,
         fatal,
     })
 }
@@ -162,7 +168,7 @@
 }
 
 fn supervise_peers(supervisor: &Supervisor, receiver: PeerReceiver, listener: Arc<TcpListener>) {
-    supervisor.spawn("peers", move || {
+    supervisor.spawn_optional("peers", move || {
         let receiver = receiver.clone();
         inner::serve(listener.clone(), move |request| {
             let receiver = receiver.clone();
@@ -172,7 +178,7 @@
 }
 
 fn supervise_admin(supervisor: &Supervisor, state: admin::State, listener: Arc<TcpListener>) {
-    supervisor.spawn("admin", move || {
+    supervisor.spawn_optional("admin", move || {
         let state = state.clone();
         inner::serve(listener.clone(), move |request| {
             let state = state.clone();
@@ -187,7 +193,7 @@
     url: String,
     core_handle: core_task::Handle,
 ) {
-    supervisor.spawn("instances", move || {
+    supervisor.spawn_optional("instances", move || {
         instance_list::run(client.clone(), url.clone(), core_handle.clone())
     });
 }
@@ -238,14 +244,12 @@
     ///
     /// # Errors
     ///
-    /// [`Failure`] when a part of the entry keeps failing.
+    /// [`Failure`] when a part of the entry that callers need keeps failing; what can be ended then is
+    /// ended in the same order.
     pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<(), Failure> {
-        let code = tokio::select! {
-            code = self.fatal.recv() => code,
-            () = stop => None,
-        };
-        if let Some(code) = code {
-            return Err(failed_part(code));
+        let result = self.supervisor.wait_for(&mut self.fatal, stop).await;
+        if result.is_err() && self.supervisor.failed_child() == Some(CORE_TASK) {
+            return result;
         }
         log::info!("shutting down");
         // The core task runs until the end; had it failed, the supervisor would have reported it.
@@ -258,6 +262,7 @@
             closing,
             mut ready,
             mut finished,
+            supervisor,
             ..
         } = self;
         let open = server.clone();
@@ -270,10 +275,10 @@
             timeout(drain_timeout, server.drained()).await
         };
         tokio::select! {
-            Some(code) = fatal.recv() => Err(failed_part(code)),
+            Some(code) = fatal.recv() => Err(supervisor.failure(code)),
             drained = shutdown => {
                 log::info!(drained = drained.is_ok(), connections = open.open(); "shut down");
-                Ok(())
+                result
             }
         }
     }
@@ -299,7 +304,3 @@
         what: what.to_string(),
     }
 }
-
-fn failed_part(code: Code) -> Failure {
-    failure(code, &"a part of the entry keeps failing")
-}
--- a/camphorweir-entry/src/telemetry.rs
+++ b/camphorweir-entry/src/telemetry.rs
@@ -53,6 +53,7 @@
     requests: Counter<u64>,
     failures: Counter<u64>,
     ejections: Counter<u64>,
+    task_failures: Counter<u64>,
     unusual_events: Counter<u64>,
     gauges: Gauges,
     workspace_names: WorkspaceLabels,
@@ -93,6 +94,7 @@
                 "camphorweir.ejections",
                 "Targets taken out of use, by reason",
             ),
+            task_failures: counter("camphorweir.task.failures", "Tasks that failed, by task"),
             unusual_events: counter("camphorweir.odd", "Unusual facts, by kind"),
             gauges: Gauges::new(&meter),
             workspace_names: WorkspaceLabels::default(),
@@ -106,6 +108,11 @@
         })
     }
 
+    /// Counts the failures of tasks.
+    pub fn task_failures(&self) -> Counter<u64> {
+        self.task_failures.clone()
+    }
+
     /// All metrics in the Prometheus text format; `status` updates the gauges first.
     pub fn render(&self, status: Option<&Status>) -> String {
         if let Some(status) = status {
