Bound the limit of a target that a question for a permit names

Cause: an instance that does not list a target yet takes its limit from the datagram of the peer that asks. Permits of a span are kept one by one, so that a limit of 1e12 asks for 64 TB, and the process ends at once with status 134. Answers of targets were bounded, datagrams were not.

Change: the bound on the limits that answers name holds for all of them.

--- a/camphorweir-relay/src/limit.rs
+++ b/camphorweir-relay/src/limit.rs
@@ -12,7 +12,7 @@
 
 /// A limit of this many requests a second or more is none; it also bounds the permits that are kept of a
 /// target to some 40,000.
-const MAX_PER_SECOND: f64 = 1e4;
+pub(crate) const MAX_PER_SECOND: f64 = 1e4;
 /// Time for which no answer has named a limit before an answer without it ends it.
 const WITHDRAW_TIME: Duration = Duration::from_millis(500);
 /// The same for a target of which only some answers name the limit, and the number of answers in a row
--- a/camphorweir-relay/src/permit.rs
+++ b/camphorweir-relay/src/permit.rs
@@ -9,6 +9,7 @@
     crate::{
         givers::Givers,
         ids::{Time, Zone, ids_tag},
+        limit::MAX_PER_SECOND,
     },
     std::{
         cmp::Reverse,
@@ -94,9 +95,10 @@
 }
 
 /// The quota for a limit of so many requests a second, of which `share` is given out. A limit below one
-/// request in [`SPAN`] has a longer span.
+/// request in [`SPAN`] has a longer span; one above [`MAX_PER_SECOND`], which only a peer can name, counts as
+/// that.
 fn quota(per_second: f64, share: f64) -> Quota {
-    let per_second = per_second * share;
+    let per_second = per_second.clamp(0.0, MAX_PER_SECOND) * share;
     let count = (per_second * SPAN.as_secs_f64()) as usize;
     let span = match count {
         0 if per_second > 0.0 => Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(IDLE),
--- a/camphorweir-relay/tests/decide/permit.rs
+++ b/camphorweir-relay/tests/decide/permit.rs
@@ -63,6 +63,14 @@
     (0..starts.len()).map(within).max().unwrap_or_default()
 }
 
+#[test]
+fn a_limit_of_any_size_that_a_peer_names_is_answered() {
+    for per_second in [1e12, f64::MAX, f64::INFINITY] {
+        let answer = running().grant(&question(per_second, 1), ms(START));
+        assert!(matches!(answer, Answer::After(_) | Answer::Denied(_)));
+    }
+}
+
 #[test]
 fn no_span_has_more_permits_than_the_limit_and_the_limit_is_used() {
     // Requests a second, the most in a span, and the least in half a minute.
