--- a/camphorweir-relay/src/shutdown.rs
+++ b/camphorweir-relay/src/shutdown.rs
@@ -19,6 +19,8 @@
 const WRITE_RESERVE: Duration = Duration::from_millis(150);
 /// Least projected time of a request; below it the network decides.
 const MIN_PROJECTED: Duration = Duration::from_millis(5);
+/// Longest projected time; no caller waits as long.
+const MAX_PROJECTED: Duration = Duration::from_secs(24 * 3600);
 /// Number of classes of the ratio of observed to projected time.
 const CLASSES: usize = 128;
 /// Ratio below which the first class lies.
@@ -197,14 +199,15 @@
 }
 
 impl Router {
-    /// Projected time of a plan; `None` for a detour, of which only the peer knows.
+    /// Projected time of a plan, at most [`MAX_PROJECTED`]; `None` for a detour, of which only the peer knows.
     pub(crate) fn projected_time(&self, plan: &Plan) -> Option<Duration> {
         let ms = match &plan.destination {
             Destination::Path(path, _) => path.cost_ms(),
             Destination::Target => self.tracker.state(&plan.target).latency_ms,
             Destination::Peer => return None,
         };
-        Duration::try_from_secs_f64(ms / 1e3).ok()
+        let seconds = (ms / 1e3).min(MAX_PROJECTED.as_secs_f64());
+        Duration::try_from_secs_f64(seconds).ok()
     }
 
     /// Time to leave for a request with this projection, also where its target is silent for as long as a
--- a/camphorweir-relay/tests/decide/shutdown.rs
+++ b/camphorweir-relay/tests/decide/shutdown.rs
@@ -3,10 +3,11 @@
 use {
     crate::router::{admit_request, router},
     camphorweir_relay::{
+        configuration::Configuration,
         router::{Admission, Outcome, Router},
         shutdown::{Pace, Stop, shutdown_latest_body},
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 fn ms(value: u64) -> Duration {
@@ -45,6 +46,19 @@
     assert_eq!(short.ends_at, ms(100_000));
 }
 
+#[test]
+fn a_projected_time_of_any_length_is_compared_with_the_end() {
+    for step_ms in (40..100).map(|power| 2f64.powi(power)) {
+        let mut router = router();
+        let mut configuration = Configuration::clone(router.configuration().unwrap());
+        configuration.version += 1;
+        let service = configuration.services.get_mut("scribe").unwrap();
+        service.engine.as_mut().unwrap().step_ms = step_ms;
+        router.set_configuration(Arc::new(configuration), ms(0));
+        assert!(!ends_in_time(&mut router, "/text/a", 100_000), "{step_ms}");
+    }
+}
+
 #[test]
 fn requests_are_taken_while_what_they_lately_took_is_left() {
     // Path, what requests lately took in ms, when one arrives after the begin, and whether it is taken.
