Starts: no wait lasts above ten minutes, and no sum of times overflows

Cause: a grace from the settings was added to the time without a limit, so that an absurd one would have ended the start with a panic; the answer to readiness checks that never returns was told by `unreachable!`.

Change: sums saturate, a wait has a limit of its own, and the type says what never returns.

--- a/camphorweir-entry/src/front/start.rs
+++ b/camphorweir-entry/src/front/start.rs
@@ -13,7 +13,7 @@
         Response, StatusCode,
         header::{CONNECTION, HeaderValue},
     },
-    std::{sync::Arc, time::Duration},
+    std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinSet, time::sleep},
 };
 
@@ -40,14 +40,17 @@
         settings: &Settings,
         settings_source: &SettingsSource,
     ) -> Result<Self, Failure> {
-        let limit = settings.bounds.stop_grace + PREDECESSOR_MARGIN;
+        let limit = settings
+            .bounds
+            .stop_grace
+            .saturating_add(PREDECESSOR_MARGIN);
         let wait = Wait::new(limit, settings_source.reload_requested());
         let ready = wait
             .bind("readiness' address", settings.ready_address)
             .await?;
         let callers = tokio::select! {
             callers = wait.bind("callers' address", settings.callers_address) => callers?,
-            () = answer_not_ready(&ready) => unreachable!("it answers until the other branch ends"),
+            never = answer_not_ready(&ready) => match never {},
         };
         Ok(Self { callers, ready })
     }
@@ -55,7 +58,7 @@
 
 /// Answers readiness checks while the instance waits for callers' address; never returns. Its connections end
 /// with it.
-async fn answer_not_ready(listener: &TcpListener) {
+async fn answer_not_ready(listener: &TcpListener) -> Infallible {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
--- a/camphorweir-entry/src/process.rs
+++ b/camphorweir-entry/src/process.rs
@@ -94,8 +94,10 @@
 ///
 /// [`Failure`] when an address can't be bound or metrics can't be set up.
 pub async fn start_with(settings: Settings, retry_now: &Notify) -> Result<Entry, Failure> {
-    let drain = settings.limits.idle + DRAIN_MARGIN;
-    let limit = settings.balancer_grace + drain.min(MAX_DRAIN_WAIT);
+    let drain = settings.limits.idle.saturating_add(DRAIN_MARGIN);
+    let limit = settings
+        .balancer_grace
+        .saturating_add(drain.min(MAX_DRAIN_WAIT));
     let listeners = Listeners::bind(settings.listen, Wait::new(limit, retry_now)).await?;
     let addresses = listeners.addresses()?;
     let metrics = Metrics::new().map_err(|error| failure(Code::Internal, &error))?;
--- a/camphorweir-entry/src/startup.rs
+++ b/camphorweir-entry/src/startup.rs
@@ -19,6 +19,8 @@
 /// Added to the time in which a predecessor shuts down, as it may be told to stop only after this start and
 /// is gone a moment after it was killed.
 pub const PREDECESSOR_MARGIN: Duration = Duration::from_secs(10);
+/// Limit on every wait, whatever the settings say; a longer one needs an operator.
+const MAX_WAIT: Duration = Duration::from_secs(600);
 /// Pause between two attempts at the start.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two attempts of a process that serves without what it tries to get.
@@ -44,7 +46,7 @@
     /// A wait that begins now; an attempt is made at once when `retry_now` is notified.
     pub fn new(limit: Duration, retry_now: &'a Notify) -> Self {
         Self {
-            deadline: Instant::now() + limit,
+            deadline: Instant::now() + limit.min(MAX_WAIT),
             retry_now,
         }
     }
