Soak: starts beside what holds them up

Cause: the soak ended a process before it started the next, gave every entry its addresses and whole settings, and sent no signal in the first second.

Change: a script that is drawn last has successors beside predecessors that drain or were just killed, addresses that something else holds, signals from the first moment on, settings that are missing, empty or cut short, and restarts of all. Stops and kills of a process that can't serve yet, as one before it does, excuse no call.

--- a/camphorweir-standin/tests/process/child.rs
+++ b/camphorweir-standin/tests/process/child.rs
@@ -4,9 +4,9 @@
     std::{
         io::{BufRead, BufReader, Read},
         path::{Path, PathBuf},
-        process::{self, Command, Output, Stdio},
+        process::{self, Command, ExitStatus, Output, Stdio},
         sync::{Arc, Mutex, OnceLock},
-        thread,
+        thread::{self, JoinHandle},
         time::Duration,
     },
     tokio::time::{sleep, timeout},
@@ -60,8 +60,10 @@
 /// A process; killed when dropped.
 pub(crate) struct Child {
     name: String,
-    process: process::Child,
-    lines: Arc<Mutex<Vec<String>>>,
+    pub(crate) process: process::Child,
+    pub(crate) lines: Arc<Mutex<Vec<String>>>,
+    /// Threads that read what it prints, to its end.
+    readers: Vec<JoinHandle<()>>,
 }
 
 impl Child {
@@ -71,12 +73,15 @@
         command.stdout(Stdio::piped()).stderr(Stdio::piped());
         let mut process = command.spawn().unwrap();
         let lines = Arc::new(Mutex::new(Vec::new()));
-        keep(process.stdout.take().unwrap(), &lines);
-        keep(process.stderr.take().unwrap(), &lines);
+        let readers = vec![
+            keep(process.stdout.take().unwrap(), &lines),
+            keep(process.stderr.take().unwrap(), &lines),
+        ];
         Self {
             name: name.to_owned(),
             process,
             lines,
+            readers,
         }
     }
 
@@ -111,7 +116,7 @@
     pub(crate) async fn exit(&mut self) -> Option<i32> {
         let ended = timeout(GUARD, async {
             loop {
-                if let Some(status) = self.process.try_wait().unwrap() {
+                if let Some(status) = self.ended() {
                     return status.code();
                 }
                 sleep(LOOK).await;
@@ -121,9 +126,23 @@
         ended.unwrap_or_else(|_| panic!("{}: did not end\n{}", self.name, self.printed()))
     }
 
+    /// Its status, once it has ended and all that it printed is read.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.process.try_wait().unwrap()?;
+        for reader in self.readers.drain(..) {
+            reader.join().unwrap();
+        }
+        Some(status)
+    }
+
+    /// Kills it without waiting for its end.
+    pub(crate) fn kill_at_once(&mut self) {
+        self.process.kill().unwrap();
+    }
+
     /// Ends it as a crash does.
     pub(crate) fn kill(&mut self) {
-        self.process.kill().unwrap();
+        self.kill_at_once();
         self.process.wait().unwrap();
     }
 }
@@ -146,11 +165,11 @@
     }
 }
 
-fn keep(pipe: impl Read + Send + 'static, lines: &Arc<Mutex<Vec<String>>>) {
+fn keep(pipe: impl Read + Send + 'static, lines: &Arc<Mutex<Vec<String>>>) -> JoinHandle<()> {
     let lines = lines.clone();
     thread::spawn(move || {
         for line in BufReader::new(pipe).lines().map_while(Result::ok) {
             lines.lock().unwrap().push(line);
         }
-    });
+    })
 }
--- a/camphorweir-standin/tests/soak/deployment.rs
+++ b/camphorweir-standin/tests/soak/deployment.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        address::Ports,
         entry::{BOUNDS, Entry, REVOKE},
         history::{History, Trouble},
         proxy::Proxy,
+        setting,
         site::site,
         variant::{Published, Variant},
     },
@@ -21,8 +23,8 @@
 pub(crate) const KEYS: [&str; 2] = ["key-of-one", "key-of-two"];
 /// Body of a call that ends its target.
 pub(crate) const CRASHING: &str = "a batch that no target bears";
-/// Entries of a deployment.
-pub(crate) const ENTRIES: usize = 3;
+/// Entries of a deployment without a setting.
+const ENTRIES: u64 = 3;
 /// Its targets: two of the ledger, four with layers, two of the annex.
 pub(crate) const ALL_TARGETS: usize = 8;
 /// The first of the annex.
@@ -33,6 +35,11 @@
 const TOKEN_BYTES: f64 = 300.0;
 const USUAL_TOKENS: u64 = 6_500;
 
+/// How many entries a deployment has.
+pub(crate) fn entries() -> usize {
+    setting("CAMPHORWEIR_SOAK_ENTRIES", ENTRIES) as usize
+}
+
 /// The deployment.
 pub(crate) struct Deployment {
     pub(crate) store: Store,
@@ -61,7 +68,7 @@
 
 impl Deployment {
     /// Starts a store, two plain targets, four with layers, two more plain ones, and entries.
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start(ports: Ports) -> Self {
         let mut deployment = Self {
             store: Store::default(),
             entries: Vec::new(),
@@ -94,9 +101,9 @@
             target.crash_on(CRASHING);
             deployment.targets.push((target, proxy));
         }
-        for index in 0..ENTRIES {
+        for index in 0..entries() {
             let door = Proxy::open(deployment.store.add_listener().await.unwrap()).await;
-            deployment.entries.push(Entry::new(index, door));
+            deployment.entries.push(Entry::new(index, door, ports));
         }
         deployment
     }
@@ -183,6 +190,11 @@
         self.history.end(target, Trouble::Lost);
     }
 
+    /// Looks whether processes have ended, which only those may that were told to.
+    pub(crate) fn look(&mut self) {
+        self.entries.iter_mut().for_each(Entry::look);
+    }
+
     /// Ends every fault.
     pub(crate) async fn heal(&mut self) {
         for index in 0..ALL_TARGETS {
--- a/camphorweir-standin/tests/soak/entry.rs
+++ b/camphorweir-standin/tests/soak/entry.rs
@@ -1,14 +1,21 @@
-//! An entry as a process, and what was done to it.
+//! An entry as processes one after the other, and what was done to it.
 
 use {
     crate::{
-        child::{Child, LOOK, binary},
-        port::free,
+        address::{Addresses, Holder, Place, Ports},
+        child::{LOOK, binary},
+        process::{Process, Signal},
         proxy::Proxy,
         variant::Bounds,
     },
     serde_json::json,
-    std::{net::SocketAddr, path::PathBuf, process::Command, time::Duration},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Command, ExitStatus},
+        time::Duration,
+    },
     tokio::time::{Instant, sleep},
 };
 
@@ -18,8 +25,6 @@
 pub(crate) const REVOKE: Duration = Duration::from_secs(5);
 /// Environment variable with the path of an older build's program.
 pub(crate) const OLD_BUILD: &str = "CAMPHORWEIR_SOAK_OLD";
-/// Bytes of what a process printed that a failure shows.
-const LAST_PRINTED: usize = 4_000;
 /// Bounds of the settings that entries start with.
 pub(crate) const BOUNDS: Bounds = Bounds {
     drain_ms: 2_000,
@@ -27,34 +32,56 @@
     retry_ratio: 0.2,
     retry_slack: 100,
 };
-/// A process that was just started may not take signals yet.
+/// The earlier scripts send no signal to reload for this long after a start.
 const STARTING: Duration = Duration::from_secs(1);
 /// Environment variable with a folder for what entries print.
 const LOGS: &str = "CAMPHORWEIR_SOAK_LOGS";
 
+/// How a process is ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ending {
+    Kill,
+    Stop,
+}
+
+/// A settings file that is not written yet, or not whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Draft {
+    Missing,
+    Empty,
+    /// This part of it is there, in hundredths.
+    Cut(usize),
+}
+
 /// An entry and what was done to it.
 pub(crate) struct Entry {
     pub(crate) callers: SocketAddr,
-    ready: SocketAddr,
+    addresses: Addresses,
     settings: PathBuf,
+    /// What the settings file has when it is whole.
+    bounds: Bounds,
+    /// Whether it is not whole, and whether a process has started since.
+    is_draft: bool,
+    waits_for_settings: bool,
     /// Place in the deployment, and how often it was started: they decide which build runs.
     index: usize,
     starts: usize,
     /// Whether an older build runs.
     pub(crate) is_old: bool,
-    process: Option<Child>,
+    process: Option<Process>,
+    /// Processes that were told to stop or killed, and had not ended when the next one started.
+    earlier: Vec<Process>,
+    /// What holds addresses of its, until it is released.
+    holders: Vec<(Place, Vec<Holder>)>,
     /// Proxy between it and the store.
     pub(crate) door: Proxy,
-    /// When a signal that asks nothing kept it from working, from and to.
+    /// When a process began to start, or what it waited for was gone.
     started: Vec<Instant>,
+    /// When a signal that asks nothing kept it from working, from and to.
     hurt: Vec<(Instant, Instant)>,
     /// When it was killed, from the signal to its end.
     kills: Vec<(Instant, Instant)>,
-    /// Since when it is paused.
-    paused: Option<Instant>,
     /// When it was told to stop.
-    stopped: Option<Instant>,
-    /// The same of all its processes.
     pub(crate) stops: Vec<Instant>,
     /// What its earlier processes printed.
     printed: Vec<String>,
@@ -62,23 +89,27 @@
 
 impl Entry {
     /// Starts an entry that reaches the store through a proxy.
-    pub(crate) fn new(index: usize, door: Proxy) -> Self {
-        let (callers, ready) = (free(), free());
+    pub(crate) fn new(index: usize, door: Proxy, ports: Ports) -> Self {
+        let addresses = Addresses::choose(ports);
+        let callers = addresses.callers;
         let name = format!("soak-{}-{}.json", std::process::id(), callers.port());
         let mut entry = Self {
             callers,
-            ready,
+            addresses,
             settings: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name),
+            bounds: BOUNDS,
+            is_draft: false,
+            waits_for_settings: false,
             index,
             starts: 0,
             is_old: false,
             process: None,
+            earlier: Vec::new(),
+            holders: Vec::new(),
             door,
-            hurt: Vec::new(),
             started: Vec::new(),
+            hurt: Vec::new(),
             kills: Vec::new(),
-            paused: None,
-            stopped: None,
             stops: Vec::new(),
             printed: Vec::new(),
         };
@@ -99,17 +130,21 @@
         let mut command = Command::new(program);
         self.starts += 1;
         self.started.push(Instant::now());
+        self.waits_for_settings = self.is_draft;
         command.arg("--platform");
+        if let Some(port) = self.addresses.metrics {
+            command.args(["--metrics", &port.to_string()]);
+        }
         command.env("CAMPHORWEIR_CONFIG", &self.settings);
-        self.process = Some(Child::start("entry", command));
-        self.stopped = None;
+        self.process = Some(Process::start(command));
     }
 
-    fn write_settings(&self, bounds: &Bounds) {
+    fn settings(&self) -> String {
+        let bounds = &self.bounds;
         let settings = json!({
             "node": format!("entry-{}", self.index), "zone": "z",
-            "listen": {"front": self.callers, "ready": self.ready},
-            "portRange": [0, 0],
+            "listen": {"front": self.callers, "ready": self.addresses.ready},
+            "portRange": self.addresses.peers,
             "limits": {"maxFds": 1200},
             "bounds": {
                 "graceS": GRACE.as_secs(), "drainMs": bounds.drain_ms,
@@ -118,116 +153,211 @@
             },
             "platform": {"address": self.door.address},
         });
+        settings.to_string()
+    }
+
+    fn write_settings(&mut self, bounds: &Bounds) {
+        self.bounds = *bounds;
         // A reader sees the old file or the new one.
         let new = self.settings.with_extension("new");
-        std::fs::write(&new, settings.to_string()).unwrap();
-        std::fs::rename(new, &self.settings).unwrap();
+        fs::write(&new, self.settings()).unwrap();
+        fs::rename(new, &self.settings).unwrap();
+        self.end_draft();
+    }
+
+    fn end_draft(&mut self) {
+        self.is_draft = false;
+        if std::mem::take(&mut self.waits_for_settings) {
+            self.started.push(Instant::now());
+        }
     }
 
     /// Changes its settings file, and tells it so with a signal or leaves it to find out.
     pub(crate) fn reload(&mut self, bounds: &Bounds, signals: bool) {
         self.write_settings(bounds);
-        let is_starting = |at: &Instant| at.elapsed() < STARTING;
-        let signals = signals && !self.started.last().is_some_and(is_starting);
-        if let Some(process) = self.process.as_ref().filter(|_| signals) {
-            process.signal("HUP");
+        let process = self.process.as_mut().filter(|_| signals);
+        if let Some(process) = process.filter(|process| process.age() >= STARTING) {
+            process.signal(Signal::Hangup);
         }
     }
 
+    /// Changes its settings file in place, which is cut short until [`Self::complete_settings`].
+    pub(crate) fn rewrite(&mut self, bounds: &Bounds) {
+        self.bounds = *bounds;
+        self.spoil_settings(Draft::Cut(50));
+        self.signal(Signal::Hangup);
+    }
+
+    /// Leaves its settings file as one that is being written.
+    pub(crate) fn spoil_settings(&mut self, draft: Draft) {
+        self.is_draft = true;
+        let settings = self.settings();
+        match draft {
+            // It may be missing already.
+            Draft::Missing => drop(fs::remove_file(&self.settings)),
+            Draft::Empty => fs::write(&self.settings, "").unwrap(),
+            Draft::Cut(part) => {
+                let part = &settings[..settings.len() * part / 100];
+                fs::write(&self.settings, part).unwrap();
+            }
+        }
+    }
+
+    /// Writes its settings file whole, in place.
+    pub(crate) fn complete_settings(&mut self) {
+        fs::write(&self.settings, self.settings()).unwrap();
+        self.end_draft();
+    }
+
     /// What its processes printed with these words in the line.
     pub(crate) fn lines(&self, words: &str) -> Vec<String> {
-        let running = self.process.iter().map(Child::printed);
+        let running = self.earlier.iter().chain(&self.process);
+        let running = running.map(Process::printed);
         let printed: Vec<String> = self.printed.iter().cloned().chain(running).collect();
         let lines = printed.iter().flat_map(|printed| printed.lines());
         let lines = lines.filter(|line| line.contains(words));
         lines.map(str::to_owned).collect()
     }
 
+    /// Whether its process can't serve callers yet, as one before it does.
+    fn is_behind(&mut self) -> bool {
+        self.earlier.iter_mut().any(Process::lets_in)
+    }
+
     /// Ends it at once.
     pub(crate) fn kill(&mut self) {
+        self.kill_at_once();
+        while self.process.as_ref().is_some_and(Process::is_told) {
+            self.look();
+        }
+    }
+
+    /// Kills it without waiting for its end.
+    pub(crate) fn kill_at_once(&mut self) {
         self.go_on();
-        if let Some(mut process) = self.process.take() {
-            let from = Instant::now();
-            process.kill();
-            let to = Instant::now();
-            self.hurt.push((from, to));
-            self.kills.push((from, to));
-            self.printed.push(process.printed());
+        let served = !self.is_behind();
+        if let Some(process) = &mut self.process {
+            process.kill(served);
         }
     }
 
     /// Pauses it.
     pub(crate) fn pause(&mut self) {
-        if let Some(process) = self.process.as_ref().filter(|_| self.paused.is_none()) {
-            process.signal("STOP");
-            self.paused = Some(Instant::now());
+        let served = !self.is_behind();
+        let process = self.process.as_mut();
+        if let Some(process) = process.filter(|process| !process.is_paused()) {
+            process.pause(served);
         }
     }
 
     /// Lets it go on after a pause.
     pub(crate) fn go_on(&mut self) {
-        let Some(since) = self.paused.take() else {
-            return;
-        };
-        if let Some(process) = &self.process {
-            process.signal("CONT");
+        let pause = self.process.as_mut().and_then(Process::go_on);
+        if let Some(pause) = pause.filter(|pause| pause.served) {
+            self.hurt.push((pause.since, Instant::now()));
         }
-        self.hurt.push((since, Instant::now()));
     }
 
     /// Tells it to stop, maybe again.
     pub(crate) fn stop(&mut self) {
-        if let Some(process) = self.process.as_ref().filter(|_| self.paused.is_none()) {
-            process.signal("TERM");
-            if self.stopped.is_none() {
-                let now = Instant::now();
-                self.stopped = Some(now);
-                self.stops.push(now);
-            }
+        self.signal(Signal::Terminate);
+    }
+
+    /// Sends a signal to its process.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        self.look();
+        let served = !self.is_behind();
+        let process = self.process.as_mut();
+        let process = process.filter(|process| !process.is_paused());
+        if process.is_some_and(|process| process.signal(signal)) && served {
+            self.stops.push(Instant::now());
+        }
+    }
+
+    /// Ends its process in a way, without waiting for the end.
+    pub(crate) fn end(&mut self, ending: Ending) {
+        match ending {
+            Ending::Kill => self.kill_at_once(),
+            Ending::Stop => self.stop(),
         }
     }
 
-    /// Waits for the end of one that was told to stop.
+    /// Starts the next process, though the one that was told to end may not have gone.
+    pub(crate) fn succeed(&mut self) {
+        if self.process.as_ref().is_some_and(Process::is_told) {
+            self.go_on();
+            self.earlier.extend(self.process.take());
+        }
+        self.start();
+    }
+
+    /// Lets something else hold an address of its until [`Self::release`].
+    pub(crate) fn hold(&mut self, place: Place) {
+        let holders = self.addresses.hold(place);
+        self.holders.push((place, holders));
+    }
+
+    /// Gives an address back.
+    pub(crate) fn release(&mut self, place: Place) {
+        let count = self.holders.len();
+        self.holders.retain(|(held, _)| *held != place);
+        if self.holders.len() < count {
+            self.started.push(Instant::now());
+        }
+    }
+
+    /// Waits for the end of those that were told to stop or killed.
     pub(crate) async fn ended(&mut self) {
-        let Some(stopped) = self.stopped else {
-            return;
-        };
-        while self.process.as_mut().is_some_and(Child::is_running) {
-            let excused = self.was_hurt(stopped, Instant::now());
-            assert!(
-                excused || stopped.elapsed() < GRACE,
-                "it did not end in time"
-            );
+        while !self.earlier.is_empty() || self.process.as_ref().is_some_and(Process::is_told) {
+            self.look();
             sleep(LOOK).await;
         }
-        self.reap();
     }
 
-    /// Takes leave of a process that has ended by itself after it was told to.
-    pub(crate) fn reap(&mut self) {
-        let ended = self
-            .process
-            .as_mut()
-            .is_some_and(|process| !process.is_running());
-        if let Some(process) = self.process.take_if(|_| ended) {
-            assert!(
-                self.stopped.is_some(),
-                "it ended untold: {}",
-                process.printed()
-            );
-            self.printed.push(process.printed());
+    /// Takes leave of processes that have ended after they were told to.
+    ///
+    /// # Panics
+    ///
+    /// When one ended untold, or did not end in time.
+    pub(crate) fn look(&mut self) {
+        let name = format!("entry-{}", self.index);
+        let was_behind = self.is_behind();
+        for mut process in std::mem::take(&mut self.earlier) {
+            match process.check(&name) {
+                Some(status) => self.record_end(&process, status),
+                None => self.earlier.push(process),
+            }
+        }
+        if was_behind && !self.is_behind() {
+            self.started.push(Instant::now());
+        }
+        if let Some(mut process) = self.process.take() {
+            match process.check(&name) {
+                Some(status) => self.record_end(&process, status),
+                None => self.process = Some(process),
+            }
+        }
+    }
+
+    fn record_end(&mut self, process: &Process, status: ExitStatus) {
+        if let Some(kill) = process.killed().filter(|kill| kill.served) {
+            let span = (kill.at, Instant::now());
+            self.hurt.push(span);
+            self.kills.push(span);
         }
+        self.printed.push(process.printed());
+        self.printed.push(format!("-- {status}"));
     }
 
-    /// Whether its process runs, and what it printed last.
-    pub(crate) fn describe(&mut self) -> String {
-        let Some(process) = &mut self.process else {
-            return "no process".to_owned();
-        };
-        let printed = process.printed();
-        let last = printed.len().saturating_sub(LAST_PRINTED);
-        let last = printed.get(last..).unwrap_or(&printed);
-        format!("runs: {}, printed: {last}", process.is_running())
+    /// Whether its process runs, what was done to it and what it printed last.
+    pub(crate) fn describe(&self) -> String {
+        let process = self.process.as_ref();
+        process.map_or_else(|| "no process".to_owned(), Process::describe)
+    }
+
+    /// Processes that run.
+    pub(crate) fn processes(&self) -> usize {
+        self.earlier.iter().chain(&self.process).count()
     }
 
     /// Whether the process that let a connection in was killed before a call on it began.
@@ -236,7 +366,7 @@
         kills.any(|(from, to)| opened <= *to && *from <= begun)
     }
 
-    /// Whether it started, or was paused or killed, at some time between these.
+    /// Whether it started or could begin to serve, or was paused or killed, at some time between these.
     pub(crate) fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
         let mut started = self.started.iter();
         started.any(|at| (from..to).contains(at)) || self.was_hurt(from, to)
@@ -244,9 +374,8 @@
 
     /// Whether a signal that asks nothing kept it from working at some time between these.
     pub(crate) fn was_hurt(&self, from: Instant, to: Instant) -> bool {
-        let paused = self.paused.map(|since| (since, to));
-        let mut all = self.hurt.iter().copied().chain(paused);
-        all.any(|(begin, end)| begin <= to && from <= end)
+        let mut hurt = self.hurt.iter();
+        hurt.any(|(begin, end)| *begin <= to && from <= *end)
     }
 }
 
@@ -256,9 +385,9 @@
         if let Some(folder) = std::env::var_os(LOGS) {
             let name = format!("entry-{}.log", self.index);
             // The play counts, not whether its logs can be kept.
-            let _ = std::fs::write(PathBuf::from(folder).join(name), self.lines("").join("\n"));
+            let _ = fs::write(PathBuf::from(folder).join(name), self.lines("").join("\n"));
         }
         // A file that stays does no harm.
-        let _ = std::fs::remove_file(&self.settings);
+        let _ = fs::remove_file(&self.settings);
     }
 }
--- a/camphorweir-standin/tests/soak/fault.rs
+++ b/camphorweir-standin/tests/soak/fault.rs
@@ -2,9 +2,12 @@
 
 use {
     crate::{
+        address::Place,
         caller,
-        deployment::{ALL_TARGETS, Deployment, ENTRIES},
+        deployment::{ALL_TARGETS, Deployment, entries},
+        entry::{Draft, Ending},
         history::Trouble,
+        process::Signal,
         proxy::Mode,
         variant::{Bounds, Variant},
     },
@@ -14,6 +17,8 @@
     tokio::time::{Instant, sleep_until},
 };
 
+/// Pause between two looks at the processes.
+const LOOK: Duration = Duration::from_millis(10);
 /// Time in which faults begin.
 const FAULTY: Duration = Duration::from_secs(9);
 /// Longest pause between the begins of two faults in ms.
@@ -65,10 +70,24 @@
     Configure(Variant),
     /// Other bounds in an entry's settings file, with a signal or without.
     Reload(usize, Bounds, bool),
+    /// The same in place: the file is cut short for a while, with signals then and afterwards.
+    Rewrite(usize, Bounds),
+    /// An entry's process is told to end, and the next one started after a while, whether it has gone or not.
+    Succeed(usize, Ending),
+    /// A signal to an entry's process, however young it is.
+    Signal(usize, Signal),
+    /// An entry is killed and started at once, while something else holds an address of its.
+    Hold(usize, Place),
+    /// An entry's process is told to end, and the next one started at once, with a settings file that is not
+    /// whole for a while.
+    Draft(usize, Ending, Draft),
 }
 
+/// A fault with the time at which it begins, from the start, and how long it lasts.
+pub(crate) type Step = (Duration, Duration, Fault);
+
 /// Faults with the times at which they begin and how long they last, from the start.
-pub(crate) fn script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+pub(crate) fn script(rng: &mut SmallRng) -> Vec<Step> {
     let mut at = Duration::from_millis(200);
     let mut script = Vec::new();
     while at < FAULTY {
@@ -81,12 +100,12 @@
 
 /// More faults, of the kinds that came later. They are drawn after the others, so that a seed keeps the
 /// script that it had.
-pub(crate) fn later_script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+pub(crate) fn later_script(rng: &mut SmallRng) -> Vec<Step> {
     let mut at = Duration::from_millis(500);
     let mut script = Vec::new();
     while at < FAULTY {
         let lasts = Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
-        let (entry, target) = (rng.random_range(0..ENTRIES), rng.random_range(0..TARGETS));
+        let (entry, target) = (rng.random_range(0..entries()), rng.random_range(0..TARGETS));
         let fault = match rng.random_range(0..6) {
             0 => Fault::Leave(target),
             1 => Fault::Act(target, ResponseFault::RefuseFor(1)),
@@ -101,7 +120,7 @@
 }
 
 /// Limits that targets name, drawn last for the same reason.
-pub(crate) fn limits_script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+pub(crate) fn limits_script(rng: &mut SmallRng) -> Vec<Step> {
     let mut script = Vec::new();
     for _ in 0..rng.random_range(1..4) {
         let at = Duration::from_millis(rng.random_range(200..3_000));
@@ -114,12 +133,12 @@
 
 /// Planned work, and targets that are silent for a moment: alone, in series, and beside each other. Drawn
 /// last for the same reason.
-pub(crate) fn planned_script(rng: &mut SmallRng) -> Vec<(Duration, Duration, Fault)> {
+pub(crate) fn planned_script(rng: &mut SmallRng) -> Vec<Step> {
     let millis = Duration::from_millis;
     let mut at = millis(500);
     let mut script = Vec::new();
     while at < PLANNED {
-        let entry = rng.random_range(0..ENTRIES);
+        let entry = rng.random_range(0..entries());
         let lasts = millis(rng.random_range(LASTS_MS.0..LASTS_MS.1));
         match rng.random_range(0..9) {
             0..3 => script.extend(silences(rng, at)),
@@ -142,7 +161,7 @@
 }
 
 /// A series of silences of one target or several at once.
-fn silences(rng: &mut SmallRng, mut at: Duration) -> Vec<(Duration, Duration, Fault)> {
+fn silences(rng: &mut SmallRng, mut at: Duration) -> Vec<Step> {
     let millis = Duration::from_millis;
     let first = rng.random_range(0..ALL_TARGETS);
     let count = [1, 1, 2, 4, ALL_TARGETS][rng.random_range(0..5)];
@@ -157,7 +176,7 @@
 }
 
 fn draw(rng: &mut SmallRng) -> Fault {
-    let entry = rng.random_range(0..ENTRIES);
+    let entry = rng.random_range(0..entries());
     let target = rng.random_range(0..TARGETS);
     let delay = Duration::from_millis(rng.random_range(5..400));
     let mode = [
@@ -192,8 +211,8 @@
     }
 }
 
-/// Plays a script to its end.
-pub(crate) async fn play(deployment: &mut Deployment, script: &[(Duration, Duration, Fault)]) {
+/// Plays a script to its end, and looks all the while whether processes end that should not.
+pub(crate) async fn play(deployment: &mut Deployment, script: &[Step]) {
     let start = Instant::now();
     let begins = script.iter().map(|(at, _, fault)| (*at, *fault, true));
     let ends = script
@@ -202,7 +221,11 @@
     let mut steps: Vec<(Duration, Fault, bool)> = begins.chain(ends).collect();
     steps.sort_by_key(|(at, ..)| *at);
     for (at, fault, begins) in steps {
-        sleep_until(start + at).await;
+        let at = start + at;
+        while Instant::now() < at {
+            deployment.look();
+            sleep_until(at.min(Instant::now() + LOOK)).await;
+        }
         match begins {
             true => begin(deployment, fault),
             false => end(deployment, fault),
@@ -228,6 +251,21 @@
         Fault::Silence(index) => deployment.silence(index, true),
         Fault::Configure(variant) => deployment.configure(variant),
         Fault::Reload(index, bounds, signals) => deployment.entries[index].reload(&bounds, signals),
+        Fault::Rewrite(index, bounds) => deployment.entries[index].rewrite(&bounds),
+        Fault::Succeed(index, ending) => deployment.entries[index].end(ending),
+        Fault::Signal(index, signal) => deployment.entries[index].signal(signal),
+        Fault::Hold(index, place) => {
+            let entry = &mut deployment.entries[index];
+            entry.kill();
+            entry.hold(place);
+            entry.start();
+        }
+        Fault::Draft(index, ending, draft) => {
+            let entry = &mut deployment.entries[index];
+            entry.end(ending);
+            entry.spoil_settings(draft);
+            entry.succeed();
+        }
         Fault::Act(index, act) => deployment.targets[index].0.inject(act),
         Fault::Publish(revoke) => deployment.publish(revoke),
         Fault::Leave(index) => deployment.targets[index].0.leave(),
@@ -248,9 +286,16 @@
         Fault::Pause(index) => deployment.entries[index].go_on(),
         Fault::Kill(index) | Fault::Stop(index) => {
             // One that is told to stop may still be at work; it is started at the end then.
-            deployment.entries[index].reap();
+            deployment.entries[index].look();
             deployment.entries[index].start();
         }
+        Fault::Rewrite(index, _) => {
+            deployment.entries[index].complete_settings();
+            deployment.entries[index].signal(Signal::Hangup);
+        }
+        Fault::Succeed(index, _) => deployment.entries[index].succeed(),
+        Fault::Hold(index, place) => deployment.entries[index].release(place),
+        Fault::Draft(index, ..) => deployment.entries[index].complete_settings(),
         Fault::Store(_) => deployment.store.set_behavior(Behavior::Sound),
         Fault::Door(index, _) => deployment.entries[index].door.mend(),
         Fault::Link(index, _) => deployment.mend(index),
@@ -275,6 +320,7 @@
         | Fault::CrashingCall(..)
         | Fault::Forget
         | Fault::Publish(_)
-        | Fault::Reload(..) => {}
+        | Fault::Reload(..)
+        | Fault::Signal(..) => {}
     }
 }
--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -126,7 +126,8 @@
     }
 }
 
-fn has_old_build() -> bool {
+/// Whether an older build takes part.
+pub(crate) fn has_old_build() -> bool {
     std::env::var_os(OLD_BUILD).is_some()
 }
 
--- a/camphorweir-standin/tests/soak/main.rs
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -1,8 +1,10 @@
 //! A soak of the platform's front: entries as processes under random faults from outside, judged by
 //! what callers and targets see.
 //!
-//! `CAMPHORWEIR_SOAK_SEEDS` sets how many seeds are played and `CAMPHORWEIR_SOAK_FIRST` the first.
+//! `CAMPHORWEIR_SOAK_SEEDS` sets how many seeds are played and `CAMPHORWEIR_SOAK_FIRST` the first;
+//! `CAMPHORWEIR_SOAK_ENTRIES` how many entries there are.
 
+mod address;
 mod caller;
 #[path = "../process/child.rs"]
 #[allow(dead_code)]
@@ -15,15 +17,19 @@
 mod keeper;
 #[path = "../support/port.rs"]
 mod port;
+mod process;
 mod proxy;
 #[path = "../support/site.rs"]
 mod site;
+mod start;
 mod variant;
 
 use {
+    address::Ports,
     caller::{Call, Kind},
     camphorweir_standin::platform_target::Target,
     deployment::{Deployment, LAYERED},
+    entry::Entry,
     proxy::Proxy,
     rand::{SeedableRng, rngs::SmallRng},
     std::time::Duration,
@@ -43,9 +49,9 @@
 /// - 602: the same silences; streams admitted late in a stop and cut at its end.
 /// - 7306: the same silences; calls admitted at the end of a stop and cut by it.
 const FAILED: &[u64] = &[105, 602, 7306];
-/// Callers at a time.
+/// Callers at a time, if there aren't more entries.
 const CALLERS: usize = 12;
-/// Callers beside them that keep their connections for as long as they can.
+/// The same of callers beside them that keep their connections for as long as they can.
 const KEEPERS: usize = 12;
 /// Everything is served again within this time after the last fault, as the platform asks.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -80,7 +86,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn who_comes_at_the_very_end_of_a_stop_is_answered_or_not_let_in() {
-    let mut deployment = Deployment::start().await;
+    let mut deployment = Deployment::start(Ports::default()).await;
     recovered(&mut deployment, "start").await;
     let entry = deployment.entries[0].callers;
     let (stop, stopped) = watch::channel(false);
@@ -112,7 +118,7 @@
 /// The test's only thread calls again before it can learn that the connection has ended.
 #[tokio::test]
 async fn a_call_on_a_connection_to_a_process_that_was_killed_needs_no_answer() {
-    let mut deployment = Deployment::start().await;
+    let mut deployment = Deployment::start(Ports::default()).await;
     recovered(&mut deployment, "start").await;
     let mut line = caller::connect(deployment.entries[0].callers)
         .await
@@ -138,7 +144,7 @@
 /// None of the dead leaves the group, and the names of some come before that of the next holder.
 #[tokio::test(flavor = "multi_thread")]
 async fn layers_are_placed_again_after_each_holder_of_the_lease_was_killed() {
-    let mut deployment = Deployment::start().await;
+    let mut deployment = Deployment::start(Ports::default()).await;
     recovered(&mut deployment, "start").await;
     deployment.entries[2].kill();
     place_anew(&deployment).await;
@@ -168,8 +174,14 @@
     script.extend(fault::later_script(&mut rng));
     script.extend(fault::limits_script(&mut rng));
     script.extend(fault::planned_script(&mut rng));
-    println!("seed {seed}: {script:?}");
-    let mut deployment = Deployment::start().await;
+    let mut ports = Ports::default();
+    // An earlier build does not wait for what its start needs.
+    if !judge::has_old_build() {
+        script.extend(start::script(&mut rng));
+        ports = Ports::draw(&mut rng);
+    }
+    println!("seed {seed}: {ports:?}, {script:?}");
+    let mut deployment = Deployment::start(ports).await;
     recovered(&mut deployment, "start").await;
     let entries: Vec<_> = deployment
         .entries
@@ -177,11 +189,11 @@
         .map(|entry| entry.callers)
         .collect();
     let (stop, stopped) = watch::channel(false);
-    let callers = (0..CALLERS).map(|name| {
+    let callers = (0..CALLERS.max(entries.len())).map(|name| {
         let seed = seed * CALLERS as u64 + name as u64;
         tokio::spawn(caller::run(name, seed, entries.clone(), stopped.clone()))
     });
-    let keepers = (0..KEEPERS).map(|name| {
+    let keepers = (0..KEEPERS.max(entries.len())).map(|name| {
         let seed = seed * KEEPERS as u64 + name as u64;
         let published = deployment.published.subscribe();
         let entries = entries.clone();
@@ -191,6 +203,8 @@
     fault::play(&mut deployment, &script).await;
     deployment.heal().await;
     recovered(&mut deployment, "end").await;
+    let running: usize = deployment.entries.iter().map(Entry::processes).sum();
+    assert_eq!(deployment.entries.len(), running, "seed {seed}: processes");
     stop.send_replace(true);
     let mut calls = Vec::new();
     for caller in callers {
@@ -246,6 +260,7 @@
                     "{when}: {kind:?}, {failed:?}, {call:?}; {}",
                     entry.describe()
                 );
+                entry.look();
                 tries += 1;
                 sleep(LOOK).await;
             }
