Soak: a peer that is killed cuts what went through it

Cause: the judge looks at the caller's own entry only.

Change: an answer that had begun may be cut within 0.5 s after the kill of a peer that its entry names in the line of its send.

--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -46,6 +46,8 @@
     Grace,
     /// Its target broke it off or crashed, or the links there were cut.
     Target,
+    /// It went through a peer of its entry that was killed.
+    Peer,
     /// Its target was silent for longer than a second or so.
     LongSilence,
     /// Nothing excuses it.
@@ -245,6 +247,9 @@
     if status.is_some() && ran.iter().any(was_lost) {
         return Some(Loss::Target);
     }
+    if status.is_some() && went_through_killed_peer(deployment, call) {
+        return Some(Loss::Peer);
+    }
     let mut silences = ran
         .iter()
         .map(|index| history.silence(*index, call.from, call.to));
@@ -254,6 +259,16 @@
     }
 }
 
+/// Whether a call ended as a peer was killed that its entry had sent it through.
+fn went_through_killed_peer(deployment: &Deployment, call: &Call) -> bool {
+    let mut lines = deployment.entries[call.entry].lines(&format!("\"{}\"", call.ask.id));
+    lines.retain(|line| line.contains("\"through_peer\":true"));
+    let killed = deployment.entries.iter();
+    let killed = killed.filter(|peer| peer.kill_began(call.to - SEEN, call.to));
+    let mut names = killed.map(|peer| format!("\"{}\"", peer.name()));
+    names.any(|name| lines.iter().any(|line| line.contains(&name)))
+}
+
 /// Whether a call was still at work at the very end of a stop, though it came early. One that came after the
 /// stop had begun, and could not end before the process, should not have been let in.
 fn is_ended_by_grace(call: &Call, stops: &[Instant], ran: &[usize]) -> bool {
