Soak: readiness after faults, and keys that are never revoked

Cause: an entry that serves and says that it isn't ready passed, as one whose address of readiness was held at its start may; so did a valid key that is refused.

Change: recovery counts readiness. A 401 for the key that no configuration takes away is a fault.

--- a/camphorweir-standin/tests/soak/caller.rs
+++ b/camphorweir-standin/tests/soak/caller.rs
@@ -172,6 +172,16 @@
     }
 }
 
+/// Whether an entry says that it is ready.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
+    let Some(mut line) = connect(address).await else {
+        return false;
+    };
+    let request = Request::get("/api/readyz").body(Full::default()).unwrap();
+    let answer = timeout(PATIENCE, exchange(&mut line.sender, request)).await;
+    matches!(answer, Ok((End::Whole { status: 200, .. }, _)))
+}
+
 /// Opens a connection.
 pub(crate) async fn connect(address: SocketAddr) -> Option<Line> {
     let stream = timeout(PATIENCE, TcpStream::connect(address)).await.ok()?;
--- a/camphorweir-standin/tests/soak/entry.rs
+++ b/camphorweir-standin/tests/soak/entry.rs
@@ -144,6 +144,11 @@
         format!("entry-{}", self.index)
     }
 
+    /// Where it says whether it is ready.
+    pub(crate) fn ready(&self) -> SocketAddr {
+        self.addresses.ready
+    }
+
     fn settings(&self) -> String {
         let bounds = &self.bounds;
         let settings = json!({
--- a/camphorweir-standin/tests/soak/judge.rs
+++ b/camphorweir-standin/tests/soak/judge.rs
@@ -194,6 +194,7 @@
         // A connection that is never idle is not closed under a request.
         None if call.is_cut() && !call.is_kept() => Some("it got no answer"),
         Some(200) if revoked => Some("its key had been revoked"),
+        Some(401) if call.ask.key == 0 => Some("its key is never revoked"),
         // An earlier build ends answers for less.
         status if !has_old_build() && loss(deployment, call) == Some(Loss::Plain) => match status {
             None => Some("it was read and got no answer"),
--- a/camphorweir-standin/tests/soak/main.rs
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -236,10 +236,16 @@
     crashes() - before
 }
 
-/// Waits until every entry serves every kind of call.
+/// Waits until every entry serves every kind of call, and says that it is ready.
 async fn recovered(deployment: &mut Deployment, when: &str) {
     let begun = Instant::now();
     for (index, entry) in deployment.entries.iter_mut().enumerate() {
+        while !caller::is_ready(entry.ready()).await {
+            let is_late = begun.elapsed() >= RECOVERY;
+            assert!(!is_late, "{when}: not ready; {}", entry.describe());
+            entry.look();
+            sleep(LOOK).await;
+        }
         for kind in [Kind::Seal, Kind::Look, Kind::Text] {
             let mut tries = 0;
             // How many tries got no connection, and how many an answer that was no success.
