Soak: no process serves callers beside one before it

Change: a process counts as one that can't serve until those before it that were not killed have ended, without a look into their logs, as a start waits for their end. What is excused for its kills, pauses and stops gets less.

--- a/camphorweir-standin/tests/process/child.rs
+++ b/camphorweir-standin/tests/process/child.rs
@@ -61,7 +61,7 @@
 pub(crate) struct Child {
     name: String,
     pub(crate) process: process::Child,
-    pub(crate) lines: Arc<Mutex<Vec<String>>>,
+    lines: Arc<Mutex<Vec<String>>>,
     /// Threads that read what it prints, to its end.
     readers: Vec<JoinHandle<()>>,
 }
--- a/camphorweir-standin/tests/soak/entry.rs
+++ b/camphorweir-standin/tests/soak/entry.rs
@@ -229,9 +229,10 @@
         lines.map(str::to_owned).collect()
     }
 
-    /// Whether its process can't serve callers yet, as one before it does.
-    fn is_behind(&mut self) -> bool {
-        self.earlier.iter_mut().any(Process::lets_in)
+    /// Whether its process must not serve callers yet, as one before it may.
+    fn is_behind(&self) -> bool {
+        let mut earlier = self.earlier.iter();
+        earlier.any(|process| process.killed().is_none())
     }
 
     /// Ends it at once.
--- a/camphorweir-standin/tests/soak/process.rs
+++ b/camphorweir-standin/tests/soak/process.rs
@@ -16,8 +16,6 @@
 const LOADED: Duration = Duration::from_millis(100);
 /// Bytes of what a process printed that a failure shows.
 const LAST_PRINTED: usize = 4_000;
-/// Line of a process that lets no more callers in.
-const LISTENER_CLOSED: &str = "callers' listener closed";
 const SIGKILL: i32 = 9;
 
 /// A signal that asks for something.
@@ -75,9 +73,6 @@
     paused: Option<Pause>,
     /// Whether it was paused after it was told to stop.
     was_paused: bool,
-    /// Lines that were searched for [`LISTENER_CLOSED`], and whether it was found.
-    searched: usize,
-    closed: bool,
 }
 
 impl Process {
@@ -91,8 +86,6 @@
             early: Vec::new(),
             paused: None,
             was_paused: false,
-            searched: 0,
-            closed: false,
         }
     }
 
@@ -166,17 +159,6 @@
         self.killed.get_or_insert(Kill { at, served });
     }
 
-    /// Whether it may still let callers in.
-    pub(crate) fn lets_in(&mut self) -> bool {
-        if !self.closed {
-            let lines = self.child.lines.lock().unwrap();
-            let mut unsearched = lines[self.searched..].iter();
-            self.closed = unsearched.any(|line| line.contains(LISTENER_CLOSED));
-            self.searched = lines.len();
-        }
-        !self.closed && self.killed.is_none()
-    }
-
     /// Its status once it has ended.
     ///
     /// # Panics
