--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -4,25 +4,25 @@
     crate::{
         front::{
             follow::{follow_run, follow_serve},
-            gossip::{bind_digests, bind_followers, gossip_run},
+            gossip::gossip_run,
             idle::LAST_REQUESTS_WAIT,
             listen::{listen_callers, listen_ready},
-            metrics::{Metrics, metrics_serve},
+            metrics::{Metrics, metrics_run},
             placement::placement_run,
+            ports::ports_run,
             probe::probe_run,
             reload::{SettingsSource, reload_run},
             start::Listeners,
             state::State,
             watch::{watch_configuration, watch_lapses, watch_targets},
         },
+        process::Failure,
         supervise::Supervisor,
     },
     camphorweir_relay::settings::Settings,
-    std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::TcpListener,
-        time::{Instant, sleep, timeout_at},
-    },
+    camphorweir_wire::code::Code,
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tokio::time::{Instant, sleep, timeout_at},
 };
 
 /// Pause between checks whether all requests have ended.
@@ -41,13 +41,13 @@
 ///
 /// # Errors
 ///
-/// A message for operators when an address can't be bound or a task fails repeatedly.
+/// [`Failure`] when an address can't be bound or a task fails repeatedly.
 pub async fn run(
     settings: Settings,
     settings_source: SettingsSource,
     metrics_port: Option<u16>,
     stop: impl Future<Output = ()>,
-) -> Result<(), String> {
+) -> Result<(), Failure> {
     log::info!(
         instance = settings.instance,
         zone:% = settings.zone,
@@ -62,32 +62,20 @@
         biased;
         () = &mut stop => {
             log::info!("stopped before the start was complete");
-            log::logger().flush();
             return Ok(());
         }
         listeners = Listeners::bind(&settings, &settings_source) => listeners,
     };
-    let Listeners { callers, ready } = listeners.map_err(|failure| failure.to_string())?;
+    let Listeners { callers, ready } = listeners?;
     // The time since the start counts from here, as the instance does nothing before.
-    let state = State::new(settings, Metrics::new()?);
-    let digest_socket = bind_digests(&state)
-        .await
-        .map_err(|error| error.to_string())?;
+    let state = State::new(settings, Metrics::new().map_err(internal)?);
     let (supervisor, mut fatal) = Supervisor::new();
-    let follow_listener = bind_followers(&state)
-        .await
-        .map_err(|error| error.to_string())?;
-    let follow_address = follow_listener
-        .local_addr()
-        .map_err(|error| error.to_string())?;
     let shared = state.clone();
-    supervisor.spawn("gossip", move || {
-        gossip_run(shared.clone(), digest_socket.clone(), follow_address)
-    });
+    supervisor.spawn("ports", move || ports_run(shared.clone()));
     let shared = state.clone();
-    supervisor.spawn("followers", move || {
-        follow_serve(shared.clone(), follow_listener.clone())
-    });
+    supervisor.spawn("gossip", move || gossip_run(shared.clone()));
+    let shared = state.clone();
+    supervisor.spawn("followers", move || follow_serve(shared.clone()));
     let shared = state.clone();
     supervisor.spawn("follow", move || follow_run(shared.clone()));
     let shared = state.clone();
@@ -101,11 +89,8 @@
     let shared = state.clone();
     supervisor.spawn("ask", move || probe_run(shared.clone()));
     if let Some(address) = metrics_address {
-        let listener = bind(address).await.map_err(|error| error.to_string())?;
         let shared = state.clone();
-        supervisor.spawn("metrics", move || {
-            metrics_serve(shared.clone(), listener.clone())
-        });
+        supervisor.spawn("metrics", move || metrics_run(shared.clone(), address));
     }
     let shared = state.clone();
     supervisor.spawn("settings", move || {
@@ -121,7 +106,7 @@
     });
     tokio::select! {
         () = stop => {}
-        _ = fatal.recv() => return Err("a task failed repeatedly".to_owned()),
+        _ = fatal.recv() => return Err(internal("a task failed repeatedly")),
     }
     log::info!(requests = state.requests().count(); "shutting down; waiting for requests in flight");
     state.begin_stop();
@@ -144,7 +129,6 @@
     log::info!(drained = drained.is_ok(), requests = state.requests().count(); "shutdown complete");
     state.requests().report_cut(&state);
     state.connections().report_cut(state.metrics());
-    log::logger().flush();
     Ok(())
 }
 
@@ -155,8 +139,11 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> io::Result<Arc<TcpListener>> {
-    TcpListener::bind(address).await.map(Arc::new)
+fn internal(error: impl ToString) -> Failure {
+    Failure {
+        code: Code::Internal,
+        what: error.to_string(),
+    }
 }
 
 async fn sweep(state: State) {
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        startup::Failed,
         units::{parse_duration, parse_size},
         yaml::{self, Fault, Mapping},
     },
@@ -10,6 +11,7 @@
     hyper::{Uri, http::uri::Scheme},
     std::{
         fmt, fs,
+        io::ErrorKind,
         net::SocketAddr,
         path::{Path, PathBuf},
         time::Duration,
@@ -119,6 +121,15 @@
     pub level: log::LevelFilter,
 }
 
+impl Default for Logs {
+    fn default() -> Self {
+        Self {
+            format: Format::Json,
+            level: log::LevelFilter::Info,
+        }
+    }
+}
+
 /// The format of a log line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
@@ -156,17 +167,29 @@
 ///
 /// Every fault of the file.
 pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
-    let text = fs::read_to_string(path).map_err(|error| {
-        let what = format!("the file can't be read: {error}");
-        vec![Fault {
+    load_at_start(path).map_err(|failed| failed.reason)
+}
+
+/// Loads the settings as [`load`] does, and tells whether the file is not written yet: it is missing or empty.
+///
+/// # Errors
+///
+/// Every fault of the file.
+pub fn load_at_start(path: &Path) -> Result<Settings, Failed<Vec<Fault>>> {
+    let text = fs::read_to_string(path).map_err(|error| Failed {
+        passes: error.kind() == ErrorKind::NotFound,
+        reason: vec![Fault {
             code: Code::BadSettings,
             line: 0,
             column: 0,
             field: String::new(),
-            what,
-        }]
+            what: format!("the file can't be read: {error}"),
+        }],
     })?;
-    parse(&text, path.parent().unwrap_or(Path::new(".")))
+    parse(&text, path.parent().unwrap_or(Path::new("."))).map_err(|faults| Failed {
+        reason: faults,
+        passes: text.trim().is_empty(),
+    })
 }
 
 /// Parses and validates the text of a settings file; relative paths in it are relative to `folder`.
@@ -285,9 +308,10 @@
     let format = mapping.optional("format", parse_format, faults);
     let level = mapping.optional("level", parse_level, faults);
     mapping.reject_unknown_fields(faults);
+    let default = Logs::default();
     Logs {
-        format: format.unwrap_or(Format::Json),
-        level: level.unwrap_or(log::LevelFilter::Info),
+        format: format.unwrap_or(default.format),
+        level: level.unwrap_or(default.level),
     }
 }
 
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -3,7 +3,10 @@
 use {
     crate::{port::free, site::site},
     bytes::Bytes,
-    camphorweir_entry::front::{reload::SettingsSource, run::run},
+    camphorweir_entry::{
+        front::{reload::SettingsSource, run::run},
+        process::Failure,
+    },
     camphorweir_relay::{
         budget,
         settings::{Bounds, Settings},
@@ -14,7 +17,7 @@
         platform_target::{Setup, Target},
     },
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1},
+    hyper::{HeaderMap, Request, Response, Version, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
@@ -41,6 +44,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
+    pub(crate) version: Version,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Whether the body came whole.
@@ -66,7 +70,7 @@
     /// What its settings file would say now.
     pub(crate) settings: Arc<Mutex<Result<Settings, String>>>,
     stop: Option<oneshot::Sender<()>>,
-    task: JoinHandle<Result<(), String>>,
+    task: JoinHandle<Result<(), Failure>>,
 }
 
 impl Drop for Entry {
@@ -249,7 +253,7 @@
     }
 
     /// Waits for its end.
-    pub(crate) async fn ended(mut self) -> Result<(), String> {
+    pub(crate) async fn ended(mut self) -> Result<(), Failure> {
         timeout(GUARD, &mut self.task).await.unwrap().unwrap()
     }
 }
@@ -354,6 +358,7 @@
     }
     Answer {
         status: parts.status.as_u16(),
+        version: parts.version,
         headers: parts.headers,
         body: bytes.into(),
         whole,
