Write lines that wait together, and say when the log has no thread

Cause: each line was polled for twice and written alone, and a log whose thread could not be started did not say so.

A line warns that the log has no thread. What was cut at the end of a line starts no new one.

--- a/camphorweir-entry/src/log_writer.rs
+++ b/camphorweir-entry/src/log_writer.rs
@@ -5,11 +5,11 @@
     crate::{exit::LAST_LINE_TARGET, output::Output},
     logforth::{
         Append, Diagnostic, Error, Layout,
-        record::{Record, RecordOwned},
+        record::{Level, Record, RecordOwned},
     },
     std::{
         collections::VecDeque,
-        panic,
+        fmt, panic,
         sync::{
             Arc, Condvar, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -88,10 +88,13 @@
         let writer = Self::without_thread(output, layout);
         writer.0.queue().has_thread = true;
         let guard = ThreadGuard(writer.0.clone());
+        let thread = thread::Builder::new().name("log".to_owned());
         // If it fails, the guard is dropped with the closure.
-        let _ = thread::Builder::new()
-            .name("log".to_owned())
-            .spawn(move || guard.0.run());
+        if let Err(error) = thread.spawn(move || guard.0.run()) {
+            writer.warn(format_args!(
+                "the log has no thread, lines may be left out: {error}"
+            ));
+        }
         writer
     }
 
@@ -104,6 +107,14 @@
             changed: Condvar::new(),
         }))
     }
+
+    /// Appends a line of the writer's own.
+    fn warn(&self, text: fmt::Arguments<'_>) {
+        let record = Record::builder().level(Level::Warn).payload(text);
+        let record = record.target_static(module_path!()).build();
+        // Appending never fails.
+        let _ = self.append(&record, &[]);
+    }
 }
 
 impl Append for Writer {
@@ -147,10 +158,15 @@
 
     fn run(&self) {
         loop {
-            for record in self.next_batch() {
-                let mut line = None;
-                record.with(|record| line = self.format(&record));
-                self.count(line.is_some_and(|line| self.output.write(&line)));
+            let (batch, mut lines) = (self.next_batch(), Vec::new());
+            for record in &batch {
+                record.with(|record| match self.format(&record) {
+                    Some(line) => lines.extend(line),
+                    None => count_dropped_line(),
+                });
+            }
+            if !self.output.write(&lines) {
+                batch.iter().for_each(|_| count_dropped_line());
             }
         }
     }
--- a/camphorweir-entry/src/output.rs
+++ b/camphorweir-entry/src/output.rs
@@ -58,9 +58,9 @@
         }
     }
 
-    /// Writes a line, however long the output is blocked; returns whether it was written whole.
-    pub fn write(&self, line: &[u8]) -> bool {
-        self.write_by(line, None, Turn::Ordinary)
+    /// Writes lines, however long the output is blocked; returns whether they were written whole.
+    pub fn write(&self, lines: &[u8]) -> bool {
+        self.write_by(lines, None, Turn::Ordinary)
     }
 
     /// Writes a line unless the output is blocked until `deadline`; returns whether it was written
@@ -77,19 +77,20 @@
         self.write_by(line, Some(deadline), Turn::Last)
     }
 
-    fn write_by(&self, line: &[u8], deadline: Option<Instant>, turn: Turn) -> bool {
-        let (mut rest, mut has_begun) = (line, false);
+    fn write_by(&self, lines: &[u8], deadline: Option<Instant>, turn: Turn) -> bool {
+        let (mut rest, mut has_begun) = (lines, false);
         while !rest.is_empty() {
-            if !self.is_ready_by(deadline) {
-                return false;
-            }
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             if state.is_closed && turn == Turn::Ordinary {
                 return false;
             }
-            // Another writer may have taken the room.
             if !self.is_ready_by(Some(Instant::now())) {
-                continue;
+                drop(state);
+                match self.is_ready_by(deadline) {
+                    // Another writer may take the room.
+                    true => continue,
+                    false => return false,
+                }
             }
             let ends_line = state.is_in_line && !has_begun;
             let chunk = match ends_line {
@@ -107,7 +108,7 @@
             }
             has_begun = true;
             rest = &rest[written..];
-            state.is_in_line = !rest.is_empty();
+            state.is_in_line = !chunk[..written].ends_with(b"\n");
         }
         true
     }
