Keep queries as they were sent in requests of the stand-ins

The change to the stand-in store's pages decoded the queries of all requests that stand-ins get, and so failed a test that a call passes unchanged (`y=%20` was seen as a space). Only the store decodes a key now.

--- a/camphorweir-standin/src/http1.rs
+++ b/camphorweir-standin/src/http1.rs
@@ -44,7 +44,7 @@
 }
 
 impl Request {
-    /// Value of a query parameter, decoded; empty when absent.
+    /// Value of a query parameter as it was sent; empty when absent.
     pub fn query(&self, name: &str) -> String {
         let mut fields = self
             .query
@@ -52,7 +52,7 @@
             .filter_map(|field| field.split_once('='));
         let parameter = fields.find(|(field, _)| *field == name);
         parameter
-            .map(|(_, value)| unescape(value))
+            .map(|(_, value)| value.to_owned())
             .unwrap_or_default()
     }
 
@@ -64,7 +64,7 @@
 }
 
 /// Decodes a value of a query; bytes that are not text are replaced.
-fn unescape(value: &str) -> String {
+pub(crate) fn unescape(value: &str) -> String {
     let mut bytes = Vec::new();
     let mut rest = value.as_bytes();
     while let Some((first, after)) = rest.split_first() {
--- a/camphorweir-standin/src/metadata.rs
+++ b/camphorweir-standin/src/metadata.rs
@@ -2,7 +2,7 @@
 //! and restores from an older copy.
 
 use {
-    crate::http1::{self, Reply, Request},
+    crate::http1::{self, Reply, Request, unescape},
     serde_json::json,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -220,7 +220,7 @@
         }
         let after = match state.repeats_pages {
             true => String::new(),
-            false => request.query("after"),
+            false => unescape(&request.query("after")),
         };
         let present = newest
             .into_iter()
