The command line ends without a panic where an output is closed or full

A result was not printed if its remarks could not be; a result that could not be printed ended the command with 70 and no word. A `--timeout` of 2^64 - 1 s overflowed the clock: status 101.

Change: the command line prints all texts itself. Where an output is closed the exit code is that of the command. Remarks that can't be printed keep no result back. A result that can't be printed is named on standard error; a failure keeps its code.

--- a/camphorweir/src/args.rs
+++ b/camphorweir/src/args.rs
@@ -1,8 +1,10 @@
 //! The arguments of the command line.
 
 use {
-    bpaf::{Bpaf, Parser, long},
+    crate::{exit::Exit, report::Report},
+    bpaf::{Args, Bpaf, ParseFailure, Parser, long},
     camphorweir_config::model::Version,
+    serde_json::Value,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
     uuid::Uuid,
 };
@@ -12,6 +14,8 @@
 
 /// Maximum length of an author's name.
 const MAX_AUTHOR_BYTES: usize = 64;
+/// Longest time that a command waits.
+const MAX_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
 
 /// Operates camphorweir: checks, compares and publishes its configuration.
 #[derive(Bpaf, Clone, Debug)]
@@ -238,7 +242,7 @@
         argument::<u64>("SECONDS"),
         fallback(5),
         display_fallback,
-        map(Duration::from_secs)
+        parse(seconds)
     )]
     pub timeout: Duration,
 }
@@ -329,6 +333,26 @@
     pub file: PathBuf,
 }
 
+/// The command in the arguments of the process.
+///
+/// # Errors
+///
+/// The report that ends the process: help, the version, completions, or what is wrong.
+pub fn parse() -> Result<Command, Report> {
+    let parsed = command().run_inner(Args::current_args());
+    // The parser's own printing panics where its output is closed.
+    parsed.map_err(|failure| {
+        let (exit, text) = match failure {
+            ParseFailure::Stdout(text, is_full) => (Exit::Done, text.monochrome(is_full)),
+            ParseFailure::Completion(text) => (Exit::Done, text),
+            ParseFailure::Stderr(text) => {
+                (Exit::Usage, format!("Error: {}", text.monochrome(true)))
+            }
+        };
+        Report::new(exit, false, text, Value::Null)
+    })
+}
+
 /// The `--log` option of commands that append to the log.
 fn log() -> impl Parser<String> {
     long("log")
@@ -343,7 +367,16 @@
         .argument::<u64>("SECONDS")
         .fallback(60)
         .display_fallback()
-        .map(Duration::from_secs)
+        .parse(seconds)
+}
+
+/// A time limit; one that no clock can add to the present would be none.
+fn seconds(seconds: u64) -> Result<Duration, String> {
+    let limit = Duration::from_secs(seconds);
+    match limit <= MAX_TIMEOUT {
+        true => Ok(limit),
+        false => Err(format!("at most {} seconds", MAX_TIMEOUT.as_secs())),
+    }
 }
 
 #[allow(clippy::ptr_arg, reason = "the parser's guard takes the parsed type")]
--- a/camphorweir/src/main.rs
+++ b/camphorweir/src/main.rs
@@ -4,6 +4,9 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let command = camphorweir::args::command().run();
-    camphorweir::run(command).print()
+    let report = match camphorweir::args::parse() {
+        Ok(command) => camphorweir::run(command),
+        Err(report) => report,
+    };
+    report.print()
 }
--- a/camphorweir/src/report.rs
+++ b/camphorweir/src/report.rs
@@ -72,23 +72,27 @@
     }
 
     /// Prints the report: results to standard output, failures and remarks to standard error.
+    ///
+    /// Where an output is closed, the exit code is that of the command. If a result can't be written for
+    /// another reason, it is that of an internal error.
     pub fn print(&self) -> ExitCode {
-        let text_on_stderr = self.exit != Exit::Done && !self.always_on_stdout;
-        let printed = if text_on_stderr {
-            write_line(io::stderr().lock(), &self.remarks)
-                .and_then(|()| write_line(io::stderr().lock(), &self.text))
-        } else {
-            write_line(io::stderr().lock(), &self.remarks)
-                .and_then(|()| write_line(io::stdout().lock(), &self.text))
+        // A result is printed even if its remarks can't be.
+        let remarks = write_line(io::stderr().lock(), &self.remarks);
+        let text = match self.exit != Exit::Done && !self.always_on_stdout {
+            true => write_line(io::stderr().lock(), &self.text),
+            false => write_line(io::stdout().lock(), &self.text),
         };
-        match printed {
-            Ok(()) => ExitCode::from(self.exit.code()),
+        let exit = match text.and(remarks) {
             // The reader closed the pipe, as `head` does; that is not a failure of the command.
-            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => {
-                ExitCode::from(self.exit.code())
+            Err(error) if self.exit == Exit::Done && error.kind() != io::ErrorKind::BrokenPipe => {
+                let reason = format!("the command is done, but can't print its result: {error}");
+                // Nothing is left to report an error to if this fails as well.
+                let _ = write_line(io::stderr().lock(), &reason);
+                Exit::Internal
             }
-            Err(_) => ExitCode::from(Exit::Internal.code()),
-        }
+            _ => self.exit,
+        };
+        ExitCode::from(exit.code())
     }
 }
 
--- a/camphorweir/tests/commands.rs
+++ b/camphorweir/tests/commands.rs
@@ -5,11 +5,16 @@
     camphorweir_config::fault,
     camphorweir_wire::code,
     serde_json::Value,
-    std::process::{Command, Output},
+    std::{
+        fs::File,
+        io,
+        process::{Command, Output, Stdio},
+    },
 };
 
 const VALID: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/small.yaml");
 const CHANGED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/other.yaml");
+const WARNED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/warned.yaml");
 const FAULTY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases/faulty.yaml");
 
 fn run(arguments: &[&str]) -> Report {
@@ -134,3 +139,73 @@
         );
     }
 }
+
+/// An output whose reader is gone.
+fn closed() -> Stdio {
+    io::pipe().unwrap().1.into()
+}
+
+/// An output that takes nothing.
+fn full() -> Stdio {
+    File::options()
+        .write(true)
+        .open("/dev/full")
+        .unwrap()
+        .into()
+}
+
+/// Guards against an end by a panic, or a lost result, where an output is closed or full.
+#[test]
+fn outputs_that_take_nothing_end_no_command_otherwise() {
+    let command = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_camphorweir"));
+        command.args(arguments);
+        command
+    };
+    let cases: [(&[&str], i32, i32); 6] = [
+        (&["explain", "--markdown"], 0, 70),
+        (&["explain", "--help"], 0, 70),
+        (&["--version"], 0, 70),
+        (&["check", WARNED], 0, 70),
+        (&["check", FAULTY], 2, 2),
+        (&["nonsense"], 1, 1),
+    ];
+    for (arguments, at_closed, at_full) in cases {
+        let whole = command(arguments).output().unwrap();
+        for (stdout, code) in [(closed(), at_closed), (full(), at_full)] {
+            let out = command(arguments).stdout(stdout).output().unwrap();
+            let error = String::from_utf8(out.stderr).unwrap();
+            assert_eq!(out.status.code(), Some(code), "{arguments:?}: {error}");
+            assert_eq!(
+                error.contains("can't print its result"),
+                code == 70,
+                "{error}"
+            );
+            assert!(!error.contains("panicked"), "{arguments:?}: {error}");
+        }
+        for stderr in [closed(), full()] {
+            let out = command(arguments).stderr(stderr).output().unwrap();
+            assert_ne!(out.status.code(), Some(101), "{arguments:?}");
+            assert_eq!(out.stdout, whole.stdout, "{arguments:?}");
+        }
+    }
+}
+
+/// Guards against a panic at a time limit that no clock can hold.
+#[test]
+fn a_time_limit_is_at_most_a_day() {
+    for seconds in ["18446744073709551615", "86401"] {
+        let publish = [
+            "publish",
+            VALID,
+            "--author",
+            "ada",
+            "--log",
+            "http://127.0.0.1:1",
+        ];
+        let arguments = [&publish[..], &["--timeout", seconds]].concat();
+        let (code, _, err) = run_process(&arguments);
+        assert_eq!(code, Some(1), "{err}");
+        assert!(err.contains("at most 86400 seconds"), "{err}");
+    }
+}
