A stand-in waits for an address in use, and ends without a panic where its outputs are closed

Cause: the line `listening ADDRESS`, errors and the argument parser's texts were printed with macros that panic where the output takes nothing. An address that a predecessor still held ended the process with status 1.

Change: a line that can't be printed ends nothing. The address is tried again for up to 10 s while it is in use; one line on standard error says so, and SIGTERM ends the wait with status 0. Errors say what to do.

Measured: before, a stand-in with a closed standard output ended with 101, and one whose address was in use ended at once; closed_outputs_end_no_stand_in_by_a_panic and an_address_in_use_is_waited_for_until_it_is_free_or_the_stop failed with these.

--- a/camphorweir-standin/src/server.rs
+++ b/camphorweir-standin/src/server.rs
@@ -19,7 +19,7 @@
         collections::HashMap,
         convert::Infallible,
         fmt::Debug,
-        io,
+        io::{self, Write},
         net::SocketAddr,
         pin::pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -41,6 +41,10 @@
 const MAX_BODY: usize = 64 << 20;
 /// Pause after a failed accept, such as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Longest wait for an address that something else holds, such as a stand-in that is about to end.
+const MAX_BIND_WAIT: Duration = Duration::from_secs(10);
+/// Pause between attempts to bind an address that is in use.
+const BIND_PAUSE: Duration = Duration::from_millis(50);
 
 /// A response body; an error in it breaks the response off.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -51,7 +55,7 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The address can't be bound.
-    #[snafu(display("can't bind {address}: {source}"))]
+    #[snafu(display("can't bind {address}: {source}; free it, or set another `address`"))]
     Bind {
         /// The address.
         address: SocketAddr,
@@ -220,15 +224,44 @@
     }
 }
 
+/// Binds an address, and waits for a while if something else holds it.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let give_up_at = time::Instant::now() + MAX_BIND_WAIT;
+    let mut is_told = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error)
+                if error.kind() == io::ErrorKind::AddrInUse
+                    && time::Instant::now() < give_up_at =>
+            {
+                if !std::mem::replace(&mut is_told, true) {
+                    print_line(
+                        io::stderr(),
+                        &format!(
+                            "camphorweir-standin: {address} is in use; waiting up to {} s for it",
+                            MAX_BIND_WAIT.as_secs()
+                        ),
+                    );
+                }
+                time::sleep(BIND_PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Prints a line. A reader that is gone, or a full disk, ends no stand-in, and leaves nowhere to say so.
+pub fn print_line(mut out: impl Write, line: &str) {
+    let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+}
+
 /// Runs a role on an address; port 0 binds a free port.
 pub(crate) async fn start<R: Role>(
     address: SocketAddr,
     connections: Arc<Connections>,
     role: Arc<R>,
 ) -> Result<Handle<R>, Error> {
-    let listener = TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })?;
+    let listener = bind(address).await.context(BindSnafu { address })?;
     let address = listener.local_addr().context(BindSnafu { address })?;
     let (stop, stopped) = watch::channel(false);
     let accept = tokio::spawn(accept(listener, role.clone(), connections.clone(), stopped));
--- a/camphorweir-standin/tests/binary.rs
+++ b/camphorweir-standin/tests/binary.rs
@@ -1,12 +1,15 @@
 //! Every role as a process: one line once it is up, exit 0 on SIGTERM, nothing cut.
 
+#[path = "support/port.rs"]
+mod port;
 mod support;
 
 use {
+    port::free,
     std::{
         fs,
-        io::{BufRead, BufReader},
-        net::SocketAddr,
+        io::{self, BufRead, BufReader, Read},
+        net::{SocketAddr, TcpListener},
         process::{Child, Command, Stdio},
     },
     support::send,
@@ -115,3 +118,67 @@
         assert!(error.contains(named), "{error}");
     }
 }
+
+/// Guards against an end by a panic where an output is closed.
+#[tokio::test]
+async fn closed_outputs_end_no_stand_in_by_a_panic() {
+    let closed = || Stdio::from(io::pipe().unwrap().1);
+    let address = free();
+    let settings = format!("{{role: service, address: '{address}'}}");
+    let mut child = command("closed", &settings)
+        .stdout(closed())
+        .stderr(closed())
+        .spawn()
+        .unwrap();
+    while send("GET", address, "/standin/faults", &[], b"")
+        .await
+        .is_none()
+    {
+        assert_eq!(child.try_wait().unwrap(), None);
+    }
+    let mut process = Process { child, address };
+    process.terminate();
+    assert_eq!(process.child.wait().unwrap().code(), Some(0));
+    for (arguments, code) in [
+        (&["--help"][..], 0),
+        (&["--version"], 0),
+        (&["nonsense"], 1),
+    ] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_camphorweir-standin"));
+        let command = command.args(arguments).stdout(closed()).stderr(closed());
+        assert_eq!(
+            command.status().unwrap().code(),
+            Some(code),
+            "{arguments:?}"
+        );
+    }
+}
+
+/// Guards against an end at the start as a predecessor still holds the address.
+#[test]
+fn an_address_in_use_is_waited_for_until_it_is_free_or_the_stop() {
+    for is_freed in [true, false] {
+        let holder = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = holder.local_addr().unwrap();
+        let settings = format!("{{role: service, address: '{address}'}}");
+        let mut child = command("in-use", &settings).spawn().unwrap();
+        let mut errors = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        errors.read_line(&mut line).unwrap();
+        let told = format!("{address} is in use; waiting up to 10 s for it");
+        assert!(line.contains(&told), "{line}");
+        let mut process = Process { child, address };
+        if is_freed {
+            drop(holder);
+            line.clear();
+            let mut out = BufReader::new(process.child.stdout.take().unwrap());
+            out.read_line(&mut line).unwrap();
+            assert_eq!(line, format!("listening {address}\n"));
+        }
+        process.terminate();
+        assert_eq!(process.child.wait().unwrap().code(), Some(0));
+        let mut more = String::new();
+        errors.read_to_string(&mut more).unwrap();
+        assert_eq!(more, "", "told more than once");
+    }
+}
