Tests of starts run beside another run of themselves

Change: the address and the files have the id of the test's process in them, and the files are removed at the end. Nothing that the tests check is changed.

Before: two runs at once failed 3 of 9 tests each, "Address already in use", or a successor that met the other run's entry; alone 9 of 9 passed.

--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -209,7 +209,7 @@
     let good = fs::read_to_string(cases.join("good.yaml")).unwrap();
     let text = good
         .replace("127.0.0.1:8080", &machine.callers().to_string())
-        .replace("127.0.0.1:808", "127.0.12.7:1808")
+        .replace("127.0.0.1:808", &machine.address(1_808).to_string())
         .replace("keys/", &format!("{}/keys/", cases.display()));
     let file = machine.file().with_extension("yaml");
     let _ = fs::remove_file(&file);
--- a/camphorweir-entry/tests/start/process.rs
+++ b/camphorweir-entry/tests/start/process.rs
@@ -8,7 +8,7 @@
         net::{SocketAddr, TcpStream},
         os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
-        process::{Child, Command, Stdio},
+        process::{self, Child, Command, Stdio},
         sync::{Arc, Mutex},
         thread::{self, sleep},
         time::{Duration, Instant},
@@ -35,7 +35,8 @@
     }
 }
 
-/// The machine of a test: an address on loopback that no other test has, and its settings.
+/// The machine of a test: an address on loopback that no other test has, nor another run of the same, and its
+/// settings.
 pub(crate) struct Machine {
     number: u8,
     pub(crate) settings: Value,
@@ -56,7 +57,8 @@
     }
 
     fn socket(number: u8, port: u16) -> SocketAddr {
-        SocketAddr::from(([127, 0, 12, number], port))
+        let [.., high, low] = process::id().to_be_bytes();
+        SocketAddr::from(([127, high | 0x80, low, number], port))
     }
 
     pub(crate) fn address(&self, port: u16) -> SocketAddr {
@@ -76,7 +78,8 @@
     }
 
     pub(crate) fn file(&self) -> PathBuf {
-        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("start-{}.json", self.number))
+        let name = format!("start-{}-{}.json", process::id(), self.number);
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
     }
 
     /// Starts an entry whose settings file is written.
@@ -94,6 +97,14 @@
     }
 }
 
+impl Drop for Machine {
+    fn drop(&mut self) {
+        let file = self.file();
+        let _ = fs::remove_file(file.with_extension("yaml"));
+        let _ = fs::remove_file(file);
+    }
+}
+
 pub(crate) fn program() -> Command {
     Command::new(env!("CARGO_BIN_EXE_camphorweir-entry"))
 }
