Settings that change while a start waits for an address take effect

Whoever corrected a wrong address meanwhile saw the process wait for the old one and end, or serve at the old one. Change: they are read again before each attempt; a readiness address that has moved is bound anew before callers' address. A stop during the wait for the settings has its line, too. startup::Obstacle is the new name of startup::Failed.

--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -21,7 +21,7 @@
     },
     camphorweir_relay::settings::Settings,
     camphorweir_wire::code::Code,
-    std::{future::Future, net::SocketAddr, time::Duration},
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep, timeout_at},
 };
 
@@ -56,8 +56,6 @@
         store:% = settings.store_address;
         "instance starting"
     );
-    let own_ip = settings.callers_address.ip();
-    let metrics_address = metrics_port.map(|port| SocketAddr::new(own_ip, port));
     tokio::pin!(stop);
     let listeners = tokio::select! {
         biased;
@@ -65,9 +63,16 @@
             log::info!("stopped before the start was complete");
             return Ok(());
         }
-        listeners = Listeners::bind(&settings, &settings_source) => listeners,
+        listeners = Listeners::bind(settings, &settings_source) => listeners,
     };
-    let Listeners { callers, ready } = listeners?;
+    let Listeners {
+        callers,
+        ready,
+        settings,
+    } = listeners?;
+    let (callers, ready) = (Arc::new(callers), Arc::new(ready));
+    let own_ip = settings.callers_address.ip();
+    let metrics_address = metrics_port.map(|port| SocketAddr::new(own_ip, port));
     // The time since the start counts from here, as the instance does nothing before.
     let state = State::new(settings, Metrics::new().map_err(internal)?);
     let (supervisor, mut fatal) = Supervisor::new();
--- a/camphorweir-entry/src/front/start.rs
+++ b/camphorweir-entry/src/front/start.rs
@@ -4,7 +4,7 @@
     crate::{
         front::{listen::serve_internal, reload::SettingsSource},
         process::Failure,
-        startup::{PREDECESSOR_MARGIN, Wait},
+        startup::{PREDECESSOR_MARGIN, Wait, startup_bind},
     },
     bytes::Bytes,
     camphorweir_relay::settings::Settings,
@@ -13,7 +13,7 @@
         Response, StatusCode,
         header::{CONNECTION, HeaderValue},
     },
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    std::{convert::Infallible, time::Duration},
     tokio::{net::TcpListener, task::JoinSet, time::sleep},
 };
 
@@ -24,35 +24,71 @@
 #[derive(Debug)]
 pub struct Listeners {
     /// For callers.
-    pub callers: Arc<TcpListener>,
+    pub callers: TcpListener,
     /// For the readiness check.
-    pub ready: Arc<TcpListener>,
+    pub ready: TcpListener,
+    /// The settings that name both addresses; the file may have changed during the wait.
+    pub settings: Settings,
 }
 
 impl Listeners {
     /// Binds both addresses. A predecessor closes its callers' listener before its end and holds the
-    /// readiness' address until then, so that address comes first.
+    /// readiness address until then, so that address comes first. The settings are read again before each
+    /// attempt.
     ///
     /// # Errors
     ///
     /// [`Failure`] when an address can't be bound, or not within the time in which a predecessor shuts down.
     pub async fn bind(
-        settings: &Settings,
+        mut settings: Settings,
         settings_source: &SettingsSource,
     ) -> Result<Self, Failure> {
-        let limit = settings
-            .bounds
-            .stop_grace
-            .saturating_add(PREDECESSOR_MARGIN);
+        let grace = settings.bounds.stop_grace;
+        let limit = grace.saturating_add(PREDECESSOR_MARGIN);
         let wait = Wait::new(limit, settings_source.reload_requested());
-        let ready = wait
-            .bind("readiness' address", settings.ready_address)
-            .await?;
-        let callers = tokio::select! {
-            callers = wait.bind("callers' address", settings.callers_address) => callers?,
-            never = answer_not_ready(&ready) => match never {},
-        };
-        Ok(Self { callers, ready })
+        loop {
+            let bind_ready = || {
+                reload(&mut settings, settings_source);
+                startup_bind(settings.ready_address)
+            };
+            let ready = wait.attempt("readiness address", bind_ready).await?;
+            let ready_address = settings.ready_address;
+            let bind_callers = || {
+                reload(&mut settings, settings_source);
+                let has_moved = settings.ready_address != ready_address;
+                let address = settings.callers_address;
+                async move {
+                    match has_moved {
+                        true => Ok(None),
+                        false => startup_bind(address).await.map(Some),
+                    }
+                }
+            };
+            let callers = tokio::select! {
+                callers = wait.attempt("callers' address", bind_callers) => callers?,
+                never = answer_not_ready(&ready) => match never {},
+            };
+            if let Some(callers) = callers {
+                return Ok(Self {
+                    callers,
+                    ready,
+                    settings,
+                });
+            }
+        }
+    }
+}
+
+/// Takes changed settings over; a file that can't be used changes nothing.
+fn reload(settings: &mut Settings, settings_source: &SettingsSource) {
+    let loaded = settings_source.load().ok();
+    if let Some(changed) = loaded.filter(|loaded| loaded != settings) {
+        log::info!(
+            callers:% = changed.callers_address,
+            ready:% = changed.ready_address;
+            "settings changed during the start"
+        );
+        *settings = changed;
     }
 }
 
--- a/camphorweir-entry/src/main.rs
+++ b/camphorweir-entry/src/main.rs
@@ -9,7 +9,7 @@
         process::{self, Failure},
         rate_limited_log,
         settings::{self, Logs, Settings},
-        startup::{Failed, SETTINGS_WAIT, Wait},
+        startup::{Obstacle, SETTINGS_WAIT, Wait},
         telemetry,
         yaml::Fault,
     },
@@ -108,14 +108,17 @@
     let wait = Wait::new(SETTINGS_WAIT, settings_source.reload_requested());
     let load = || {
         let loaded = settings_load();
-        ready(loaded.map_err(|error| Failed {
+        ready(loaded.map_err(|error| Obstacle {
             passes: error.passes(),
             reason: error,
         }))
     };
     let settings = tokio::select! {
         biased;
-        signal_name = &mut stop => return End::Stopped(signal_name),
+        signal_name = &mut stop => {
+            log::info!("stopped before the start was complete");
+            return End::Stopped(signal_name);
+        }
         settings = wait.attempt("settings file", load) => settings,
     };
     let settings = match settings {
@@ -164,7 +167,7 @@
     let mut is_told = false;
     let load = || {
         let loaded = settings::load_at_start(path);
-        ready(loaded.map_err(|Failed { reason, passes }| {
+        ready(loaded.map_err(|Obstacle { reason, passes }| {
             let reason = Faults(path, reason);
             if passes && !is_told {
                 is_told = true;
@@ -173,7 +176,7 @@
                     "{reason}\n{file}: waiting up to {SETTINGS_WAIT:?}"
                 ));
             }
-            Failed { reason, passes }
+            Obstacle { reason, passes }
         }))
     };
     let settings = Wait::new(SETTINGS_WAIT, retry_now).attempt("settings file", load);
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        startup::Failed,
+        startup::Obstacle,
         units::{parse_duration, parse_size},
         yaml::{self, Fault, Mapping},
     },
@@ -175,8 +175,8 @@
 /// # Errors
 ///
 /// Every fault of the file.
-pub fn load_at_start(path: &Path) -> Result<Settings, Failed<Vec<Fault>>> {
-    let text = fs::read_to_string(path).map_err(|error| Failed {
+pub fn load_at_start(path: &Path) -> Result<Settings, Obstacle<Vec<Fault>>> {
+    let text = fs::read_to_string(path).map_err(|error| Obstacle {
         passes: error.kind() == ErrorKind::NotFound,
         reason: vec![Fault {
             code: Code::BadSettings,
@@ -186,7 +186,7 @@
             what: format!("the file can't be read: {error}"),
         }],
     })?;
-    parse(&text, path.parent().unwrap_or(Path::new("."))).map_err(|faults| Failed {
+    parse(&text, path.parent().unwrap_or(Path::new("."))).map_err(|faults| Obstacle {
         reason: faults,
         passes: text.trim().is_empty(),
     })
--- a/camphorweir-entry/src/startup.rs
+++ b/camphorweir-entry/src/startup.rs
@@ -28,7 +28,7 @@
 
 /// Why an attempt failed.
 #[derive(Debug)]
-pub struct Failed<E> {
+pub struct Obstacle<E> {
     /// The cause.
     pub reason: E,
     /// Whether a later attempt may succeed without an operator.
@@ -64,11 +64,11 @@
     ) -> Result<T, E>
     where
         E: Display,
-        F: Future<Output = Result<T, Failed<E>>>,
+        F: Future<Output = Result<T, Obstacle<E>>>,
     {
         let mut since = None;
         loop {
-            let Failed { reason, passes } = match attempt().await {
+            let Obstacle { reason, passes } = match attempt().await {
                 Ok(value) => {
                     log_end(awaited, since);
                     return Ok(value);
@@ -111,20 +111,27 @@
         awaited: &str,
         address: SocketAddr,
     ) -> Result<Arc<TcpListener>, Failure> {
-        let bound = self.attempt(awaited, || async {
-            let bound = TcpListener::bind(address).await;
-            bound.map_err(|error| Failed {
-                passes: startup_bind_passes(&error),
-                reason: Failure {
-                    code: Code::AddressInUse,
-                    what: format!("{address}: {error}"),
-                },
-            })
-        });
+        let bound = self.attempt(awaited, || startup_bind(address));
         bound.await.map(Arc::new)
     }
 }
 
+/// Tries to bind a listener once.
+///
+/// # Errors
+///
+/// Why the address can't be bound, and whether that passes.
+pub async fn startup_bind(address: SocketAddr) -> Result<TcpListener, Obstacle<Failure>> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| Obstacle {
+        passes: startup_bind_passes(&error),
+        reason: Failure {
+            code: Code::AddressInUse,
+            what: format!("{address}: {error}"),
+        },
+    })
+}
+
 fn log_end(awaited: &str, since: Option<Instant>) {
     if let Some(since) = since {
         log::info!(awaited = awaited, waited_ms = waited_ms(since); "start continues");
