A test of peers that answer a detour without a final status

Shows with raw sockets, listed as peers of an entry without links, that 000, 600, 999, 101 and interim responses without end reach no caller: calls get 502 with 3003 and `unknown`.

--- a/camphorweir-standin/tests/front/statuses.rs
+++ b/camphorweir-standin/tests/front/statuses.rs
@@ -6,12 +6,22 @@
         site::site,
     },
     bytes::Bytes,
-    camphorweir_standin::platform_target::{ResponseFault, STREAM_EVENTS, Setup, Target, event},
+    camphorweir_standin::{
+        http1::Cut,
+        platform_target::{ResponseFault, STREAM_EVENTS, Setup, Target, event},
+    },
+    camphorweir_wire::{
+        codec,
+        digest::{Addresses, FORMATS},
+    },
     http_body_util::Full,
     hyper::{Request, Version},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -104,7 +114,7 @@
         (count > 0).then_some(())?;
     }
     let text = String::from_utf8_lossy(&request).into_owned();
-    let is_call = behind.is_none() || !text.contains(" /api/");
+    let is_call = text.contains("x-attempt-id: ");
     let Some(fault) = is_call.then(|| due(&script)).flatten() else {
         let mut server = TcpStream::connect(behind?).await.ok()?;
         // Each connection then carries one request.
@@ -314,3 +324,64 @@
         }
     }
 }
+
+/// Guards against a peer's response without a final status that reaches a caller, or counts.
+#[tokio::test]
+async fn a_peers_response_without_a_final_status_is_no_answer() {
+    let bench = Bench::start(1).await;
+    let mut scripts = Vec::new();
+    let faults = faults();
+    let shown = [
+        "HTTP/1.1 000",
+        "HTTP/1.1 600",
+        "HTTP/1.1 999",
+        "HTTP/1.1 101",
+    ];
+    let is_shown = |fault: &&Fault| {
+        let mut starts = shown.iter().map(|line| fault.bytes.starts_with(line));
+        !fault.more.is_empty() || starts.any(|starts| starts)
+    };
+    for (index, fault) in faults.iter().filter(is_shown).enumerate() {
+        let script = Arc::new(Mutex::new(Some(fault.clone())));
+        let address = scripted(None, &script).await.to_string();
+        let record = codec::encode(&Addresses {
+            digest: address.clone(),
+            follow: address,
+            zone: "z".to_owned(),
+            link_mbps: 1_000,
+            formats: FORMATS,
+        });
+        let name = format!("peer-{index}");
+        bench.store.put("keyed.camphorweir-entries", &name, &record);
+        scripts.push(script);
+    }
+    assert_eq!(scripts.len(), 6);
+    bench.cut(0, Some(Cut::ResetNew));
+    let counter = AtomicUsize::new(0);
+    until("all peers met", || {
+        let count = counter.fetch_add(1, Ordering::Relaxed);
+        let (bench, scripts) = (&bench, &scripts);
+        async move {
+            let left = || {
+                scripts
+                    .iter()
+                    .filter(|script| script.lock().unwrap().is_some())
+                    .count()
+            };
+            let (before, id) = (left(), format!("call-{count}"));
+            let path = ["/seal/b", "/look/b"][count % 2];
+            let answer = call(bench.front(), &plain(path, &id, KEYS[0])).await;
+            let (code, ran) = (
+                answer.header("camphorweir-code"),
+                answer.header("camphorweir-ran"),
+            );
+            let is_unknown = (answer.status, code, ran) == (502, "3003", "unknown");
+            let is_not_run = answer.status == 503 && ran == "no" && !code.is_empty();
+            let is_met = left() < before;
+            assert!(is_unknown || is_not_run && !is_met, "{is_met}: {answer:?}");
+            assert_eq!(answer.header("x-attempt-id"), id);
+            (left() == 0).then_some(())
+        }
+    })
+    .await;
+}
