--- a/camphorweir-entry/src/exit.rs
+++ b/camphorweir-entry/src/exit.rs
@@ -1,7 +1,7 @@
 //! How the process ends, and the last line of its log.
 
 use {
-    crate::{output::STDERR, process::Failure},
+    crate::{output::STDERR, process::Failure, settings::Logs, telemetry},
     bpaf::ParseFailure,
     camphorweir_wire::code::Code,
     std::{
@@ -43,8 +43,8 @@
 /// Why the process ends.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum End {
-    /// It has shown what it was asked for; the log has no line.
-    Shown,
+    /// It has shown what it was asked for, and ends with this status; the log has no line.
+    Shown(Status),
     /// It was told to stop by the signal of this name.
     Stopped(&'static str),
     /// The settings can't be used, for these reasons, a line each.
@@ -59,7 +59,8 @@
     /// The exit status.
     pub fn status(&self) -> Status {
         match self {
-            Self::Shown | Self::Stopped(_) => Status::Success,
+            Self::Shown(status) => *status,
+            Self::Stopped(_) => Status::Success,
             Self::BadSettings(_) => Status::BadSettings,
             Self::Failed(_) => Status::Failed,
             Self::Panicked => Status::Panicked,
@@ -69,7 +70,7 @@
     /// The result code, if there is one.
     pub fn code(&self) -> Option<Code> {
         match self {
-            Self::Shown | Self::Stopped(_) => None,
+            Self::Shown(_) | Self::Stopped(_) => None,
             Self::BadSettings(_) => Some(Code::BadSettings),
             Self::Failed(failure) => Some(failure.code),
             Self::Panicked => Some(Code::Internal),
@@ -78,7 +79,7 @@
 
     fn reason(&self) -> String {
         let reason = match self {
-            Self::Shown => String::new(),
+            Self::Shown(_) => String::new(),
             Self::Stopped(signal) => format!("told to stop by {signal}"),
             Self::BadSettings(faults) => faults.clone(),
             Self::Failed(failure) => failure.what.clone(),
@@ -101,11 +102,13 @@
     // Nothing that `run` has touched is used after a panic.
     let end = catch_unwind(AssertUnwindSafe(run)).unwrap_or(End::Panicked);
     match &end {
-        End::Shown => return end.status().into(),
+        End::Shown(status) => return (*status).into(),
         End::Stopped(_) | End::Panicked => {}
         End::BadSettings(faults) => print_error(faults),
         End::Failed(failure) => print_error(&format!("camphorweir-entry: {failure}")),
     }
+    // Has no effect if the log has been started.
+    telemetry::start_logs(Logs::default());
     let status = end.status();
     let level = match status {
         Status::Success => log::Level::Info,
--- a/camphorweir-entry/src/main.rs
+++ b/camphorweir-entry/src/main.rs
@@ -4,11 +4,11 @@
 use {
     bpaf::{Args, Bpaf},
     camphorweir_entry::{
-        exit::{End, exit_block_on, exit_run, exit_usage, print, print_error},
+        exit::{End, Status, exit_block_on, exit_run, exit_usage, print, print_error},
         front::{reload::SettingsSource, run::run as run_front},
         process::{self, Failure},
         rate_limited_log,
-        settings::{self, Logs, Settings},
+        settings::{self, Settings},
         startup::{Obstacle, SETTINGS_WAIT, Wait},
         telemetry,
         yaml::Fault,
@@ -64,10 +64,7 @@
     };
     match runtime {
         Ok(runtime) => exit_block_on(runtime, run(options)),
-        Err(error) => {
-            telemetry::start_logs(Logs::default());
-            failed(&error)
-        }
+        Err(error) => failed(&error),
     }
 }
 
@@ -180,10 +177,8 @@
         }))
     };
     let settings = Wait::new(SETTINGS_WAIT, retry_now).attempt("settings file", load);
-    settings.await.map_err(|faults| {
-        telemetry::start_logs(Logs::default());
-        End::BadSettings(faults.to_string())
-    })
+    let settings = settings.await;
+    settings.map_err(|faults| End::BadSettings(faults.to_string()))
 }
 
 /// Reports every fault of the settings file.
@@ -191,9 +186,12 @@
     match settings::load(path) {
         Ok(_) => {
             print(&format!("{}: settings are valid", path.display()));
-            End::Shown
+            End::Shown(Status::Success)
+        }
+        Err(faults) => {
+            print_error(&Faults(path, faults).to_string());
+            End::Shown(Status::BadSettings)
         }
-        Err(faults) => End::BadSettings(Faults(path, faults).to_string()),
     }
 }
 
