An instance without peers' ports does not flood the store

Cause: while an instance waits for its peers' ports it read the list of instances every 0.5 s for as long as that took. Only an instance with ports went on to the pause of 4 s after its first reads.

Change: the pause between reads is the same with and without ports. The wait for the ports still ends as soon as they are bound, so the instance registers without the rest of a pause.

A trial that waits for the end of a pause before it registers fails the same test (4.0 s from the free port to the record; the bound is 3 s).

--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -87,13 +87,7 @@
 
 async fn sync_instances(state: &State) {
     let mut store = Store::new(state);
-    // Without its ports the instance is not listed, and hears of others from the list alone.
-    let sockets = loop {
-        match timeout(FIRST_LIST_PAUSE, state.ports().bound()).await {
-            Ok(sockets) => break sockets,
-            Err(_) => drop(read_instances(state, &mut store).await),
-        }
-    };
+    let sockets = await_ports(state, &mut store).await;
     let mut backoff = Backoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     while !register(state, sockets, &mut store).await {
         sleep(backoff.next_delay()).await;
@@ -101,11 +95,7 @@
     let mut era = state.era();
     let mut reads = 0;
     loop {
-        let pause = match reads < FIRST_LISTS {
-            true => FIRST_LIST_PAUSE,
-            false => LIST_PAUSE,
-        };
-        sleep(pause).await;
+        sleep(list_pause(reads)).await;
         if state.era() != era {
             // The record may be lost; instances look for theirs one after the other.
             sleep(RESTORE_SPREAD.mul_f64(place_in_order(&state.settings().instance))).await;
@@ -121,6 +111,26 @@
     }
 }
 
+/// Waits for the ports. Without them the instance is not listed, and hears of others from the list alone.
+async fn await_ports<'a>(state: &'a State, store: &mut Store) -> &'a Sockets {
+    let mut reads = 0;
+    loop {
+        match timeout(list_pause(reads), state.ports().bound()).await {
+            Ok(sockets) => return sockets,
+            Err(_) => drop(read_instances(state, store).await),
+        }
+        reads += 1;
+    }
+}
+
+/// Pause before the next read of the list after this many.
+fn list_pause(reads: u32) -> Duration {
+    match reads < FIRST_LISTS {
+        true => FIRST_LIST_PAUSE,
+        false => LIST_PAUSE,
+    }
+}
+
 /// Place of an instance in the order that decides on roles, from 0 to 1.
 fn place_in_order(name: &str) -> f64 {
     f64::from(ids_tag(name)) / f64::from(u32::MAX)
--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -201,6 +201,29 @@
     assert_eq!(entry.lines(&["serving without"]).len(), 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_peers_ports_does_not_flood_the_store() {
+    let mut machine = Machine::new(9);
+    let (store, address) = Store::spawn().await.unwrap();
+    machine.settings["platform"]["address"] = address.to_string().into();
+    let digests = UdpSocket::bind(machine.address(17_340)).unwrap();
+    let mut entry = machine.start();
+    entry.await_line(&["serving without", "peers' ports"]);
+    let reads = || store.newest_count(INSTANCES_TOPIC);
+    until("first reads", || (reads() >= 4).then_some(()));
+    let first = reads();
+    sleep(AT_ONCE);
+    let later = reads() - first;
+    assert!(later <= 1, "{later} reads in {AT_ONCE:?}");
+    let seen = reads();
+    until("a later read", || (reads() > seen).then_some(()));
+    drop(digests);
+    let since = Instant::now();
+    until("listed", || store.value(INSTANCES_TOPIC, "entry-9"));
+    let took = since.elapsed();
+    assert!(took < AT_ONCE, "{took:?}");
+}
+
 #[test]
 fn an_entry_of_operators_waits_for_its_settings_and_addresses() {
     let machine = Machine::new(7);
--- a/camphorweir-standin/src/metadata.rs
+++ b/camphorweir-standin/src/metadata.rs
@@ -52,6 +52,8 @@
     /// Behavior of each listener, in the order in which they were added.
     behaviors: Vec<Behavior>,
     request_count: usize,
+    /// Number of reads of newest records, by topic.
+    newest_counts: BTreeMap<String, usize>,
     /// Whether each page of newest records is the first one.
     repeats_pages: bool,
 }
@@ -165,6 +167,12 @@
         self.state().request_count
     }
 
+    /// Number of reads of a topic's newest records that were answered, each page on its own.
+    pub fn newest_count(&self, topic: &str) -> usize {
+        let state = self.state();
+        state.newest_counts.get(topic).copied().unwrap_or_default()
+    }
+
     async fn answer(self, listener: usize, request: Request) -> Reply {
         let behavior = {
             let mut state = self.state();
@@ -211,8 +219,9 @@
 
     fn newest(&self, request: &Request) -> Reply {
         use base64::{Engine, engine::general_purpose::STANDARD};
-        let state = self.state();
+        let mut state = self.state();
         let topic = request.query("topic");
+        *state.newest_counts.entry(topic.clone()).or_default() += 1;
         let records = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
         let mut newest = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
