A settings path that is no regular file is an error

Cause: the settings file was read whatever its kind. A read of a pipe that nobody writes to doesn't return and holds up the thread that also hears signals: neither a start nor a running instance that reloads ended at SIGTERM.

Change: the path must lead to a regular file, with or without `--platform`; symbolic links are followed. Other kinds need an operator: a start ends with status 2 at once, and at a reload the settings in force stay.

Key files are read as before, whatever their kind.

--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -11,7 +11,7 @@
     hyper::{Uri, http::uri::Scheme},
     std::{
         fmt, fs,
-        io::ErrorKind,
+        io::{self, ErrorKind},
         net::SocketAddr,
         path::{Path, PathBuf},
         time::Duration,
@@ -176,7 +176,7 @@
 ///
 /// Every fault of the file.
 pub fn load_at_start(path: &Path) -> Result<Settings, Failed<Vec<Fault>>> {
-    let text = fs::read_to_string(path).map_err(|error| Failed {
+    let text = read_regular(path).map_err(|error| Failed {
         passes: error.kind() == ErrorKind::NotFound,
         reason: vec![Fault {
             code: Code::BadSettings,
@@ -192,6 +192,18 @@
     })
 }
 
+/// Reads a regular file, or one that a symbolic link leads to. A read of another kind, such as a pipe, may not
+/// return.
+fn read_regular(path: &Path) -> io::Result<String> {
+    match fs::metadata(path)?.is_file() {
+        true => fs::read_to_string(path),
+        false => Err(io::Error::new(
+            ErrorKind::InvalidInput,
+            "not a regular file",
+        )),
+    }
+}
+
 /// Parses and validates the text of a settings file; relative paths in it are relative to `folder`.
 ///
 /// # Errors
--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -19,7 +19,9 @@
         future::ready,
         io,
         net::{TcpListener, TcpStream, UdpSocket},
+        os::unix::fs::symlink,
         path::Path,
+        process::Command,
         sync::Arc,
         thread::sleep,
         time::Duration,
@@ -160,6 +162,47 @@
     until("code", || entry.lines(&["6102 AddressInUse"]).pop());
 }
 
+#[test]
+fn settings_that_are_no_regular_file_hold_up_neither_a_start_nor_a_stop() {
+    let machine = Machine::new(10);
+    let make_pipe = || {
+        let _ = fs::remove_file(machine.file());
+        let made = Command::new("mkfifo").arg(machine.file()).status();
+        assert!(made.unwrap().success());
+    };
+    make_pipe();
+    let operators = |option: &[&str]| {
+        let mut command = program();
+        command.arg("--settings").arg(machine.file()).args(option);
+        Entry::start(command)
+    };
+    let starts = [
+        machine.start_as_is(),
+        operators(&[]),
+        operators(&["--check-settings"]),
+    ];
+    for mut entry in starts {
+        let (end, took) = entry.end();
+        assert_eq!(end, Ok(2), "{:?}", entry.lines(&[]));
+        assert!(took < AT_ONCE, "{took:?}");
+        until("reason", || entry.lines(&["not a regular file"]).pop());
+    }
+    // A link to a regular file is read, at the start and later.
+    let linked = machine.file().with_extension("yaml");
+    fs::write(&linked, machine.settings.to_string()).unwrap();
+    fs::remove_file(machine.file()).unwrap();
+    symlink(&linked, machine.file()).unwrap();
+    let mut entry = machine.start_as_is();
+    until("callers", || TcpStream::connect(machine.callers()).ok());
+    entry.signal("HUP");
+    entry.await_line(&["settings reloaded"]);
+    make_pipe();
+    entry.signal("HUP");
+    entry.await_line(&["previous ones stay in force", "not a regular file"]);
+    entry.signal("TERM");
+    assert_eq!(entry.end().0, Ok(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_serves_without_its_metrics_and_peers_ports() {
     let mut machine = Machine::new(6);
