--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -19,7 +19,9 @@
         future::ready,
         io,
         net::{TcpListener, TcpStream, UdpSocket},
+        os::unix::fs::symlink,
         path::Path,
+        process::Command,
         sync::Arc,
         thread::sleep,
         time::Duration,
@@ -181,6 +183,47 @@
     until("code", || entry.lines(&["6102 AddressInUse"]).pop());
 }
 
+#[test]
+fn settings_that_are_no_regular_file_hold_up_neither_a_start_nor_a_stop() {
+    let machine = Machine::new(10);
+    let make_pipe = || {
+        let _ = fs::remove_file(machine.file());
+        let made = Command::new("mkfifo").arg(machine.file()).status();
+        assert!(made.unwrap().success());
+    };
+    make_pipe();
+    let operators = |option: &[&str]| {
+        let mut command = program();
+        command.arg("--settings").arg(machine.file()).args(option);
+        Entry::start(command)
+    };
+    let starts = [
+        machine.start_as_is(),
+        operators(&[]),
+        operators(&["--check-settings"]),
+    ];
+    for mut entry in starts {
+        let (end, took) = entry.end();
+        assert_eq!(end, Ok(2), "{:?}", entry.lines(&[]));
+        assert!(took < AT_ONCE, "{took:?}");
+        until("reason", || entry.lines(&["not a regular file"]).pop());
+    }
+    // A link to a regular file is read, at the start and later.
+    let linked = machine.file().with_extension("yaml");
+    fs::write(&linked, machine.settings.to_string()).unwrap();
+    fs::remove_file(machine.file()).unwrap();
+    symlink(&linked, machine.file()).unwrap();
+    let mut entry = machine.start_as_is();
+    until("callers", || TcpStream::connect(machine.callers()).ok());
+    entry.signal("HUP");
+    entry.await_line(&["settings reloaded"]);
+    make_pipe();
+    entry.signal("HUP");
+    entry.await_line(&["previous ones stay in force", "not a regular file"]);
+    entry.signal("TERM");
+    assert_eq!(entry.end().0, Ok(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_serves_without_its_metrics_and_peers_ports() {
     let mut machine = Machine::new(6);
@@ -222,6 +265,29 @@
     assert_eq!(entry.lines(&["serving without"]).len(), 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_peers_ports_does_not_flood_the_store() {
+    let mut machine = Machine::new(9);
+    let (store, address) = Store::spawn().await.unwrap();
+    machine.settings["platform"]["address"] = address.to_string().into();
+    let digests = UdpSocket::bind(machine.address(17_340)).unwrap();
+    let mut entry = machine.start();
+    entry.await_line(&["serving without", "peers' ports"]);
+    let reads = || store.newest_count(INSTANCES_TOPIC);
+    until("first reads", || (reads() >= 4).then_some(()));
+    let first = reads();
+    sleep(AT_ONCE);
+    let later = reads() - first;
+    assert!(later <= 1, "{later} reads in {AT_ONCE:?}");
+    let seen = reads();
+    until("a later read", || (reads() > seen).then_some(()));
+    drop(digests);
+    let since = Instant::now();
+    until("listed", || store.value(INSTANCES_TOPIC, "entry-9"));
+    let took = since.elapsed();
+    assert!(took < AT_ONCE, "{took:?}");
+}
+
 #[test]
 fn an_entry_of_operators_waits_for_its_settings_and_addresses() {
     let machine = Machine::new(7);
