--- a/camphorweir-standin/tests/soak/main.rs
+++ b/camphorweir-standin/tests/soak/main.rs
@@ -30,6 +30,7 @@
     camphorweir_standin::platform_target::Target,
     deployment::{Deployment, LAYERED},
     entry::Entry,
+    futures::future::join_all,
     proxy::Proxy,
     rand::{SeedableRng, rngs::SmallRng},
     std::time::Duration,
@@ -239,37 +240,40 @@
 /// Waits until every entry serves every kind of call, and says that it is ready.
 async fn recovered(deployment: &mut Deployment, when: &str) {
     let begun = Instant::now();
-    for (index, entry) in deployment.entries.iter_mut().enumerate() {
-        while !caller::is_ready(entry.ready()).await {
+    let entries = deployment.entries.iter_mut().enumerate();
+    join_all(entries.map(|(index, entry)| entry_recovered(index, entry, when, begun))).await;
+}
+
+async fn entry_recovered(index: usize, entry: &mut Entry, when: &str, begun: Instant) {
+    while !caller::is_ready(entry.ready()).await {
+        let is_late = begun.elapsed() >= RECOVERY;
+        assert!(!is_late, "{when}: not ready; {}", entry.describe());
+        entry.look();
+        sleep(LOOK).await;
+    }
+    for kind in [Kind::Seal, Kind::Look, Kind::Text] {
+        let mut tries = 0;
+        // How many tries got no connection, and how many an answer that was no success.
+        let mut failed = (0, 0);
+        loop {
+            let id = format!("{when}-{index}-{kind:?}-{tries}");
+            let call = caller::once(entry.callers, index, id, kind).await;
+            if call.as_ref().and_then(Call::status) == Some(200) {
+                break;
+            }
+            match &call {
+                None => failed.0 += 1,
+                Some(_) => failed.1 += 1,
+            }
             let is_late = begun.elapsed() >= RECOVERY;
-            assert!(!is_late, "{when}: not ready; {}", entry.describe());
+            assert!(
+                !is_late,
+                "{when}: {kind:?}, {failed:?}, {call:?}; {}",
+                entry.describe()
+            );
             entry.look();
+            tries += 1;
             sleep(LOOK).await;
         }
-        for kind in [Kind::Seal, Kind::Look, Kind::Text] {
-            let mut tries = 0;
-            // How many tries got no connection, and how many an answer that was no success.
-            let mut failed = (0, 0);
-            loop {
-                let id = format!("{when}-{index}-{kind:?}-{tries}");
-                let call = caller::once(entry.callers, index, id, kind).await;
-                if call.as_ref().and_then(Call::status) == Some(200) {
-                    break;
-                }
-                match &call {
-                    None => failed.0 += 1,
-                    Some(_) => failed.1 += 1,
-                }
-                let is_late = begun.elapsed() >= RECOVERY;
-                assert!(
-                    !is_late,
-                    "{when}: {kind:?}, {failed:?}, {call:?}; {}",
-                    entry.describe()
-                );
-                entry.look();
-                tries += 1;
-                sleep(LOOK).await;
-            }
-        }
     }
 }
