One address for two listeners is an error of the settings

Cause: with one address for both callers and readiness a start held the first and waited for the second as if another process had it. Without `--platform` the same holds for two addresses of `listen`, and `--check-settings` passed them.

Change: the settings are refused at once, with status 2 and the names of both fields; without `--platform` as a fault with line and column. Port 0 is excepted, as it selects a free port each time.

--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -245,8 +245,10 @@
 
 fn read_listen(mut mapping: Mapping, faults: &mut Vec<Fault>) -> Option<Listen> {
     let callers = mapping.required("callers", parse_address, faults);
-    let peers = mapping.required("peers", parse_address, faults);
-    let admin = mapping.required("admin", parse_address, faults);
+    let mut others = vec![("listen.callers", callers)];
+    let peers = mapping.required("peers", |text| parse_unused(text, &others), faults);
+    others.push(("listen.peers", peers));
+    let admin = mapping.required("admin", |text| parse_unused(text, &others), faults);
     mapping.reject_unknown_fields(faults);
     Some(Listen {
         callers: callers?,
@@ -348,6 +350,16 @@
         .map_err(|_| format!("`{text}` is not an address such as 127.0.0.1:8080"))
 }
 
+/// Parses an address that no other field has; port 0 is a port of its own each time.
+fn parse_unused(text: &str, others: &[(&str, Option<SocketAddr>)]) -> Result<SocketAddr, String> {
+    let address = parse_address(text)?;
+    let mut others = others.iter();
+    match others.find(|(_, other)| *other == Some(address) && address.port() != 0) {
+        Some((field, _)) => Err(format!("`{text}` is the address of {field} too")),
+        None => Ok(address),
+    }
+}
+
 fn parse_url(text: &str) -> Result<Uri, String> {
     let invalid = || format!("`{text}` is not a URL such as http://127.0.0.1:7001");
     let url = text.parse::<Uri>().map_err(|_| invalid())?;
--- a/camphorweir-entry/tests/settings.rs
+++ b/camphorweir-entry/tests/settings.rs
@@ -4,6 +4,7 @@
     camphorweir_entry::{
         settings::{self, Format},
         units::{parse_duration, parse_size},
+        yaml::Fault,
     },
     camphorweir_wire::code::Code,
     std::{
@@ -47,7 +48,7 @@
         let wanted = expected(&fs::read_to_string(&path).unwrap());
         assert_eq!(found, wanted, "{}: {faults:#?}", path.display());
     }
-    assert_eq!(files, 6);
+    assert_eq!(files, 7);
 }
 
 #[test]
@@ -63,6 +64,21 @@
     assert_eq!(settings.keys.admin_write, None);
 }
 
+#[test]
+fn an_address_of_a_listener_has_one_use() {
+    let text = fs::read_to_string(cases_directory().join("same-address.yaml")).unwrap();
+    let parse = |text: &str| settings::parse(text, &cases_directory());
+    let faults = parse(&text).unwrap_err();
+    assert!(faults[0].what.contains("listen.peers"), "{faults:?}");
+    let faults = parse(&text.replace(":8081", ":8080")).unwrap_err();
+    let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(fields, ["listen.peers", "listen.admin"]);
+    let names_other = |fault: &Fault| fault.what.contains("listen.callers");
+    assert!(faults.iter().all(names_other), "{faults:?}");
+    let free = text.replace(":8080", ":0").replace(":8081", ":0");
+    assert!(parse(&free).is_ok(), "port 0 is a free port each time");
+}
+
 #[test]
 fn secrets_are_not_printed() {
     let settings = settings::load(&cases_directory().join("good.yaml")).unwrap();
--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -144,7 +144,10 @@
     let mut wrong_type = machine.settings.clone();
     wrong_type["limits"]["maxFds"] = "many".into();
     let no_json = machine.settings.to_string().replacen(':', ";", 1);
-    for text in [missing_field.to_string(), wrong_type.to_string(), no_json] {
+    let mut same_address = machine.settings.clone();
+    same_address["listen"]["ready"] = same_address["listen"]["front"].clone();
+    let texts = [missing_field, wrong_type, same_address].map(|settings| settings.to_string());
+    for text in texts.into_iter().chain([no_json]) {
         fs::write(machine.file(), &text).unwrap();
         let (end, took) = machine.start_as_is().end();
         assert_eq!(end, Ok(2), "{text}");
