--- a/camphorweir-entry/tests/start/main.rs
+++ b/camphorweir-entry/tests/start/main.rs
@@ -111,7 +111,7 @@
 
 #[test]
 fn settings_that_change_while_a_start_waits_for_an_address_take_effect() {
-    let mut machine = Machine::new(9);
+    let mut machine = Machine::new(12);
     let _ready_holder = TcpListener::bind(machine.ready()).unwrap();
     let mut entry = machine.start();
     entry.await_line(&["start waits", "readiness address"]);
