--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -167,7 +167,7 @@
 ///
 /// Every fault of the file.
 pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
-    load_at_start(path).map_err(|failed| failed.reason)
+    load_at_start(path).map_err(|obstacle| obstacle.reason)
 }
 
 /// Loads the settings as [`load`] does, and tells whether the file is not written yet: it is missing or empty.
