Datagrams are used of a limited number of unlisted senders

Cause: whoever sends datagrams to the ports between instances is remembered by name, in the reports, digests and addresses of instances, and nothing limited the names.

Datagrams of others are counted and dropped. Listed instances are not affected.

--- a/camphorweir-entry/src/front/gossip.rs
+++ b/camphorweir-entry/src/front/gossip.rs
@@ -20,6 +20,7 @@
     camphorweir_relay::{
         ids::{TargetId, Time, Zone, ids_tag},
         roles::{self, Assignment, Followed, Reads},
+        senders::Senders,
         store::Era,
         summary::{summary_for_others, summary_for_zone},
     },
@@ -391,13 +392,21 @@
 async fn receive_datagrams(state: &State) {
     let socket = &state.ports().bound().await.digests;
     let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
-    let mut unread = Unread::default();
+    let (mut unread, mut senders) = (Unread::default(), Senders::default());
     loop {
         let Ok((count, address)) = socket.recv_from(&mut buffer).await else {
             sleep(DIGEST_PAUSE).await;
             continue;
         };
         let decoded = codec::decode(&buffer[..count]);
+        let name = decoded.as_ref().ok().and_then(datagram_sender);
+        if let Some(name) = name
+            && !state.instances().is_listed(name)
+            && !senders.admit(name, state.now())
+        {
+            state.metrics().record_unread("sender");
+            continue;
+        }
         if decoded.is_ok() {
             state.permits().record_heard(state.now());
         }
@@ -415,6 +424,18 @@
     }
 }
 
+/// The name of a sender that is remembered with what a datagram says.
+fn datagram_sender(datagram: &Datagram) -> Option<&str> {
+    match datagram {
+        Datagram::Digest(digest) => Some(&digest.entry),
+        Datagram::Summary(summary) => Some(&summary.entry),
+        Datagram::Ask(ask) => Some(&ask.entry),
+        Datagram::Account(account) => Some(&account.entry),
+        Datagram::Demand(demand) => Some(&demand.entry),
+        Datagram::Suspects(_) | Datagram::Limits(_) | Datagram::Grant(_) => None,
+    }
+}
+
 /// Senders of datagrams that can't be read, which may be of another release.
 #[derive(Debug, Default)]
 struct Unread {
--- a/camphorweir-entry/src/front/instances.rs
+++ b/camphorweir-entry/src/front/instances.rs
@@ -8,6 +8,7 @@
         ids::{Zone, ids_tag},
         permit::Candidate,
         roles::Member,
+        senders::MAX_UNLISTED_SENDERS,
     },
     camphorweir_wire::{
         codec,
@@ -71,6 +72,11 @@
         self.listed.len() + 1
     }
 
+    /// Whether the store lists an instance.
+    pub fn is_listed(&self, name: &str) -> bool {
+        self.listed.contains_key(name)
+    }
+
     /// The listed instances, as peers that can serve requests for this one.
     pub fn detour_peers(&self) -> Vec<detour::Peer> {
         let listed = self.listed.iter();
@@ -178,7 +184,10 @@
     pub fn record_digest(&mut self, name: &str, address: SocketAddr) {
         match self.listed.get_mut(name) {
             Some(peer) => peer.digest_address = address,
-            None => drop(self.unlisted.insert(name.to_owned(), address)),
+            None if self.unlisted.len() < MAX_UNLISTED_SENDERS => {
+                self.unlisted.insert(name.to_owned(), address);
+            }
+            None => {}
         }
     }
 }
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod roles;
 pub mod router;
 mod selection;
+pub mod senders;
 pub mod settings;
 pub mod shutdown;
 pub mod span;
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -28,6 +28,7 @@
 mod revision;
 mod roles;
 mod router;
+mod senders;
 mod shutdown;
 mod sse;
 mod store;
