The listeners of readiness, peers and metrics have limits on connections

Cause: these listeners took any number of connections, and one that never sends a whole head stayed for good: the descriptors for callers, targets and the store were gone.

Change: each takes a limited number (32, 32, one in eight of the sockets for peers).

--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -8,7 +8,7 @@
     crate::{
         front::{
             client::Client,
-            listen::serve_internal,
+            internal::Connections,
             request::handle_detour,
             response::{CallerResponse, turned_away},
             state::State,
@@ -47,6 +47,8 @@
 /// First and longest pause after a failed poll; the aggregator names another source meanwhile.
 const FAILED_POLL_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(400));
+/// One in this many of the sockets may be a connection that a peer opened.
+const PEER_SOCKET_DIVISOR: usize = 8;
 /// Limit on the body of a poll request, in bytes; ten for each record that a follower has.
 const MAX_REQUEST_BYTES: usize = 1 << 16;
 
@@ -181,16 +183,17 @@
 /// Serves the polls of followers; never returns.
 pub async fn follow_serve(state: State) {
     let sockets = state.ports().bound().await;
+    let connections = Connections::new(state.settings().max_sockets / PEER_SOCKET_DIVISOR);
     loop {
         let Ok((stream, _)) = sockets.followers.accept().await else {
             sleep(SOURCE_CHECK_PAUSE).await;
             continue;
         };
-        let state = state.clone();
-        tokio::spawn(serve_internal(stream, move |request| {
-            let state = state.clone();
-            async move { handle_peer(state, request).await }
-        }));
+        let (state, connections) = (state.clone(), connections.clone());
+        tokio::spawn(async move {
+            let handle = |request| handle_peer(state.clone(), request);
+            connections.serve(stream, handle).await;
+        });
     }
 }
 
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -6,6 +6,7 @@
         front::{
             connections::{End, Entry},
             idle::Limit,
+            internal,
             request::handle_request,
             state::State,
         },
@@ -16,20 +17,10 @@
     camphorweir_platform::READY_PATH,
     http_body_util::Full,
     hyper::{
-        Request, Response, StatusCode,
-        body::{Body, Incoming},
-        server::conn::http1,
-        service::service_fn,
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    std::{
-        convert::Infallible,
-        error::Error,
-        future::{Future, pending},
-        io,
-        sync::Arc,
-        time::Duration,
-    },
+    std::{convert::Infallible, future::pending, io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
@@ -45,6 +36,8 @@
 /// Fraction of the file descriptors for callers' connections; the rest is for targets, the store
 /// and checks.
 const CALLER_SOCKET_FRACTION: f64 = 0.6;
+/// Most connections for the readiness check.
+const MAX_CHECKS: usize = 32;
 /// Pause before another look at one that was idle for long before a request that is not yet answered.
 const BUSY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -165,31 +158,17 @@
 
 /// Serves the load balancer's readiness check; never returns.
 pub async fn listen_ready(state: State, listener: Arc<TcpListener>) {
+    let connections = internal::Connections::new(MAX_CHECKS);
     loop {
         let stream = accept_connection(&listener).await;
-        let state = state.clone();
-        tokio::spawn(serve_internal(stream, move |request: Request<Incoming>| {
-            let state = state.clone();
-            async move { readiness(&state, &request) }
-        }));
+        let (state, connections) = (state.clone(), connections.clone());
+        tokio::spawn(async move {
+            let check = async |request| readiness(&state, &request);
+            connections.serve(stream, check).await;
+        });
     }
 }
 
-/// Serves one connection from the load balancer, a peer or a metrics scraper.
-pub async fn serve_internal<F, B>(stream: TcpStream, handler: impl Fn(Request<Incoming>) -> F)
-where
-    F: Future<Output = Response<B>>,
-    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
-{
-    let service = service_fn(|request| {
-        let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    // Connection errors concern only the client.
-    let _ = connection.await;
-}
-
 fn readiness(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     let path_matches = request.uri().path() == READY_PATH;
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        front::{listen::serve_internal, state::State},
+        front::{internal::Connections, state::State},
         histograms::{DurationHistogram, Labels, WorkspaceLabels},
         log_writer::dropped_lines,
         startup::startup_background,
@@ -33,6 +33,8 @@
     tokio::{net::TcpListener, time::sleep},
 };
 
+/// Most connections of metrics scrapers.
+const MAX_SCRAPERS: usize = 32;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -494,16 +496,17 @@
 /// Serves the metrics over HTTP as soon as the address can be bound; never returns.
 pub async fn metrics_run(state: State, address: SocketAddr) {
     let listener = startup_background("metrics' port", || TcpListener::bind(address)).await;
+    let connections = Connections::new(MAX_SCRAPERS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let state = state.clone();
-        tokio::spawn(serve_internal(stream, move |_| {
-            let text = state.metrics().render(&state);
-            async move { text_response(text) }
-        }));
+        let (state, connections) = (state.clone(), connections.clone());
+        tokio::spawn(async move {
+            let render = async |_| text_response(state.metrics().render(&state));
+            connections.serve(stream, render).await;
+        });
     }
 }
 
--- a/camphorweir-entry/src/front/mod.rs
+++ b/camphorweir-entry/src/front/mod.rs
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod idle;
 pub mod instances;
+pub mod internal;
 pub mod listen;
 pub mod metrics;
 pub mod permits;
--- a/camphorweir-entry/src/front/start.rs
+++ b/camphorweir-entry/src/front/start.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        front::{listen::serve_internal, reload::SettingsSource},
+        front::{internal::Connections, reload::SettingsSource},
         process::Failure,
         startup::{PREDECESSOR_MARGIN, Wait, startup_bind},
     },
@@ -17,6 +17,8 @@
     tokio::{net::TcpListener, task::JoinSet, time::sleep},
 };
 
+/// Most connections of readiness checks meanwhile.
+const MAX_CHECKS: usize = 32;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -95,19 +97,22 @@
 /// Answers readiness checks while the instance waits for callers' address; never returns. Its connections end
 /// with it.
 async fn answer_not_ready(listener: &TcpListener) -> Infallible {
-    let mut connections = JoinSet::new();
+    let (mut tasks, connections) = (JoinSet::new(), Connections::new(MAX_CHECKS));
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve_internal(stream, async |_| not_ready()));
+                    let connections = connections.clone();
+                    tasks.spawn(async move {
+                        connections.serve(stream, async |_| not_ready()).await;
+                    });
                 }
                 Err(error) => {
                     log::warn!(reason:% = error; "could not accept a connection");
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            Some(_) = tasks.join_next() => {}
         }
     }
 }
