Request bodies are booked in one account of the machine's memory

Cause: each body was collected whole and nothing added them up. Pieces were kept as they came, so that a chunk of one byte cost a handle and the buffer it was part of. Bodies of requests that their head decides (wrong key, no route, too long) were collected too, and the close behind the refusal reset the connection before its caller had read it. The system held up to 6 MiB unread of each connection.

Change: `memory::Memory` books what a body takes before it is held, until the last part of it is dropped; the sum stays below a limit from `limits.memoryMb`. An announced body is booked whole, so what is let in can end, and what has no room is refused at once with the new code 2008 (503, not run, Retry-After). Bodies without progress yield first, then those of who holds much; one eighth is for small bodies alone. A body in several pieces is copied into one buffer. One that nobody will use is discarded, up to 64 KiB, and after a refusal the connection is read for up to 2 s more, so that the refusal arrives. Receive buffers of callers' connections are limited. Without `limits.memoryMb` nothing is limited; without `--platform` the setting `limits.memory` is new.

Why it works: every way in goes through `Memory::receive`, and a booking is part of the buffer that it stands for.

--- a/camphorweir-entry/src/call.rs
+++ b/camphorweir-entry/src/call.rs
@@ -5,6 +5,7 @@
         clock,
         core_task::{Arrival, DisconnectGuard, Handle, Input, Payload, Responder, TOKEN_QUEUE_LEN},
         fingerprint::fingerprint,
+        memory::Memory,
         monitor::Activity,
         openai::{self, Api, ResponseTemplate, TokenRequest},
         refusal,
@@ -15,21 +16,26 @@
     },
     bytes::Bytes,
     camphorweir_policy::call::{self as policy, Answered, Call, End, Plain},
+    camphorweir_relay::memory::{Sender, memory_retry_after},
     camphorweir_wire::{
         code::Code,
         ids::{RequestId, Token},
         outcome::{self, Ran, Refusal},
     },
-    http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited},
+    http_body_util::{Either, Full},
     hyper::{
         HeaderMap, Request, Response, StatusCode, Version,
-        body::{Body, Incoming},
+        body::Incoming,
         header::{
             ACCEPT, AUTHORIZATION, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue,
         },
         http::request::Parts,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        net::{IpAddr, Ipv4Addr},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
         time::timeout,
@@ -55,6 +61,9 @@
     /// Result of the readiness check.
     pub ready: watch::Receiver<bool>,
     slots: Arc<Semaphore>,
+    memory: Memory,
+    /// Address of the caller, on one connection.
+    pub(crate) address: IpAddr,
 }
 
 impl State {
@@ -65,6 +74,8 @@
             limits,
             ready,
             slots: Arc::new(Semaphore::new(limits.requests)),
+            memory: Memory::new(limits.memory),
+            address: Ipv4Addr::UNSPECIFIED.into(),
         }
     }
 
@@ -133,23 +144,24 @@
 
 async fn receive(state: &State, body: Incoming) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
     let slot = state.acquire_slot()?;
-    Ok((read_body(body, &state.limits).await?, slot))
-}
-
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    let min_size = body.size_hint().lower();
-    if usize::try_from(min_size).map_or(true, |size| size > limits.body) {
-        return Err(Refusal::not_run(Code::BodyTooLarge, ""));
-    }
-    let result = timeout(limits.body_time, Limited::new(body, limits.body).collect()).await;
-    match result {
-        Err(_) => Err(Refusal::not_run(Code::RequestTimeout, "")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(Code::BodyTooLarge, ""))
+    let sender = Sender {
+        address: state.address,
+        // The key is checked later, by the core.
+        workspace: None,
+    };
+    let limits = &state.limits;
+    let body = state.memory.receive(body, &sender, limits.body);
+    let body = timeout(limits.body_time, body).await;
+    let body = body.unwrap_or(Err(Code::RequestTimeout));
+    let body = body.map_err(|code| match code {
+        Code::Malformed => Refusal::not_run(code, "The body was cut."),
+        Code::ShortOfMemory => {
+            let wait = memory_retry_after(rand::random());
+            Refusal::not_run(code, "").with_retry_after(wait)
         }
-        Ok(Err(_)) => Err(Refusal::not_run(Code::Malformed, "The body was cut.")),
-    }
+        _ => Refusal::not_run(code, ""),
+    });
+    Ok((body?, slot))
 }
 
 /// Submits a request to the core.
--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -7,12 +7,15 @@
         front::{idle::Terms, metrics::Metrics, state::State},
     },
     camphorweir_relay::configuration::Limits,
-    rustix::net::{Shutdown, shutdown},
+    rustix::net::{Shutdown, shutdown, sockopt::set_socket_recv_buffer_size},
     std::{
         collections::BTreeMap,
         io::{self, IoSlice},
         pin::Pin,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
         task::{Context, Poll, ready},
         time::Duration,
     },
@@ -31,6 +34,11 @@
 /// Limit on the bytes that are read of such requests, and how many are read at a time.
 const CROSSING_BYTES: (usize, usize) = (64 << 10, 1 << 10);
 
+/// Time in which a caller whose body was refused finds the refusal, and closes the connection.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+/// Bytes that are read at a time meanwhile.
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
+
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -135,6 +143,7 @@
     pub fn new(state: &State, stream: TcpStream) -> Self {
         let connection = Connection(Arc::new(Inner {
             stream,
+            has_unread_body: AtomicBool::new(false),
             activity: Mutex::new(Activity::new()),
         }));
         let mut open = state.connections().open();
@@ -169,6 +178,28 @@
         );
     }
 
+    /// Reads on after a refusal whose body still comes, so that the refusal isn't lost with a reset; up to
+    /// `most_bytes`.
+    pub async fn discard_rest(&self, most_bytes: usize) {
+        let inner = &self.connection.0;
+        if !inner.has_unread_body.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut total = 0;
+        let rest = async {
+            while total < most_bytes && inner.stream.readable().await.is_ok() {
+                match discard_ready(&inner.stream) {
+                    Ok(0) => break,
+                    Ok(count) => total += count,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+        };
+        // A caller that neither reads nor closes loses its refusal.
+        let _ = timeout(DISCARD_TIME, rest).await;
+    }
+
     /// Logs and counts the end of the connection if a request on it was not answered.
     pub fn report(&self, end: End) {
         if self.connection.holds_request() {
@@ -195,6 +226,8 @@
 #[derive(Debug)]
 struct Inner {
     stream: TcpStream,
+    /// Whether the body of the last request was not read to its end; nothing is read after it.
+    has_unread_body: AtomicBool,
     activity: Mutex<Activity>,
 }
 
@@ -223,6 +256,13 @@
         *self.activity()
     }
 
+    /// Sets how much the system holds unread, in bytes. Without that a transfer is slower, or holds more.
+    pub fn set_receive_buffer(&self, bytes: usize) {
+        if let Err(error) = set_socket_recv_buffer_size(&self.0.stream, bytes) {
+            log::debug!(reason:% = error; "receive buffer of a connection stays as it was");
+        }
+    }
+
     /// What stands against its close now.
     pub fn held(&self) -> Held {
         self.snapshot().held(&self.0.stream)
@@ -270,10 +310,23 @@
     }
 }
 
+/// Reads bytes that have arrived, and drops them.
+fn discard_ready(stream: &TcpStream) -> io::Result<usize> {
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    stream.try_read(&mut buffer)
+}
+
 /// Counts a request of a connection as unanswered until dropped.
 #[derive(Debug)]
 pub struct Unanswered(Connection);
 
+impl Unanswered {
+    /// Records that the body of the request is not read to its end.
+    pub fn leave_body(&self) {
+        self.0.0.has_unread_body.store(true, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Unanswered {
     fn drop(&mut self) {
         self.0.activity().end_request();
--- a/camphorweir-entry/src/front/follow.rs
+++ b/camphorweir-entry/src/front/follow.rs
@@ -26,7 +26,10 @@
     },
     http_body_util::{BodyExt, Either, Full, Limited},
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
     tokio::time::{sleep, timeout},
 };
 
@@ -185,24 +188,24 @@
     let sockets = state.ports().bound().await;
     let connections = Connections::new(state.settings().max_sockets / PEER_SOCKET_DIVISOR);
     loop {
-        let Ok((stream, _)) = sockets.followers.accept().await else {
+        let Ok((stream, address)) = sockets.followers.accept().await else {
             sleep(SOURCE_CHECK_PAUSE).await;
             continue;
         };
         let (state, connections) = (state.clone(), connections.clone());
         tokio::spawn(async move {
-            let handle = |request| handle_peer(state.clone(), request);
+            let handle = |request| handle_peer(state.clone(), request, address.ip());
             connections.serve(stream, handle).await;
         });
     }
 }
 
 /// Handles a request from a peer: a poll, or a caller's request that the peer can't serve.
-async fn handle_peer(state: State, request: Request<Incoming>) -> CallerResponse {
+async fn handle_peer(state: State, request: Request<Incoming>, address: IpAddr) -> CallerResponse {
     match detour_decode(&request) {
         None => handle_poll(&state, request).await.map(Either::Left),
         Some(detour) if !may_serve(&state, detour.version) => turned_away(),
-        Some(detour) => handle_detour(state, request, detour.runs).await,
+        Some(detour) => handle_detour(state, request, address, detour.runs).await,
     }
 }
 
--- a/camphorweir-entry/src/front/idle.rs
+++ b/camphorweir-entry/src/front/idle.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Largest body of a request, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.limits.body_bytes
+    }
+
     /// Puts other limits in force; returns whether they differ.
     pub fn set_limits(&mut self, limits: Limits) -> bool {
         let has_changed = limits != self.limits;
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -8,6 +8,7 @@
             idle::Limit,
             internal,
             request::handle_request,
+            response::UnreadBody,
             state::State,
         },
         guarded,
@@ -17,9 +18,13 @@
     camphorweir_platform::READY_PATH,
     http_body_util::Full,
     hyper::{
-        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+        Request, Response, StatusCode,
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    rustix::net::sockopt::set_socket_recv_buffer_size,
     std::{convert::Infallible, future::pending, io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -36,8 +41,16 @@
 /// Fraction of the file descriptors for callers' connections; the rest is for targets, the store
 /// and checks.
 const CALLER_SOCKET_FRACTION: f64 = 0.6;
+/// Body of the answer to a readiness check while there is no room for large bodies: small requests are served.
+const SHORT_OF_MEMORY: &str = "short of memory for large requests\n";
 /// Most connections for the readiness check.
 const MAX_CHECKS: usize = 32;
+/// Receive buffer of a caller's connection, in bytes; the system doubles it for its own records.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// The same while a body of [`LARGE_BODY_BYTES`] or more arrives.
+const LARGE_RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+/// Announced size from which a body gets that, in bytes.
+const LARGE_BODY_BYTES: u64 = 1 << 20;
 /// Pause before another look at one that was idle for long before a request that is not yet answered.
 const BUSY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -45,6 +58,9 @@
 pub async fn listen_callers(state: State, listener: Arc<TcpListener>) {
     let max_connections = state.settings().max_sockets as f64 * CALLER_SOCKET_FRACTION;
     let slots = Arc::new(Semaphore::new(max_connections as usize));
+    if state.settings().memory_bytes.is_some() {
+        limit_unread(&listener);
+    }
     let serve = |stream: TcpStream| {
         // Above the limit the connection is closed unread, so that the caller may try another
         // instance.
@@ -71,6 +87,14 @@
     pending().await
 }
 
+/// Limits what the system holds unread of each connection. Without this it grows with the speed of a caller, to
+/// several MB.
+fn limit_unread(listener: &TcpListener) {
+    if let Err(error) = set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES) {
+        log::warn!(reason:% = error; "receive buffers of callers' connections are not limited");
+    }
+}
+
 /// Closes a connection above the limit; a request may have arrived on it.
 fn refuse_connection(state: &State, stream: &TcpStream, limit: usize) {
     let unread_bytes = unread_bytes(stream);
@@ -103,14 +127,24 @@
     let _ = stream.set_nodelay(true);
     let head_bytes = state.limits().head_bytes;
     let mut terms = state.connections().terms();
+    let Ok(address) = stream.peer_addr() else {
+        return;
+    };
     let entry = Entry::new(&state, stream);
     let caller = entry.connection().clone();
     let mut limit = Limit::new(&terms.borrow(), &caller.snapshot());
     let requests = caller.clone();
-    let service = service_fn(move |request| {
+    let limits_unread = state.settings().memory_bytes.is_some();
+    let service = service_fn(move |request: Request<Incoming>| {
         let (state, unanswered) = (state.clone(), requests.begin_request());
+        if limits_unread && request.body().size_hint().lower() >= LARGE_BODY_BYTES {
+            requests.set_receive_buffer(LARGE_RECEIVE_BUFFER_BYTES);
+        }
         async move {
-            let response = handle_request(state, request).await;
+            let mut response = handle_request(state, request, address.ip()).await;
+            if response.extensions_mut().remove::<UnreadBody>().is_some() {
+                unanswered.leave_body();
+            }
             Ok::<_, Infallible>(response.map(|body| guarded::Body::new(body, unanswered)))
         }
     });
@@ -126,7 +160,10 @@
         let close_at = limit.close_at(&current, &caller.snapshot());
         tokio::select! {
             // Errors of a connection concern only the caller.
-            _ = connection.as_mut() => return entry.report(End::Caller),
+            _ = connection.as_mut() => {
+                entry.discard_rest(current.body_bytes()).await;
+                return entry.report(End::Caller);
+            }
             _ = terms.changed() => {
                 look_at = Instant::now();
                 continue;
@@ -170,7 +207,11 @@
 }
 
 fn readiness(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+    let body = match state.memory().is_short() {
+        true => SHORT_OF_MEMORY,
+        false => "",
+    };
+    let mut response = Response::new(Full::from(body));
     let path_matches = request.uri().path() == READY_PATH;
     *response.status_mut() = match path_matches {
         false => StatusCode::NOT_FOUND,
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -48,6 +48,10 @@
     send_failures: Counter<u64>,
     cuts: Counter<u64>,
     kept_answers: Counter<u64>,
+    body_refusals: Counter<u64>,
+    memory_booked: Gauge<u64>,
+    memory_limit: Gauge<u64>,
+    bodies_arriving: Gauge<u64>,
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     quarantines: Counter<u64>,
@@ -117,6 +121,19 @@
                 "camphorweir.answers.cut",
                 "Answers ended before they were complete, by class and cause",
             ),
+            body_refusals: counter(
+                "camphorweir.bodies.refused",
+                "Requests refused while their body arrived, by code",
+            ),
+            memory_booked: gauge(
+                "camphorweir.memory.booked",
+                "Bytes booked for what is held for clients",
+            ),
+            memory_limit: gauge("camphorweir.memory.limit", "Limit on them; 0 without one"),
+            bodies_arriving: gauge(
+                "camphorweir.bodies.arriving",
+                "Request bodies that arrive and are not whole",
+            ),
             kept_answers: counter(
                 "camphorweir.answers.kept",
                 "Whole answers of targets delivered in place of a refusal, by class and code of the refusal",
@@ -315,6 +332,12 @@
         self.stop_cuts.add(1, &[KeyValue::new("phase", phase)]);
     }
 
+    /// Counts a request that is refused because of its body.
+    pub fn record_body_refusal(&self, code: Code) {
+        let code = i64::from(code.number());
+        self.body_refusals.add(1, &[KeyValue::new("code", code)]);
+    }
+
     /// Counts a caller's connection that ended with a request that was not answered.
     pub fn record_unanswered(&self, cause: &'static str) {
         self.unanswered.add(1, &[KeyValue::new("cause", cause)]);
@@ -430,6 +453,11 @@
         let has_ports = state.ports().sockets().is_some();
         self.peer_ports.record(u64::from(has_ports), &[]);
         self.left_out.record(dropped_lines(), &[]);
+        let memory = state.memory();
+        let limit = Some(memory.limit()).filter(|limit| *limit < usize::MAX);
+        self.memory_limit.record(limit.unwrap_or(0) as u64, &[]);
+        self.memory_booked.record(memory.booked() as u64, &[]);
+        self.bodies_arriving.record(memory.arriving().0 as u64, &[]);
     }
 }
 
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -11,13 +11,15 @@
             exchange::{TargetResponse, Template},
             requests::{InFlight, Phase},
             response::{
-                CallerResponse, full_response, refusal_response, set_connection_close, turned_away,
+                CallerResponse, full_response, refusal_response, set_connection_close,
+                set_unread_body, turned_away,
             },
             send::{Reply, SendGuard, send_finish, send_start},
             state::State,
             stream::{Events, Job},
             waiting::{STOP_RETRY_AFTER, waiting_plan, waiting_refusal},
         },
+        memory::discard,
         units::millis,
     },
     bytes::Bytes,
@@ -26,35 +28,46 @@
         response::response_forward_headers,
     },
     camphorweir_relay::{
-        configuration::{Kind, Limits},
+        configuration::Kind,
         ids::Fingerprint,
+        memory::{Sender, memory_retry_after},
         progress::Progress,
         retry::{Decision, Failure},
         router::{Admission, Outcome, Plan},
     },
     camphorweir_wire::{code::Code, detour::LEAVING_TARGET_HEADER, outcome::Refusal},
-    http_body_util::{BodyExt, Either, LengthLimitError, Limited},
+    http_body_util::Either,
     hyper::{Request, Response, body::Incoming},
-    std::{sync::Arc, time::Duration},
+    std::{net::IpAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
 /// Limit on the wait for the rest of a request that is refused by its head.
 const REFUSED_BODY_TIME: Duration = Duration::from_millis(500);
 
-/// Handles a request from a caller.
-pub async fn handle_request(state: State, request: Request<Incoming>) -> CallerResponse {
-    handle(state, request, None).await
+/// Handles a request from a caller at an address.
+pub async fn handle_request(
+    state: State,
+    request: Request<Incoming>,
+    address: IpAddr,
+) -> CallerResponse {
+    handle(state, request, address, None).await
 }
 
-/// Handles a request from a peer that reaches no target, after `runs` possible runs.
-pub async fn handle_detour(state: State, request: Request<Incoming>, runs: u32) -> CallerResponse {
-    handle(state, request, Some(runs)).await
+/// Handles a request from a peer at an address that reaches no target, after `runs` possible runs.
+pub async fn handle_detour(
+    state: State,
+    request: Request<Incoming>,
+    address: IpAddr,
+    runs: u32,
+) -> CallerResponse {
+    handle(state, request, address, Some(runs)).await
 }
 
 async fn handle(
     state: State,
     request: Request<Incoming>,
+    address: IpAddr,
     runs_at_peer: Option<u32>,
 ) -> CallerResponse {
     let (parts, body) = request.into_parts();
@@ -71,12 +84,16 @@
                 path = head.path;
                 "request refused on admission"
             );
-            // A connection that is closed with bytes of a body under way may take the answer with it.
-            tokio::select! {
-                _ = read_body(body, state.limits(), REFUSED_BODY_TIME) => {}
-                () = stop_last_answer(&state) => {}
+            let mut response = refusal_response(&head.id, &refusal);
+            // The connection goes on only after the end of the body.
+            let is_over = tokio::select! {
+                is_over = timeout(REFUSED_BODY_TIME, discard(body)) => is_over.unwrap_or(false),
+                () = stop_last_answer(&state) => false,
+            };
+            if !is_over {
+                set_unread_body(&mut response);
             }
-            return close_if_stopping(&state, refusal_response(&head.id, &refusal));
+            return close_if_stopping(&state, response);
         }
     };
     admitted.is_from_peer = runs_at_peer.is_some();
@@ -84,7 +101,7 @@
         return turned_away();
     }
     admitted.counts.runs = runs_at_peer.unwrap_or_default();
-    let body = match receive_body(&state, &admitted, body).await {
+    let body = match receive_body(&state, &admitted, body, address).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -154,9 +171,13 @@
     state: &State,
     admitted: &Admission,
     body: Incoming,
+    address: IpAddr,
 ) -> Result<Bytes, CallerResponse> {
-    let time_left = admitted.time_left(admitted.arrived_at);
-    let body = read_body(body, state.limits(), time_left);
+    let sender = Sender {
+        address,
+        workspace: admitted.workspace.clone(),
+    };
+    let body = read_body(state, admitted, body, &sender);
     let body = tokio::select! {
         biased;
         body = deadline_within(state, admitted, body) => {
@@ -172,13 +193,18 @@
         );
         let refusal = Refusal::not_run(code, "");
         let mut response = match code {
-            Code::Stopping if admitted.is_from_peer => turned_away(),
+            Code::ShortOfMemory | Code::Stopping if admitted.is_from_peer => turned_away(),
+            Code::ShortOfMemory => {
+                let wait = memory_retry_after(state.router().random());
+                refusal_response(&admitted.id, &refusal.with_retry_after(wait))
+            }
             Code::Stopping => {
                 refusal_response(&admitted.id, &refusal.with_retry_after(STOP_RETRY_AFTER))
             }
             _ => refusal_response(&admitted.id, &refusal),
         };
-        set_connection_close(&mut response);
+        state.metrics().record_body_refusal(code);
+        set_unread_body(&mut response);
         response
     })
 }
@@ -233,15 +259,18 @@
     );
 }
 
-/// Reads the whole request body within the size and time limits.
-async fn read_body(body: Incoming, limits: Limits, time_left: Duration) -> Result<Bytes, Code> {
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    match timeout(time_left.min(limits.idle_timeout), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Ok(Err(_)) => Err(Code::Malformed),
-        Err(_) => Err(Code::RequestTimeout),
-    }
+/// Reads the whole request body within the limits on size, time and memory.
+async fn read_body(
+    state: &State,
+    admitted: &Admission,
+    body: Incoming,
+    sender: &Sender,
+) -> Result<Bytes, Code> {
+    let limits = state.limits();
+    let time_left = admitted.time_left(admitted.arrived_at);
+    let received = state.memory().receive(body, sender, limits.body_bytes);
+    let received = timeout(time_left.min(limits.idle_timeout), received).await;
+    received.unwrap_or(Err(Code::RequestTimeout))
 }
 
 enum Forwarded {
--- a/camphorweir-entry/src/front/response.rs
+++ b/camphorweir-entry/src/front/response.rs
@@ -45,6 +45,16 @@
     response.headers_mut().insert(CONNECTION, close);
 }
 
+/// Marks a response whose request has a body that was not read to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct UnreadBody;
+
+/// Lets the connection close after a response, as the body of the request was not read to its end.
+pub fn set_unread_body(response: &mut CallerResponse) {
+    set_connection_close(response);
+    response.extensions_mut().insert(UnreadBody);
+}
+
 /// The response to a peer whose request another instance should serve.
 pub fn turned_away() -> CallerResponse {
     let mut response = Response::new(Either::Left(Full::default()));
--- a/camphorweir-entry/src/front/run.rs
+++ b/camphorweir-entry/src/front/run.rs
@@ -155,5 +155,6 @@
         sleep(SWEEP_PAUSE).await;
         state.pool().sweep();
         state.stall_reports().sweep();
+        state.update_memory_limit();
     }
 }
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -7,6 +7,7 @@
             instances::Instances, metrics::Metrics, permits::Permits, pool::Pool, ports::Ports,
             requests::Requests, stall::Reports, waiting::Waiting,
         },
+        memory::Memory,
         units::millis,
     },
     camphorweir_platform::store::Record,
@@ -15,6 +16,7 @@
         contact,
         ids::{TargetId, Time},
         limit::{Change, Named},
+        memory::memory_limit,
         roles::{Roles, Source, roles_source_is_fresh},
         router::Router,
         settings::Settings,
@@ -65,6 +67,7 @@
     version: watch::Sender<u64>,
     requests: Requests,
     connections: Connections,
+    memory: Memory,
 }
 
 impl State {
@@ -77,6 +80,7 @@
             rand::random(),
         );
         let clock = Clock::start();
+        let memory = Memory::new(limit_of(&settings, 0));
         let roles = Roles::new(settings.instance.clone(), settings.link_mbps, clock.now());
         Self(Arc::new(Inner {
             settings,
@@ -100,6 +104,7 @@
             version: watch::channel(0).0,
             requests: Requests::default(),
             connections: Connections::new(Limits::default()),
+            memory,
         }))
     }
 
@@ -494,12 +499,29 @@
         &self.0.requests
     }
 
+    /// The account of the memory that is held for clients.
+    pub fn memory(&self) -> &Memory {
+        &self.0.memory
+    }
+
+    /// Computes anew how much of the memory the records of targets leave to clients.
+    pub fn update_memory_limit(&self) {
+        let targets = self.router().fleet.targets().count();
+        self.memory().set_limit(limit_of(self.settings(), targets));
+    }
+
     /// Callers' open connections.
     pub fn connections(&self) -> &Connections {
         &self.0.connections
     }
 }
 
+/// What clients may make an instance hold that knows so many targets.
+fn limit_of(settings: &Settings, targets: usize) -> usize {
+    let machine = settings.memory_bytes;
+    machine.map_or(usize::MAX, |bytes| memory_limit(bytes, targets))
+}
+
 /// Logs a change of a target's limit that this instance learned of from `source`.
 pub fn log_limit(target: &TargetId, change: Change, source: &str) {
     match change {
--- a/camphorweir-entry/src/lib.rs
+++ b/camphorweir-entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod link;
 pub mod listener;
 pub mod log_writer;
+pub mod memory;
 pub mod monitor;
 pub mod openai;
 pub mod output;
--- a/camphorweir-entry/src/refusal.rs
+++ b/camphorweir-entry/src/refusal.rs
@@ -91,6 +91,6 @@
 fn may_have_unread_body(code: Code) -> bool {
     matches!(
         code,
-        Code::BodyTooLarge | Code::HeadTooLarge | Code::RequestTimeout
+        Code::BodyTooLarge | Code::HeadTooLarge | Code::RequestTimeout | Code::ShortOfMemory
     )
 }
--- a/camphorweir-entry/src/server.rs
+++ b/camphorweir-entry/src/server.rs
@@ -130,8 +130,14 @@
 
 async fn handle_connection(server: Server, stream: TcpStream, slot: OwnedSemaphorePermit) {
     let Server {
-        state, mut closing, ..
+        mut state,
+        mut closing,
+        ..
     } = server;
+    let Ok(address) = stream.peer_addr() else {
+        return;
+    };
+    state.address = address.ip();
     let limits = state.limits;
     let activity = Activity::new();
     // Failing to set it only delays responses.
--- a/camphorweir-entry/src/settings.rs
+++ b/camphorweir-entry/src/settings.rs
@@ -86,6 +86,8 @@
     pub answer: usize,
     /// Most open connections of callers.
     pub connections: usize,
+    /// Most bytes of request bodies and what they are kept in; [`usize::MAX`] without a limit.
+    pub memory: usize,
     /// Most requests in flight, from the end of the head to the end of the response.
     pub requests: usize,
     /// Time without a byte read or written after which a connection is closed, unless it awaits an
@@ -104,6 +106,7 @@
             body: 1 << 20,
             answer: 4 << 20,
             connections: 1024,
+            memory: usize::MAX,
             requests: 4096,
             idle: Duration::from_secs(60),
             head_time: Duration::from_secs(10),
@@ -298,6 +301,10 @@
         &mut limits.connections,
         mapping.optional("connections", parse_count, faults),
     );
+    set_if_some(
+        &mut limits.memory,
+        mapping.optional("memory", parse_positive_size, faults),
+    );
     set_if_some(
         &mut limits.requests,
         mapping.optional("requests", parse_count, faults),
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod lease;
 pub mod limit;
 pub mod lists;
+pub mod memory;
 pub mod path;
 pub mod peers;
 pub mod permit;
--- a/camphorweir-relay/src/settings.rs
+++ b/camphorweir-relay/src/settings.rs
@@ -29,6 +29,8 @@
     pub link_mbps: u32,
     /// Number of file descriptors that sockets may use; below 2^32.
     pub max_sockets: usize,
+    /// Memory of the machine in bytes; `None` where the settings name none, and nothing is limited by it.
+    pub memory_bytes: Option<usize>,
     /// Bounds that the instance must keep.
     pub bounds: Bounds,
 }
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod limit;
 mod lists;
+mod memory;
 mod path;
 mod peers;
 mod permit;
--- a/camphorweir-standin/tests/crowd/client.rs
+++ b/camphorweir-standin/tests/crowd/client.rs
@@ -192,6 +192,16 @@
     status.and_then(|status| status.parse().ok()).unwrap_or(0)
 }
 
+/// The answer to a request without a body.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
 /// Status of the answer to an ordinary call with a body of so many bytes, on a connection of its own; 0 without one.
 pub(crate) async fn ask(address: SocketAddr, key: &str, bytes: usize) -> u16 {
     let framing = format!("connection: close\r\ncontent-length: {bytes}");
--- a/camphorweir-standin/tests/crowd/machine.rs
+++ b/camphorweir-standin/tests/crowd/machine.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         child::{Child, LOOK, binary, until},
-        client::{Crowd, ask},
+        client::{Crowd, ask, get},
         port::free,
         site::site,
     },
@@ -135,6 +135,21 @@
         machine
     }
 
+    /// Memory that the process has, in bytes.
+    pub(crate) fn resident(&self) -> usize {
+        resident(self.process.process.id(), "VmRSS:")
+    }
+
+    /// Bytes that it has booked, by its metrics.
+    pub(crate) async fn booked(&self) -> usize {
+        let text = get(self.metrics, "/metrics").await;
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("camphorweir_memory_booked"));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.and_then(|value| value.parse().ok()).expect(&text)
+    }
+
     /// What must hold while a crowd is there, and after it has gone.
     pub(crate) async fn bear(mut self, mut crowd: Crowd) {
         crowd.settled().await;
--- a/camphorweir-standin/tests/crowd/main.rs
+++ b/camphorweir-standin/tests/crowd/main.rs
@@ -235,6 +235,20 @@
     machine.bear(crowd).await;
 }
 
+/// What clients make the process hold is no more than what is booked, but for buffers of the allocator.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_held_is_booked() {
+    let machine = Machine::start(MEMORY_MB).await;
+    let calm = machine.resident();
+    let mut crowd = Crowd::open(machine.callers, LARGE, &short(KEY));
+    crowd.settled().await;
+    let (held, booked) = (machine.resident() - calm, machine.booked().await);
+    println!("{held} bytes held, {booked} booked");
+    assert!(booked >= 4 * BODY, "{booked} bytes booked");
+    assert!(held <= booked + (MEMORY_MB << 20) / 8);
+    machine.bear(crowd).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_largest_body_in_calm_on_the_smallest_machine() {
     let machine = Machine::start(SMALLEST_MB).await;
--- a/camphorweir-standin/tests/front/bench.rs
+++ b/camphorweir-standin/tests/front/bench.rs
@@ -171,6 +171,7 @@
             peer_ports: (0, 0),
             link_mbps: 1_000,
             max_sockets: 1_000,
+            memory_bytes: None,
             bounds: Bounds {
                 stop_grace: Duration::from_secs(8),
                 drain: Duration::from_secs(2),
--- a/camphorweir-wire/src/code.rs
+++ b/camphorweir-wire/src/code.rs
@@ -106,6 +106,8 @@
     AnswerTooLarge = 2006, 502, "Ask for less.";
     /// This entry ended before the target had answered; the request may have run.
     EndedFirst = 2007, 504, "Send it again if it may be repeated.";
+    /// This entry has no memory for the request's body now.
+    ShortOfMemory = 2008, 503, "Come back after `Retry-After`; another entry may have room.";
     /// No chain of live targets covers every layer of the model.
     NoPath = 3001, 503, "Come back after `Retry-After`.";
     /// No live target serves this service.
