Connections without a request are closed for new ones

Seen by callers: a crowd that opens connections and says little keeps all others out for 17 s at a time.

Cause: at the limit the new connection was closed, whoever it was of. An unfinished head had the later of its own time and the idle limit. Heads and connections were not part of the memory account.

Change: at the limit, or without memory for one more connection, the new one takes the place of one without a request in hand: first those that brought none for 250 ms, then idle ones, of the address with most connections, the oldest first. An unfinished head has `headerTimeoutMs` and 2 s, in which a raised limit may be known to callers and not yet here. A connection is booked with 12 KiB and a head beyond 4 KiB with 32 KiB more.

--- a/camphorweir-entry/src/activity.rs
+++ b/camphorweir-entry/src/activity.rs
@@ -35,6 +35,8 @@
     pub head_bytes: usize,
     /// Requests whose answers are not handed over whole.
     pub unanswered: usize,
+    /// Whether a whole head has come.
+    pub has_requested: bool,
     /// Whether an answer waits until the caller reads.
     is_blocked: bool,
 }
@@ -49,6 +51,7 @@
             head_since: None,
             head_bytes: 0,
             unanswered: 0,
+            has_requested: false,
             is_blocked: false,
         }
     }
@@ -72,6 +75,7 @@
     /// Records that the head of a request is whole.
     pub fn begin_request(&mut self) {
         self.end_head();
+        self.has_requested = true;
         self.unanswered += 1;
     }
 
--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -5,12 +5,18 @@
     crate::{
         activity::{Activity, Held, unread_bytes},
         front::{idle::Terms, metrics::Metrics, state::State},
+        memory::{Booking, Memory},
+    },
+    camphorweir_relay::{
+        configuration::Limits,
+        eviction::{self, eviction_choose},
+        memory::Class,
     },
-    camphorweir_relay::configuration::Limits,
     rustix::net::{Shutdown, shutdown, sockopt::set_socket_recv_buffer_size},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         io::{self, IoSlice},
+        net::IpAddr,
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -22,7 +28,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
-        sync::watch,
+        sync::{Notify, watch},
         time::timeout,
     },
 };
@@ -34,6 +40,12 @@
 /// Limit on the bytes that are read of such requests, and how many are read at a time.
 const CROSSING_BYTES: (usize, usize) = (64 << 10, 1 << 10);
 
+/// Number of connections that are chosen to close at a time.
+const EVICTION_BATCH: usize = 32;
+/// Size up to which a head is part of what is booked for its connection, in bytes.
+const SHORT_HEAD_BYTES: usize = 4 << 10;
+/// What a longer head takes, in bytes: the largest read buffer, and that which it grew from.
+const LONG_HEAD_BYTES: usize = 32 << 10;
 /// Time in which a caller whose body was refused finds the refusal, and closes the connection.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Bytes that are read at a time meanwhile.
@@ -48,6 +60,8 @@
     IdleLimit,
     /// It was idle as the instance stopped.
     IdleClose,
+    /// It had no request in hand, and others need its place.
+    Evicted,
     /// With the process.
     Process,
 }
@@ -59,6 +73,7 @@
             Self::Caller => "caller",
             Self::IdleLimit => "idle_limit",
             Self::IdleClose => "idle_close",
+            Self::Evicted => "evicted",
             Self::Process => "process",
         }
     }
@@ -68,6 +83,8 @@
 #[derive(Debug)]
 pub struct Connections {
     open: Mutex<Open>,
+    /// Keys of connections to close for new ones, the first first.
+    evictions: Mutex<VecDeque<u64>>,
     terms: watch::Sender<Terms>,
 }
 
@@ -82,6 +99,7 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             open: Mutex::default(),
+            evictions: Mutex::default(),
             terms: watch::channel(Terms::new(limits)).0,
         }
     }
@@ -111,6 +129,49 @@
         self.terms.send_if_modified(Terms::begin_close);
     }
 
+    /// Asks a connection without a request in hand to close for a new one; returns whether there is one.
+    ///
+    /// Looks at all connections once for each [`EVICTION_BATCH`] that are closed.
+    pub fn evict(&self) -> bool {
+        let evictions = self.evictions.lock();
+        let mut evictions = evictions.unwrap_or_else(PoisonError::into_inner);
+        self.evict_next(&mut evictions) || {
+            evictions.extend(self.choose_evictions());
+            self.evict_next(&mut evictions)
+        }
+    }
+
+    fn evict_next(&self, evictions: &mut VecDeque<u64>) -> bool {
+        let open = self.open();
+        while let Some(key) = evictions.pop_front() {
+            let connection = open.connections.get(&key);
+            if let Some(connection) = connection.filter(|connection| connection.is_evictable()) {
+                connection.0.evicted.notify_one();
+                return true;
+            }
+        }
+        false
+    }
+
+    fn choose_evictions(&self) -> Vec<u64> {
+        let open = self.open();
+        let connections = open.connections.iter();
+        let connections = connections.filter_map(|(key, connection)| {
+            let activity = connection.snapshot();
+            (!activity.is_busy()).then(|| eviction::Connection {
+                key: *key,
+                address: connection.0.address,
+                is_unused: !activity.has_requested || activity.head_since.is_some(),
+                age: match activity.has_requested {
+                    true => activity.idle_since.elapsed(),
+                    false => activity.opened_at.elapsed(),
+                },
+            })
+        });
+        let connections: Vec<_> = connections.collect();
+        eviction_choose(&connections, EVICTION_BATCH)
+    }
+
     /// Number of open connections.
     pub fn count(&self) -> usize {
         self.open().connections.len()
@@ -140,9 +201,13 @@
 
 impl Entry {
     /// A connection that was just accepted.
-    pub fn new(state: &State, stream: TcpStream) -> Self {
+    pub fn new(state: &State, stream: TcpStream, address: IpAddr) -> Self {
         let connection = Connection(Arc::new(Inner {
             stream,
+            address,
+            memory: state.memory().clone(),
+            head: Mutex::default(),
+            evicted: Notify::new(),
             has_unread_body: AtomicBool::new(false),
             activity: Mutex::new(Activity::new()),
         }));
@@ -178,6 +243,12 @@
         );
     }
 
+    /// Logs and counts the close of the connection for a new one.
+    pub fn report_eviction(&self) {
+        self.state.metrics().record_eviction();
+        self.report(End::Evicted);
+    }
+
     /// Reads on after a refusal whose body still comes, so that the refusal isn't lost with a reset; up to
     /// `most_bytes`.
     pub async fn discard_rest(&self, most_bytes: usize) {
@@ -226,6 +297,13 @@
 #[derive(Debug)]
 struct Inner {
     stream: TcpStream,
+    /// Address of the caller.
+    address: IpAddr,
+    memory: Memory,
+    /// What is booked for a long head, from its first part on.
+    head: Mutex<Option<Booking>>,
+    /// Notified when it is to close for another.
+    evicted: Notify,
     /// Whether the body of the last request was not read to its end; nothing is read after it.
     has_unread_body: AtomicBool,
     activity: Mutex<Activity>,
@@ -263,6 +341,41 @@
         }
     }
 
+    /// Completes when it is to close for a new connection, with no request in hand.
+    pub async fn evicted(&self) {
+        loop {
+            self.0.evicted.notified().await;
+            if self.is_evictable() {
+                return;
+            }
+        }
+    }
+
+    fn is_evictable(&self) -> bool {
+        matches!(self.held(), Held::Head | Held::Nothing)
+    }
+
+    /// Records bytes from the caller; returns whether there is room for the head that they may be part of.
+    fn record_read(&self, count: usize) -> bool {
+        let mut activity = self.activity();
+        activity.record_read(count);
+        if activity.head_bytes <= SHORT_HEAD_BYTES {
+            return true;
+        }
+        drop(activity);
+        let head = self.0.head.lock();
+        let mut head = head.unwrap_or_else(PoisonError::into_inner);
+        if head.is_none() {
+            *head = self.0.memory.book(LONG_HEAD_BYTES, Class::Large);
+        }
+        head.is_some()
+    }
+
+    /// Whether bytes have arrived that were not read.
+    pub fn has_unread(&self) -> bool {
+        unread_bytes(&self.0.stream) > 0
+    }
+
     /// What stands against its close now.
     pub fn held(&self) -> Held {
         self.snapshot().held(&self.0.stream)
@@ -356,8 +469,10 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
                     buffer.advance(count);
-                    self.0.activity().record_read(count);
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(match self.0.record_read(count) {
+                        true => Ok(()),
+                        false => Err(io::ErrorKind::OutOfMemory.into()),
+                    });
                 }
             }
         }
--- a/camphorweir-entry/src/front/idle.rs
+++ b/camphorweir-entry/src/front/idle.rs
@@ -103,7 +103,10 @@
         self.longest = self.longest.max(terms.limits.idle_timeout);
         let close_at = self.since + self.longest + NEWS_DELAY;
         let close_at = terms.stop_close(activity).unwrap_or(close_at).min(close_at);
-        let head_until = activity.head_since.map(|at| at + terms.limits.head_timeout);
-        head_until.map_or(close_at, |until| until.max(close_at))
+        let head_until = activity.head_since.map(|at| {
+            let until = at + terms.limits.head_timeout;
+            until + NEWS_DELAY
+        });
+        head_until.unwrap_or(close_at)
     }
 }
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -13,9 +13,11 @@
         },
         guarded,
         listener::listener_close,
+        memory::Booking,
     },
     bytes::Bytes,
     camphorweir_platform::READY_PATH,
+    camphorweir_relay::memory::Class,
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode,
@@ -28,8 +30,8 @@
     std::{convert::Infallible, future::pending, io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
-        time::{Instant, sleep, sleep_until},
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -45,6 +47,12 @@
 const SHORT_OF_MEMORY: &str = "short of memory for large requests\n";
 /// Most connections for the readiness check.
 const MAX_CHECKS: usize = 32;
+/// What a connection takes before its head is long or its body large, in bytes: a read buffer, and its records.
+const CONNECTION_BYTES: usize = 12 << 10;
+/// Limit on the new connections that wait for the place of another.
+const MAX_NEWCOMERS: usize = 64;
+/// Limit on that wait: the task of the other has to run.
+const EVICTION_WAIT: Duration = Duration::from_millis(250);
 /// Receive buffer of a caller's connection, in bytes; the system doubles it for its own records.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// The same while a body of [`LARGE_BODY_BYTES`] or more arrives.
@@ -61,17 +69,26 @@
     if state.settings().memory_bytes.is_some() {
         limit_unread(&listener);
     }
+    let newcomers = Arc::new(Semaphore::new(MAX_NEWCOMERS));
     let serve = |stream: TcpStream| {
-        // Above the limit the connection is closed unread, so that the caller may try another
-        // instance.
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
+        let state = state.clone();
+        if let Some(place) = Place::take(&state, &slots) {
+            tokio::spawn(serve_caller(state, stream, place));
+            return;
+        }
+        let newcomer = newcomers.clone().try_acquire_owned();
+        let (true, Ok(newcomer)) = (state.connections().evict(), newcomer) else {
             refuse_connection(&state, &stream, max_connections as usize);
             return;
         };
-        let state = state.clone();
+        let slots = slots.clone();
         tokio::spawn(async move {
-            serve_caller(state, stream).await;
-            drop(slot);
+            let place = Place::take_released(&state, &slots).await;
+            drop(newcomer);
+            match place {
+                Some(place) => serve_caller(state, stream, place).await,
+                None => refuse_connection(&state, &stream, max_connections as usize),
+            }
         });
     };
     loop {
@@ -95,7 +112,35 @@
     }
 }
 
-/// Closes a connection above the limit; a request may have arrived on it.
+/// Room for a connection: one of a limited number, and memory.
+struct Place {
+    _slot: OwnedSemaphorePermit,
+    _booking: Booking,
+}
+
+impl Place {
+    /// Takes a place; `None` if none is free.
+    fn take(state: &State, slots: &Arc<Semaphore>) -> Option<Self> {
+        Some(Self {
+            _slot: slots.clone().try_acquire_owned().ok()?,
+            _booking: state.memory().book(CONNECTION_BYTES, Class::Small)?,
+        })
+    }
+
+    /// Takes a place that another connection was asked to give up.
+    async fn take_released(state: &State, slots: &Arc<Semaphore>) -> Option<Self> {
+        let slot = timeout(EVICTION_WAIT, slots.clone().acquire_owned());
+        Some(Self {
+            _slot: slot.await.ok()?.ok()?,
+            _booking: state
+                .memory()
+                .book_released(CONNECTION_BYTES, Class::Small)
+                .await?,
+        })
+    }
+}
+
+/// Closes a connection above the limit unread, so that the caller may try another instance; a request may have arrived on it.
 fn refuse_connection(state: &State, stream: &TcpStream, limit: usize) {
     let unread_bytes = unread_bytes(stream);
     if unread_bytes > 0 {
@@ -122,7 +167,7 @@
     sleep(ACCEPT_PAUSE).await;
 }
 
-async fn serve_caller(state: State, stream: TcpStream) {
+async fn serve_caller(state: State, stream: TcpStream, _place: Place) {
     // Without TCP_NODELAY responses are only slower.
     let _ = stream.set_nodelay(true);
     let head_bytes = state.limits().head_bytes;
@@ -130,7 +175,7 @@
     let Ok(address) = stream.peer_addr() else {
         return;
     };
-    let entry = Entry::new(&state, stream);
+    let entry = Entry::new(&state, stream, address.ip());
     let caller = entry.connection().clone();
     let mut limit = Limit::new(&terms.borrow(), &caller.snapshot());
     let requests = caller.clone();
@@ -168,6 +213,9 @@
                 look_at = Instant::now();
                 continue;
             }
+            () = caller.evicted() => {
+                return entry.report_eviction();
+            }
             () = sleep_until(close_at.max(look_at)) => {}
         }
         // What follows has no await, so that nothing arrives between the look and the close.
@@ -182,6 +230,8 @@
             Held::Request if is_stop => break End::IdleClose,
             Held::Request => look_at += BUSY_PAUSE,
             Held::Unread => look_at += UNREAD_PAUSE,
+            // The rest came while this instance stood still.
+            Held::Head if caller.has_unread() => look_at += UNREAD_PAUSE,
             // It is not whole in its time.
             Held::Head => return entry.report(End::IdleLimit),
             Held::Nothing if is_stop => break End::IdleClose,
--- a/camphorweir-entry/src/front/metrics.rs
+++ b/camphorweir-entry/src/front/metrics.rs
@@ -49,6 +49,7 @@
     cuts: Counter<u64>,
     kept_answers: Counter<u64>,
     body_refusals: Counter<u64>,
+    evictions: Counter<u64>,
     memory_booked: Gauge<u64>,
     memory_limit: Gauge<u64>,
     bodies_arriving: Gauge<u64>,
@@ -125,6 +126,10 @@
                 "camphorweir.bodies.refused",
                 "Requests refused while their body arrived, by code",
             ),
+            evictions: counter(
+                "camphorweir.connections.evicted",
+                "Callers' connections without a request in hand that were closed for new ones",
+            ),
             memory_booked: gauge(
                 "camphorweir.memory.booked",
                 "Bytes booked for what is held for clients",
@@ -338,6 +343,11 @@
         self.body_refusals.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a connection that is closed for a new one.
+    pub fn record_eviction(&self) {
+        self.evictions.add(1, &[]);
+    }
+
     /// Counts a caller's connection that ended with a request that was not answered.
     pub fn record_unanswered(&self, cause: &'static str) {
         self.unanswered.add(1, &[KeyValue::new("cause", cause)]);
--- a/camphorweir-relay/src/lib.rs
+++ b/camphorweir-relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod contact;
 mod crashes;
 pub mod detour;
+pub mod eviction;
 pub mod fairness;
 pub mod features;
 pub mod fleet;
--- a/camphorweir-relay/tests/decide/main.rs
+++ b/camphorweir-relay/tests/decide/main.rs
@@ -8,6 +8,7 @@
 mod contact;
 mod detour;
 mod even_load;
+mod eviction;
 mod fairness;
 mod features;
 mod fleet;
