Answers are booked until their callers have read them

Cause: whole answers were counted while they were collected and not after, so callers that don't read could make an instance hold any number of them, up to 8 MiB each.

Without room for another the caller that has left its answer unread for longest, 1 s or more, loses its connection.

--- a/camphorweir-entry/src/activity.rs
+++ b/camphorweir-entry/src/activity.rs
@@ -37,8 +37,8 @@
     pub unanswered: usize,
     /// Whether a whole head has come.
     pub has_requested: bool,
-    /// Whether an answer waits until the caller reads.
-    is_blocked: bool,
+    /// Since when an answer waits until the caller reads.
+    pub blocked_since: Option<Instant>,
 }
 
 impl Activity {
@@ -52,13 +52,13 @@
             head_bytes: 0,
             unanswered: 0,
             has_requested: false,
-            is_blocked: false,
+            blocked_since: None,
         }
     }
 
     /// Whether a request is not answered, or its answer is not written.
     pub fn is_busy(&self) -> bool {
-        self.unanswered > 0 || self.is_blocked
+        self.unanswered > 0 || self.blocked_since.is_some()
     }
 
     /// What the connection over `stream` holds. It can be closed if that is nothing, with no await
@@ -101,8 +101,9 @@
 
     /// Records an attempt to write, which may wait until the caller reads.
     pub fn record_write(&mut self, is_blocked: bool) {
-        self.is_blocked = is_blocked;
-        self.idle_since = Instant::now();
+        let now = Instant::now();
+        self.idle_since = now;
+        self.blocked_since = is_blocked.then(|| self.blocked_since.unwrap_or(now));
     }
 }
 
--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -42,6 +42,8 @@
 
 /// Number of connections that are chosen to close at a time.
 const EVICTION_BATCH: usize = 32;
+/// A caller that has read nothing of its answer for this long yields to others.
+const MIN_BLOCKED_TIME: Duration = Duration::from_secs(1);
 /// Size up to which a head is part of what is booked for its connection, in bytes.
 const SHORT_HEAD_BYTES: usize = 4 << 10;
 /// What a longer head takes, in bytes: the largest read buffer, and that which it grew from.
@@ -60,7 +62,7 @@
     IdleLimit,
     /// It was idle as the instance stopped.
     IdleClose,
-    /// It had no request in hand, and others need its place.
+    /// It had no request in hand, or its caller didn't read, and others need its place or its memory.
     Evicted,
     /// With the process.
     Process,
@@ -141,6 +143,26 @@
         }
     }
 
+    /// Asks the connection to close whose caller has left an answer unread for longest; returns whether there is one.
+    ///
+    /// Linear in the connections, at an answer that finds no room.
+    pub fn evict_blocked(&self) -> bool {
+        let open = self.open();
+        let blocked = open.connections.values().filter_map(|connection| {
+            let since = connection.snapshot().blocked_since;
+            let since = since.filter(|since| since.elapsed() >= MIN_BLOCKED_TIME);
+            let is_asked = connection.0.is_blocked_evicted.load(Ordering::Relaxed);
+            Some((since.filter(|_| !is_asked)?, connection))
+        });
+        let longest = blocked.min_by_key(|(since, _)| *since);
+        if let Some((_, connection)) = &longest {
+            let inner = &connection.0;
+            inner.is_blocked_evicted.store(true, Ordering::Relaxed);
+            inner.evicted.notify_one();
+        }
+        longest.is_some()
+    }
+
     fn evict_next(&self, evictions: &mut VecDeque<u64>) -> bool {
         let open = self.open();
         while let Some(key) = evictions.pop_front() {
@@ -208,6 +230,7 @@
             memory: state.memory().clone(),
             head: Mutex::default(),
             evicted: Notify::new(),
+            is_blocked_evicted: AtomicBool::new(false),
             has_unread_body: AtomicBool::new(false),
             activity: Mutex::new(Activity::new()),
         }));
@@ -304,6 +327,8 @@
     head: Mutex<Option<Booking>>,
     /// Notified when it is to close for another.
     evicted: Notify,
+    /// Whether it closes with an answer on it, as its caller does not read.
+    is_blocked_evicted: AtomicBool,
     /// Whether the body of the last request was not read to its end; nothing is read after it.
     has_unread_body: AtomicBool,
     activity: Mutex<Activity>,
@@ -341,11 +366,12 @@
         }
     }
 
-    /// Completes when it is to close for a new connection, with no request in hand.
+    /// Completes when it is to close for others: with no request in hand, or with an answer that its caller does
+    /// not read.
     pub async fn evicted(&self) {
         loop {
             self.0.evicted.notified().await;
-            if self.is_evictable() {
+            if self.is_evictable() || self.0.is_blocked_evicted.load(Ordering::Relaxed) {
                 return;
             }
         }
--- a/camphorweir-entry/src/front/send.rs
+++ b/camphorweir-entry/src/front/send.rs
@@ -3,6 +3,7 @@
 use {
     crate::front::{
         answer::{Answer, Kept, tries_end},
+        body::body_collect,
         cut::Cause,
         deadline::deadline_passed,
         elsewhere::{Elsewhere, Held, News, Won},
@@ -239,7 +240,7 @@
         return Ok(Reply::Stream(Box::new(reply)));
     }
     let (mut parts, body) = reply.response.into_parts();
-    let body = state.collector().collect(body, &reply.connection).await;
+    let body = body_collect(state, body, &reply.connection).await;
     let body = body.map_err(|error| {
         log::warn!(
             request:% = admitted.id,
--- a/camphorweir-entry/src/front/state.rs
+++ b/camphorweir-entry/src/front/state.rs
@@ -128,7 +128,7 @@
         &self.0.pool
     }
 
-    /// Collects whole responses of targets.
+    /// Counts the responses of targets that are being collected.
     pub fn collector(&self) -> &Collector {
         &self.0.collector
     }
