Unfinished heads take a limited part of the memory; new connections wait less

After a crowd of unfinished heads more than half of a machine of 64 MiB stayed resident.

Cause: a connection without a request was kept for 250 ms, so that a storm of new ones found only some 2,400 places a second. Long heads that are not whole could take all memory that large bodies may, and what small blocks have taken is not returned.

Change: such a connection may be closed after 25 ms, a few round trips. Long heads that are not whole take one eighth of the limit at most. A connection is booked with 24 KiB, which is what silent ones were seen to take.

--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -20,7 +20,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         task::{Context, Poll, ready},
         time::Duration,
@@ -48,6 +48,8 @@
 const SHORT_HEAD_BYTES: usize = 4 << 10;
 /// What a longer head takes, in bytes: the largest read buffer, and that which it grew from.
 const LONG_HEAD_BYTES: usize = 32 << 10;
+/// One part in this many of the limit on memory may be long heads that are not whole.
+const UNFINISHED_HEADS_SHARE: usize = 8;
 /// Time in which a caller whose body was refused finds the refusal, and closes the connection.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Bytes that are read at a time meanwhile.
@@ -87,6 +89,8 @@
     open: Mutex<Open>,
     /// Keys of connections to close for new ones, the first first.
     evictions: Mutex<VecDeque<u64>>,
+    /// Number of long heads that are not whole.
+    unfinished_heads: Arc<AtomicUsize>,
     terms: watch::Sender<Terms>,
 }
 
@@ -102,6 +106,7 @@
         Self {
             open: Mutex::default(),
             evictions: Mutex::default(),
+            unfinished_heads: Arc::default(),
             terms: watch::channel(Terms::new(limits)).0,
         }
     }
@@ -228,7 +233,9 @@
             stream,
             address,
             memory: state.memory().clone(),
+            unfinished_heads: state.connections().unfinished_heads.clone(),
             head: Mutex::default(),
+            unfinished: Mutex::default(),
             evicted: Notify::new(),
             is_blocked_evicted: AtomicBool::new(false),
             has_unread_body: AtomicBool::new(false),
@@ -323,8 +330,12 @@
     /// Address of the caller.
     address: IpAddr,
     memory: Memory,
+    /// Number of long heads of all callers that are not whole.
+    unfinished_heads: Arc<AtomicUsize>,
     /// What is booked for a long head, from its first part on.
     head: Mutex<Option<Booking>>,
+    /// Held while a long head is not whole.
+    unfinished: Mutex<Option<Unfinished>>,
     /// Notified when it is to close for another.
     evicted: Notify,
     /// Whether it closes with an answer on it, as its caller does not read.
@@ -349,8 +360,12 @@
     /// dropped.
     pub fn begin_request(&self) -> Unanswered {
         let mut activity = self.activity();
+        let had_long_head = activity.head_bytes > SHORT_HEAD_BYTES;
         activity.begin_request();
         drop(activity);
+        if had_long_head {
+            self.unfinished().take();
+        }
         Unanswered(self.clone())
     }
 
@@ -394,7 +409,16 @@
         if head.is_none() {
             *head = self.0.memory.book(LONG_HEAD_BYTES, Class::Large);
         }
-        head.is_some()
+        let mut unfinished = self.unfinished();
+        if unfinished.is_none() {
+            *unfinished = Unfinished::begin(&self.0.memory, &self.0.unfinished_heads);
+        }
+        head.is_some() && unfinished.is_some()
+    }
+
+    fn unfinished(&self) -> MutexGuard<'_, Option<Unfinished>> {
+        let unfinished = self.0.unfinished.lock();
+        unfinished.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether bytes have arrived that were not read.
@@ -449,6 +473,26 @@
     }
 }
 
+/// A long head that is not whole, one of a limited number.
+#[derive(Debug)]
+struct Unfinished(Arc<AtomicUsize>);
+
+impl Unfinished {
+    /// `None` once such heads take their part of the memory.
+    fn begin(memory: &Memory, count: &Arc<AtomicUsize>) -> Option<Self> {
+        let unfinished = Self(count.clone());
+        let others = count.fetch_add(1, Ordering::Relaxed);
+        let most = memory.limit() / UNFINISHED_HEADS_SHARE / LONG_HEAD_BYTES;
+        (others < most).then_some(unfinished)
+    }
+}
+
+impl Drop for Unfinished {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Reads bytes that have arrived, and drops them.
 fn discard_ready(stream: &TcpStream) -> io::Result<usize> {
     let mut buffer = [0; DISCARD_BUFFER_BYTES];
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -48,7 +48,7 @@
 /// Most connections for the readiness check.
 const MAX_CHECKS: usize = 32;
 /// What a connection takes before its head is long or its body large, in bytes: a read buffer, and its records.
-const CONNECTION_BYTES: usize = 12 << 10;
+const CONNECTION_BYTES: usize = 24 << 10;
 /// Limit on the new connections that wait for the place of another.
 const MAX_NEWCOMERS: usize = 64;
 /// Limit on that wait: the task of the other has to run.
--- a/camphorweir-relay/src/eviction.rs
+++ b/camphorweir-relay/src/eviction.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Reverse, collections::HashMap, net::IpAddr, time::Duration};
 
 /// A connection without a whole request is not closed for others before this age: its caller is about to send one.
-const MIN_UNUSED_AGE: Duration = Duration::from_millis(250);
+const MIN_UNUSED_AGE: Duration = Duration::from_millis(25);
 /// The same of a connection that has brought requests, since its last answer.
 const MIN_IDLE_AGE: Duration = Duration::from_secs(1);
 
