Requests in hand are booked, and little is read behind them

Cause: a request in hand took some 40 KiB that nothing counted: its records, the connection to its target, and up to 24 KiB of input behind it, which the HTTP library reads ahead.

Change: an admitted request books 24 KiB until its end, and is refused as not run (2008) without room. Behind a request whose body is over 256 bytes are read at a time, which still shows that the caller leaves.

--- a/camphorweir-entry/src/activity.rs
+++ b/camphorweir-entry/src/activity.rs
@@ -35,6 +35,8 @@
     pub head_bytes: usize,
     /// Requests whose answers are not handed over whole.
     pub unanswered: usize,
+    /// Whether the body of the last of them has come to its end.
+    pub is_body_over: bool,
     /// Whether a whole head has come.
     pub has_requested: bool,
     /// Since when an answer waits until the caller reads.
@@ -51,6 +53,7 @@
             head_since: None,
             head_bytes: 0,
             unanswered: 0,
+            is_body_over: false,
             has_requested: false,
             blocked_since: None,
         }
@@ -76,9 +79,15 @@
     pub fn begin_request(&mut self) {
         self.end_head();
         self.has_requested = true;
+        self.is_body_over = false;
         self.unanswered += 1;
     }
 
+    /// Whether what is read now is input behind a request in hand.
+    pub fn is_ahead(&self) -> bool {
+        self.unanswered > 0 && self.is_body_over
+    }
+
     /// Records that an answer is handed over whole.
     pub fn end_request(&mut self) {
         self.unanswered = self.unanswered.saturating_sub(1);
--- a/camphorweir-entry/src/front/connections.rs
+++ b/camphorweir-entry/src/front/connections.rs
@@ -44,6 +44,8 @@
 const EVICTION_BATCH: usize = 32;
 /// A caller that has read nothing of its answer for this long yields to others.
 const MIN_BLOCKED_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are read at a time behind a request in hand: enough to notice that the caller leaves.
+const READ_AHEAD_BYTES: usize = 256;
 /// Size up to which a head is part of what is booked for its connection, in bytes.
 const SHORT_HEAD_BYTES: usize = 4 << 10;
 /// What a longer head takes, in bytes: the largest read buffer, and that which it grew from.
@@ -374,6 +376,11 @@
         *self.activity()
     }
 
+    /// Records that the body of the request in hand has come to its end.
+    pub fn end_body(&self) {
+        self.activity().is_body_over = true;
+    }
+
     /// Sets how much the system holds unread, in bytes. Without that a transfer is slower, or holds more.
     pub fn set_receive_buffer(&self, bytes: usize) {
         if let Err(error) = set_socket_recv_buffer_size(&self.0.stream, bytes) {
@@ -534,7 +541,13 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream().poll_read_ready(cx))?;
-            match self.stream().try_read(buffer.initialize_unfilled()) {
+            let is_ahead = self.0.activity().is_ahead();
+            let unfilled = buffer.initialize_unfilled();
+            let most = match is_ahead {
+                true => unfilled.len().min(READ_AHEAD_BYTES),
+                false => unfilled.len(),
+            };
+            match self.stream().try_read(&mut unfilled[..most]) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
--- a/camphorweir-entry/src/front/listen.rs
+++ b/camphorweir-entry/src/front/listen.rs
@@ -180,11 +180,15 @@
     let mut limit = Limit::new(&terms.borrow(), &caller.snapshot());
     let requests = caller.clone();
     let limits_unread = state.settings().memory_bytes.is_some();
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let (state, unanswered) = (state.clone(), requests.begin_request());
         if limits_unread && request.body().size_hint().lower() >= LARGE_BODY_BYTES {
             requests.set_receive_buffer(LARGE_RECEIVE_BUFFER_BYTES);
         }
+        match request.body().is_end_stream() {
+            true => requests.end_body(),
+            false => drop(request.extensions_mut().insert(requests.clone())),
+        }
         async move {
             let mut response = handle_request(state, request, address.ip()).await;
             if response.extensions_mut().remove::<UnreadBody>().is_some() {
--- a/camphorweir-entry/src/front/request.rs
+++ b/camphorweir-entry/src/front/request.rs
@@ -5,6 +5,7 @@
         fingerprint::fingerprint,
         front::{
             answer::Kept,
+            connections::Connection,
             cut::{Cause, Cut, cut_record},
             deadline::{deadline_within, stop_body_late, stop_last_answer},
             demand,
@@ -72,7 +73,7 @@
 ) -> CallerResponse {
     let (parts, body) = request.into_parts();
     let head = head_decode(&parts);
-    let in_flight = InFlight::new(&state, head.id.clone());
+    let mut in_flight = InFlight::new(&state, head.id.clone());
     let arrived = state.now();
     let admission = state.router().admit(&head, arrived);
     let mut admitted = match admission {
@@ -101,10 +102,21 @@
         return turned_away();
     }
     admitted.counts.runs = runs_at_peer.unwrap_or_default();
-    let body = match receive_body(&state, &admitted, body, address).await {
+    let sender = Sender {
+        address,
+        workspace: admitted.workspace.clone(),
+    };
+    if !in_flight.book() {
+        state.memory().record_refused(&sender);
+        return refuse_body(&state, &admitted, Code::ShortOfMemory);
+    }
+    let body = match receive_body(&state, &admitted, body, &sender).await {
         Ok(body) => body,
         Err(response) => return response,
     };
+    if let Some(connection) = parts.extensions.get::<Connection>() {
+        connection.end_body();
+    }
     let path = parts.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str()).to_owned();
     let workspace = admitted.workspace.as_deref().unwrap_or_default();
@@ -171,13 +183,9 @@
     state: &State,
     admitted: &Admission,
     body: Incoming,
-    address: IpAddr,
+    sender: &Sender,
 ) -> Result<Bytes, CallerResponse> {
-    let sender = Sender {
-        address,
-        workspace: admitted.workspace.clone(),
-    };
-    let body = read_body(state, admitted, body, &sender);
+    let body = read_body(state, admitted, body, sender);
     let body = tokio::select! {
         biased;
         body = deadline_within(state, admitted, body) => {
@@ -185,28 +193,31 @@
         }
         () = stop_body_late(state, admitted) => Err(Code::Stopping),
     };
-    body.map_err(|code| {
-        log::info!(
-            request:% = admitted.id,
-            code = code.number();
-            "request body could not be read"
-        );
-        let refusal = Refusal::not_run(code, "");
-        let mut response = match code {
-            Code::ShortOfMemory | Code::Stopping if admitted.is_from_peer => turned_away(),
-            Code::ShortOfMemory => {
-                let wait = memory_retry_after(state.router().random());
-                refusal_response(&admitted.id, &refusal.with_retry_after(wait))
-            }
-            Code::Stopping => {
-                refusal_response(&admitted.id, &refusal.with_retry_after(STOP_RETRY_AFTER))
-            }
-            _ => refusal_response(&admitted.id, &refusal),
-        };
-        state.metrics().record_body_refusal(code);
-        set_unread_body(&mut response);
-        response
-    })
+    body.map_err(|code| refuse_body(state, admitted, code))
+}
+
+/// The response to a request whose body is not read to its end.
+fn refuse_body(state: &State, admitted: &Admission, code: Code) -> CallerResponse {
+    log::info!(
+        request:% = admitted.id,
+        code = code.number();
+        "request body could not be read"
+    );
+    let refusal = Refusal::not_run(code, "");
+    let mut response = match code {
+        Code::ShortOfMemory | Code::Stopping if admitted.is_from_peer => turned_away(),
+        Code::ShortOfMemory => {
+            let wait = memory_retry_after(state.router().random());
+            refusal_response(&admitted.id, &refusal.with_retry_after(wait))
+        }
+        Code::Stopping => {
+            refusal_response(&admitted.id, &refusal.with_retry_after(STOP_RETRY_AFTER))
+        }
+        _ => refusal_response(&admitted.id, &refusal),
+    };
+    state.metrics().record_body_refusal(code);
+    set_unread_body(&mut response);
+    response
 }
 
 fn close_if_stopping(state: &State, mut response: CallerResponse) -> CallerResponse {
--- a/camphorweir-entry/src/front/requests.rs
+++ b/camphorweir-entry/src/front/requests.rs
@@ -1,9 +1,10 @@
 //! The requests in flight, and how far each has come.
 
 use {
-    crate::{front::state::State, units::millis},
+    crate::{front::state::State, memory::Booking, units::millis},
     camphorweir_relay::{
         ids::{RequestId, Time},
+        memory::Class,
         router::Plan,
     },
     std::{
@@ -16,6 +17,9 @@
 /// Limit on the lines that name the requests which the end of the process cuts.
 const MAX_CUT_LINES: usize = 25;
 
+/// What a request takes while it is in flight, in bytes: its records, and the connection to its target.
+const REQUEST_BYTES: usize = 24 << 10;
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -98,6 +102,8 @@
 pub struct InFlight {
     state: State,
     key: u64,
+    /// What it takes apart from its body; `None` before it is admitted.
+    booking: Option<Booking>,
 }
 
 impl InFlight {
@@ -117,9 +123,16 @@
         Self {
             state: state.clone(),
             key,
+            booking: None,
         }
     }
 
+    /// Books the memory of an admitted request apart from its body; `false` without room.
+    pub fn book(&mut self) -> bool {
+        self.booking = self.state.memory().book(REQUEST_BYTES, Class::Small);
+        self.booking.is_some()
+    }
+
     /// Records how far the request has come.
     pub fn enter(&self, phase: Phase) {
         if let Some(record) = self.state.requests().open().records.get_mut(&self.key) {
--- a/camphorweir-entry/src/memory.rs
+++ b/camphorweir-entry/src/memory.rs
@@ -100,8 +100,8 @@
         short_until.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a body is refused; logs it if that had not happened for a while.
-    fn record_refused(&self, sender: &Sender) {
+    /// Records that a request is refused; logs it if that had not happened for a while.
+    pub fn record_refused(&self, sender: &Sender) {
         if !self.is_short() {
             let (arriving, largest) = self.arriving();
             log::warn!(
