--- a/camphorweir-relay/tests/decide/memory.rs
+++ b/camphorweir-relay/tests/decide/memory.rs
@@ -4,7 +4,7 @@
     camphorweir_relay::memory::{
         Arrivals, Class, SMALL_BYTES, Sender, memory_limit, memory_retry_after, memory_room,
     },
-    std::{net::IpAddr, time::Duration},
+    std::time::Duration,
 };
 
 const MIB: usize = 1 << 20;
@@ -13,13 +13,9 @@
     Duration::from_millis(ms)
 }
 
-fn address(last: u8) -> IpAddr {
-    [10, 0, 0, last].into()
-}
-
 fn sender(last: u8) -> Sender {
     Sender {
-        address: address(last),
+        address: [10, 0, 0, last].into(),
         workspace: None,
     }
 }
--- a/camphorweir-standin/tests/crowd/client.rs
+++ b/camphorweir-standin/tests/crowd/client.rs
@@ -3,8 +3,12 @@
 use {
     crate::child::GUARD,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -27,7 +31,7 @@
 const READ: Duration = Duration::from_secs(2);
 
 /// What a client sends.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(crate) struct Script {
     pub(crate) head: String,
     /// Sent so many times after the head.
@@ -35,8 +39,8 @@
     pub(crate) pieces: usize,
     /// Pause after each piece.
     pub(crate) pause: Duration,
-    /// Whether it reads answers.
-    pub(crate) reads: bool,
+    /// Whether it leaves answers unread.
+    pub(crate) is_deaf: bool,
     /// How often it connects anew when its connection is closed.
     pub(crate) returns: usize,
     /// Time from the start of one client to that of the next.
@@ -48,12 +52,7 @@
     pub(crate) fn head(head: String) -> Self {
         Self {
             head,
-            piece: Vec::new(),
-            pieces: 0,
-            pause: Duration::ZERO,
-            reads: true,
-            returns: 0,
-            apart: Duration::ZERO,
+            ..Self::default()
         }
     }
 
@@ -84,9 +83,10 @@
 pub(crate) struct Crowd {
     clients: JoinSet<()>,
     /// Number of clients that have done what they can.
-    settled: Arc<Mutex<usize>>,
+    settled: Arc<AtomicUsize>,
     count: usize,
-    statuses: Arc<Mutex<Vec<u16>>>,
+    /// Number of answers by status; 0 stands for a close without one.
+    statuses: Arc<Mutex<BTreeMap<u16, usize>>>,
 }
 
 impl Crowd {
@@ -105,20 +105,17 @@
                 sleep(script.apart * index as u32).await;
                 let mut is_settled = false;
                 for _ in 0..=script.returns {
-                    let Ok(mut stream) = connect(address, script.reads).await else {
+                    let Ok(mut stream) = connect(address, script.is_deaf).await else {
                         continue;
                     };
                     send(&mut stream, &script).await;
-                    if !std::mem::replace(&mut is_settled, true) {
-                        *settled.lock().unwrap() += 1;
-                    }
-                    let status = stay(stream, script.reads).await;
-                    statuses.lock().unwrap().push(status);
+                    settled.fetch_add(usize::from(!is_settled), Ordering::Relaxed);
+                    is_settled = true;
+                    let status = stay(stream, script.is_deaf).await;
+                    *statuses.lock().unwrap().entry(status).or_default() += 1;
                     sleep(RETURN).await;
                 }
-                if !is_settled {
-                    *settled.lock().unwrap() += 1;
-                }
+                settled.fetch_add(usize::from(!is_settled), Ordering::Relaxed);
             });
         }
         crowd
@@ -127,7 +124,7 @@
     /// Waits until all have done what they can.
     pub(crate) async fn settled(&mut self) {
         let all = async {
-            while *self.settled.lock().unwrap() < self.count {
+            while self.settled.load(Ordering::Relaxed) < self.count {
                 sleep(Duration::from_millis(10)).await;
             }
         };
@@ -135,20 +132,16 @@
         sleep(READ).await;
     }
 
-    /// Answers so far, by status with their number; 0 stands for a close without one.
-    pub(crate) fn statuses(&self) -> Vec<(u16, usize)> {
-        let mut counts = std::collections::BTreeMap::new();
-        for status in self.statuses.lock().unwrap().iter() {
-            *counts.entry(*status).or_default() += 1;
-        }
-        counts.into_iter().collect()
+    /// Answers so far.
+    pub(crate) fn statuses(&self) -> BTreeMap<u16, usize> {
+        self.statuses.lock().unwrap().clone()
     }
 }
 
-async fn connect(address: SocketAddr, reads: bool) -> std::io::Result<TcpStream> {
+async fn connect(address: SocketAddr, is_deaf: bool) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
     socket.set_send_buffer_size(SEND_BUFFER)?;
-    if !reads {
+    if is_deaf {
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
     }
     socket.connect(address).await
@@ -169,10 +162,10 @@
 }
 
 /// Stays until the connection is closed; returns the status of the first answer.
-async fn stay(mut stream: TcpStream, reads: bool) -> u16 {
+async fn stay(mut stream: TcpStream, is_deaf: bool) -> u16 {
     let mut answer = Vec::new();
     let mut buffer = vec![0; 1 << 10];
-    if !reads {
+    if is_deaf {
         std::future::pending::<()>().await;
     }
     loop {
--- a/camphorweir-standin/tests/crowd/machine.rs
+++ b/camphorweir-standin/tests/crowd/machine.rs
@@ -25,7 +25,6 @@
     },
     tokio::{
         sync::{Mutex, MutexGuard},
-        task::JoinHandle,
         time::sleep,
     },
 };
@@ -61,22 +60,12 @@
     pub(crate) target: Target,
     memory_mb: usize,
     process: Child,
-    settings: PathBuf,
-    /// Most memory in use so far, in bytes, and who looks.
+    /// Most memory in use so far, in bytes.
     peak: Arc<AtomicUsize>,
-    watcher: JoinHandle<()>,
     _store: Store,
     _turn: MutexGuard<'static, ()>,
 }
 
-impl Drop for Machine {
-    fn drop(&mut self) {
-        self.watcher.abort();
-        // A file that stays does no harm.
-        let _ = fs::remove_file(&self.settings);
-    }
-}
-
 impl Machine {
     /// Starts an entry on the users' platform, and waits until it serves.
     pub(crate) async fn start(memory_mb: usize) -> Self {
@@ -112,7 +101,7 @@
         let process = Child::start("entry", command);
         let peak = Arc::<AtomicUsize>::default();
         let ports = [callers, ready, metrics, peers].map(|address| address.port());
-        let watcher = tokio::spawn(watch(process.process.id(), ports, peak.clone()));
+        tokio::spawn(watch(process.process.id(), ports, peak.clone()));
         let machine = Self {
             callers,
             ready,
@@ -121,9 +110,7 @@
             target,
             memory_mb,
             process,
-            settings: path,
             peak,
-            watcher,
             _store: store,
             _turn: turn,
         };
@@ -159,7 +146,8 @@
             sleep(RETURN).await;
             statuses.push(ask(self.callers, KEY, 7).await);
         }
-        let descriptors = descriptors(self.process.process.id());
+        let descriptors = format!("/proc/{}/fd", self.process.process.id());
+        let descriptors = fs::read_dir(descriptors).map_or(0, Iterator::count);
         let peak = self.peak.load(Ordering::Relaxed);
         let peak = peak.max(resident(self.process.process.id(), "VmHWM:"));
         let ends = crowd.statuses();
@@ -210,10 +198,6 @@
     kib.unwrap_or_default() << 10
 }
 
-fn descriptors(process: u32) -> usize {
-    fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
-}
-
 /// Bytes that the kernel holds for a process to read at these ports.
 fn unread(ports: &[u16]) -> usize {
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
@@ -229,7 +213,7 @@
 }
 
 async fn watch(process: u32, ports: [u16; 4], peak: Arc<AtomicUsize>) {
-    loop {
+    while resident(process, "VmRSS:") > 0 {
         let used = resident(process, "VmRSS:") + unread(&ports);
         peak.fetch_max(used, Ordering::Relaxed);
         sleep(LOOK).await;
@@ -248,7 +232,7 @@
         key.display()
     );
     let mut command = Command::new(binary("camphorweir-entry"));
-    command.args(["--settings".as_ref(), file("yaml", &settings).as_os_str()]);
+    command.arg("--settings").arg(file("yaml", &settings));
     let process = Child::start("entry", command);
     process.line("entry up").await;
     (process, callers)
--- a/camphorweir-standin/tests/crowd/main.rs
+++ b/camphorweir-standin/tests/crowd/main.rs
@@ -20,7 +20,7 @@
     },
     client::{Crowd, Script, ask, chunk, head},
     machine::{BODY, KEY, MEMORY_MB, Machine, SMALLEST_MB, library, resident},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::net::UdpSocket,
 };
 
@@ -40,6 +40,8 @@
 const BEHIND: (usize, usize) = (500, 1 << 20);
 /// Senders of datagrams, whose names have a thousand bytes.
 const SENDERS: u64 = 200_000;
+/// A target that answers after 20 s.
+const SLOW: ResponseFault = ResponseFault::LateBy(20_000);
 /// Bytes that are sent at a time.
 const PIECE: usize = 64 << 10;
 
@@ -60,9 +62,30 @@
     Script::body(head(KEY, CHUNKED), chunk(bytes), chunks)
 }
 
+/// A head, sent anew each time that the connection is closed.
+fn returning(head: String) -> Script {
+    Script {
+        returns: 1_000,
+        ..Script::head(head)
+    }
+}
+
 /// Runs a crowd against callers' address.
 async fn bear(clients: usize, script: Script) {
+    bear_at(|machine| machine.callers, clients, script).await;
+}
+
+/// Runs a crowd against an address of a machine.
+async fn bear_at(address: impl Fn(&Machine) -> SocketAddr, clients: usize, script: Script) {
     let machine = Machine::start(MEMORY_MB).await;
+    let crowd = Crowd::open(address(&machine), clients, &script);
+    machine.bear(crowd).await;
+}
+
+/// Runs a crowd against callers' address while the target has so many faults.
+async fn bear_faults(faults: (ResponseFault, usize), clients: usize, script: Script) {
+    let machine = Machine::start(MEMORY_MB).await;
+    (0..faults.1).for_each(|_| machine.target.inject(faults.0));
     let crowd = Crowd::open(machine.callers, clients, &script);
     machine.bear(crowd).await;
 }
@@ -101,11 +124,8 @@
 async fn bodies_announced_far_over_the_limit() {
     let (clients, bytes) = OVERSIZED;
     let head = head(KEY, &with_length(8 << 30));
-    bear(
-        clients,
-        Script::body(head, vec![b'x'; PIECE], bytes / PIECE),
-    )
-    .await;
+    let script = Script::body(head, vec![b'x'; PIECE], bytes / PIECE);
+    bear(clients, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -114,105 +134,70 @@
     bear(clients, chunked(PIECE, bytes / PIECE)).await;
 }
 
-/// The second try of a caller is one of the first.
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_bodies_whose_target_is_slow() {
-    let machine = Machine::start(MEMORY_MB).await;
-    for _ in 0..2 * LARGE {
-        machine.target.inject(ResponseFault::LateBy(20_000));
-    }
-    let head = head(KEY, &with_length(BODY));
-    let script = Script::body(head, vec![b'x'; BODY], 1);
-    let crowd = Crowd::open(machine.callers, LARGE, &script);
-    machine.bear(crowd).await;
+    let script = Script::body(head(KEY, &with_length(BODY)), vec![b'x'; BODY], 1);
+    bear_faults((SLOW, 2 * LARGE), LARGE, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_nobody_reads() {
     let (clients, bytes) = UNREAD_ANSWERS;
-    let machine = Machine::start(MEMORY_MB).await;
-    for _ in 0..clients {
-        machine.target.inject(ResponseFault::Large(bytes));
-    }
     let script = Script {
-        reads: false,
+        is_deaf: true,
         apart: Duration::from_millis(100),
         ..Script::head(head(KEY, &with_length(0)))
     };
-    let crowd = Crowd::open(machine.callers, clients, &script);
-    machine.bear(crowd).await;
+    let faults = (ResponseFault::Large(bytes), clients);
+    bear_faults(faults, clients, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn input_behind_a_request_in_hand() {
     let (clients, bytes) = BEHIND;
-    let machine = Machine::start(MEMORY_MB).await;
-    for _ in 0..2 * clients {
-        machine.target.inject(ResponseFault::LateBy(20_000));
-    }
     let head = head(KEY, &with_length(0));
     let script = Script::body(head, vec![b'x'; PIECE], bytes / PIECE);
-    let crowd = Crowd::open(machine.callers, clients, &script);
-    machine.bear(crowd).await;
+    bear_faults((SLOW, 2 * clients), clients, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_that_do_not_end() {
-    let head = format!(
-        "GET /look/a HTTP/1.1\r\nx-long: {}",
-        "x".repeat(UNFINISHED_HEAD)
-    );
-    let script = Script {
-        returns: 1_000,
-        ..Script::head(head)
-    };
-    bear(CONNECTIONS, script).await;
+    let long = "x".repeat(UNFINISHED_HEAD);
+    let head = format!("GET /look/a HTTP/1.1\r\nx-long: {long}");
+    bear(CONNECTIONS, returning(head)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_say_nothing_at_callers_address() {
-    let script = Script {
-        returns: 1_000,
-        ..Script::head(String::new())
-    };
-    bear(CONNECTIONS, script).await;
-}
-
-/// Connections at an address of a machine that isn't callers'.
-async fn bear_connections(address: impl Fn(&Machine) -> std::net::SocketAddr, script: Script) {
-    let machine = Machine::start(MEMORY_MB).await;
-    let crowd = Crowd::open(address(&machine), CONNECTIONS, &script);
-    machine.bear(crowd).await;
+    bear(CONNECTIONS, returning(String::new())).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_at_the_address_of_readiness() {
     let head = Script::head("GET /api/readyz HTTP/1.1\r\n".to_owned());
-    bear_connections(|machine| machine.ready, head).await;
+    bear_at(|machine| machine.ready, CONNECTIONS, head).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_at_the_port_of_peers() {
     let head = Script::head("POST /follow HTTP/1.1\r\n".to_owned());
-    bear_connections(|machine| machine.peers, head).await;
+    bear_at(|machine| machine.peers, CONNECTIONS, head).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_at_the_port_of_metrics() {
     let head = Script::head("GET /metrics HTTP/1.1\r\n".to_owned());
-    bear_connections(|machine| machine.metrics, head).await;
+    bear_at(|machine| machine.metrics, CONNECTIONS, head).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_at_the_port_of_peers() {
-    let machine = Machine::start(MEMORY_MB).await;
     let framing = format!(
         "{VERSION_HEADER}: 0\r\n{RUNS_HEADER}: 0\r\n{}",
         with_length(BODY)
     );
     let script = Script::body(head(KEY, &framing), vec![b'x'; BODY - 1], 1);
-    let crowd = Crowd::open(machine.peers, LARGE, &script);
-    machine.bear(crowd).await;
+    bear_at(|machine| machine.peers, LARGE, script).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
