--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -450,6 +450,7 @@
     /// Set when it writes no heartbeats, as when it is partitioned from the store.
     pub cut_from_store: AtomicBool,
     pub born: u64,
+    slots: u32,
     seq: AtomicU64,
 }
 
@@ -464,15 +465,29 @@
     fn heartbeat(&self, store: &Store, service: &str, zone: &str) {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let record = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":6,\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"born\":{}}}",
-            self.address, self.born
+            self.address, self.slots, self.born
         );
         store.write("keyed.servers", &self.id, &record);
     }
 }
 
+/// A server of 6 slots that records each run.
 pub fn start_server(store: &Store, record: &Record, id: &str, service: &str, zone: &str, work: Duration) -> Server {
+    start_server_of(store, Some(record), id, service, zone, work, 6)
+}
+
+/// A server of so many slots, which records each run where it has a record.
+pub fn start_server_of(
+    store: &Store,
+    record: Option<&Record>,
+    id: &str,
+    service: &str,
+    zone: &str,
+    work: Duration,
+    slots: u32,
+) -> Server {
     let listener = listen(Ipv4Addr::new(127, 0, 0, 1));
     let server = Arc::new(ServerState {
         id: id.to_owned(),
@@ -480,9 +495,10 @@
         runs: Mutex::default(),
         cut_from_store: AtomicBool::new(false),
         born: unix_ms(),
+        slots,
         seq: AtomicU64::new(0),
     });
-    let (shared, record) = (server.clone(), record.clone());
+    let (shared, record) = (server.clone(), record.cloned());
     serve(listener, move |request, writer| {
         let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
         let echo = ("X-Attempt-Id", attempt.clone());
@@ -499,7 +515,9 @@
             return writer.write_all(&response(200, &[instance], b"")).is_ok();
         }
         let tenant = request.header("x-tenant").map(str::to_owned);
-        record.say(&format!("server {} runs {attempt} for tenant {tenant:?}", shared.id));
+        if let Some(record) = &record {
+            record.say(&format!("server {} runs {attempt} for tenant {tenant:?}", shared.id));
+        }
         shared.runs.lock().unwrap().push(Run { attempt: attempt.clone(), tenant, at: Instant::now() });
         thread::sleep(work);
         let seal = ("X-Response-Seal", format!("seal.{attempt}"));
@@ -689,10 +707,15 @@
 
 /// A configuration with two routes to one service, and these keys, each of a tenant of its own.
 pub fn configuration(version: u64, keys: &[&str]) -> String {
+    configuration_of(version, keys, 600, 51)
+}
+
+/// The same with a time-out of the routes, in ms, and channels to each server.
+pub fn configuration_of(version: u64, keys: &[&str], timeout_ms: u64, channels: u64) -> String {
     let route = |prefix: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{kind}\",\"host\":\"h.example\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\
-             \"timeoutMs\":600,\"targetLatencyMs\":100,\"priority\":1,\"service\":\"hall\",\
+             \"timeoutMs\":{timeout_ms},\"targetLatencyMs\":100,\"priority\":1,\"service\":\"hall\",\
              \"maxAttempts\":{attempts},\"public\":false}}"
         )
     };
@@ -702,7 +725,7 @@
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"hall\",\"healthPath\":\"/healthz\",\
-         \"maxConnections\":51,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"maxConnections\":{channels},\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\
          \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{}]}}",
         route("/book/", "non_idempotent", 1),
         route("/status/", "idempotent", 2),
