--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -266,7 +266,7 @@
 }
 
 /// The value of a field of a small JSON body: text or number.
-fn field(body: &[u8], name: &str) -> Option<String> {
+pub fn field(body: &[u8], name: &str) -> Option<String> {
     let text = String::from_utf8_lossy(body);
     let (_, rest) = text.split_once(&format!("\"{name}\":"))?;
     let rest = rest.trim_start();
