--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -1,6 +1,5 @@
 //! Stand-ins for the users' platform, its servers and its requesters, and the processes under test.
 //! Standard library only.
-#![allow(dead_code)]
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -12,7 +11,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -70,11 +69,15 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(other, _)| other == name).map(|(_, value)| value.as_str())
+        headers
+            .find(|(other, _)| other == name)
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn path(&self) -> &str {
-        self.first.get(1).map_or("", |target| target.split('?').next().unwrap_or(""))
+        self.first
+            .get(1)
+            .map_or("", |target| target.split('?').next().unwrap_or(""))
     }
 
     pub fn query(&self, name: &str) -> Option<&str> {
@@ -84,7 +87,10 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.get(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+        self.first
+            .get(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -100,13 +106,18 @@
 pub fn read_message(reader: &mut impl BufRead) -> io::Result<Message> {
     let first = read_line(reader)?;
     let first = first.splitn(3, ' ').map(str::to_owned).collect();
-    let mut message = Message { first, ..Message::default() };
+    let mut message = Message {
+        first,
+        ..Message::default()
+    };
     loop {
         let line = read_line(reader)?;
         let Some((name, value)) = line.split_once(':') else {
             break;
         };
-        message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        message
+            .headers
+            .push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
     if message.header("transfer-encoding").is_some() {
         loop {
@@ -188,12 +199,9 @@
 struct StoreInner {
     data: Mutex<Data>,
     changed: Condvar,
-    era: AtomicU64,
-    away: AtomicBool,
-    copies: Mutex<Vec<(Instant, Data)>>,
 }
 
-/// The store: keyed topics, group membership, and drills in which it comes back from a copy.
+/// The store: keyed topics and group membership.
 #[derive(Clone)]
 pub struct Store {
     inner: Arc<StoreInner>,
@@ -207,9 +215,6 @@
         let inner = Arc::new(StoreInner {
             data: Mutex::default(),
             changed: Condvar::new(),
-            era: AtomicU64::new(0),
-            away: AtomicBool::new(false),
-            copies: Mutex::default(),
         });
         let shared = inner.clone();
         serve(listener, move |request, writer| answer(&shared, request, writer));
@@ -226,32 +231,6 @@
         self.inner.changed.notify_all();
         acked
     }
-
-    pub fn is_away(&self) -> bool {
-        self.inner.away.load(Ordering::SeqCst)
-    }
-
-    /// Makes a copy from which a drill may bring the store back.
-    pub fn copy(&self) {
-        let data = self.inner.data.lock().unwrap().clone();
-        self.inner.copies.lock().unwrap().push((Instant::now(), data));
-    }
-
-    /// The store is away from now on: connections to it are reset.
-    pub fn go_away(&self) {
-        self.inner.away.store(true, Ordering::SeqCst);
-        self.inner.changed.notify_all();
-    }
-
-    /// Comes back from the last copy; returns its age.
-    pub fn come_back_from_copy(&self) -> Duration {
-        let (at, copy) = self.inner.copies.lock().unwrap().pop().expect("a copy");
-        *self.inner.data.lock().unwrap() = copy;
-        self.inner.era.fetch_add(1, Ordering::SeqCst);
-        self.inner.away.store(false, Ordering::SeqCst);
-        self.inner.changed.notify_all();
-        at.elapsed()
-    }
 }
 
 fn newest(topic: &Topic) -> BTreeMap<Vec<u8>, (usize, Vec<u8>)> {
@@ -284,17 +263,17 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= chunk.len() { char::from(digit) } else { '=' });
+            text.push(if index <= chunk.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
 }
 
 fn answer(store: &StoreInner, request: &Message, writer: &mut TcpStream) -> bool {
-    let era_at_start = store.era.load(Ordering::SeqCst);
-    if store.away.load(Ordering::SeqCst) {
-        return false;
-    }
     thread::sleep(ms(4));
     let topic = request.query("topic").unwrap_or_default().to_owned();
     let (status, body) = match request.path() {
@@ -305,11 +284,7 @@
         "/api/log-leave" => leave(store, &request.body),
         _ => (404, Vec::new()),
     };
-    // A connection on which a response is lost returns nothing further.
-    if store.away.load(Ordering::SeqCst) || store.era.load(Ordering::SeqCst) != era_at_start {
-        return false;
-    }
-    let headers = [("Store-Era", era_at_start.to_string())];
+    let headers = [("Store-Era", "0".to_owned())];
     writer.write_all(&response(status, &headers, &body)).is_ok()
 }
 
@@ -341,7 +316,7 @@
             return (410, b"{\"first\":0}".to_vec());
         }
         let left = until.saturating_duration_since(Instant::now());
-        if from < records.len() || left.is_zero() || store.away.load(Ordering::SeqCst) {
+        if from < records.len() || left.is_zero() {
             break;
         }
         data = store.changed.wait_timeout(data, left).unwrap().0;
@@ -394,7 +369,9 @@
     let (Some(group), Some(member)) = (field(body, "group"), field(body, "member")) else {
         return (400, Vec::new());
     };
-    let ttl = field(body, "ttlMs").and_then(|ttl| ttl.parse().ok()).unwrap_or(3000);
+    let ttl = field(body, "ttlMs")
+        .and_then(|ttl| ttl.parse().ok())
+        .unwrap_or(3000);
     let now = Instant::now();
     let mut data = store.data.lock().unwrap();
     let group_data = data.groups.entry(group.clone()).or_default();
@@ -404,7 +381,10 @@
     if is_new || before != group_data.members.len() {
         group_data.generation += 1;
     }
-    let owner_lives = group_data.owner.as_ref().is_some_and(|owner| group_data.members.contains_key(owner));
+    let owner_lives = group_data
+        .owner
+        .as_ref()
+        .is_some_and(|owner| group_data.members.contains_key(owner));
     if !owner_lives {
         group_data.owner = Some(member.clone());
     }
@@ -435,20 +415,11 @@
 
 // Servers
 
-/// One run of a request.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub attempt: String,
-    pub tenant: Option<String>,
-    pub at: Instant,
-}
-
 pub struct ServerState {
     pub id: String,
     pub address: SocketAddr,
-    pub runs: Mutex<Vec<Run>>,
-    /// Set when it writes no heartbeats, as when it is partitioned from the store.
-    pub cut_from_store: AtomicBool,
+    /// Identifiers of the requests that it ran.
+    pub runs: Mutex<Vec<String>>,
     pub born: u64,
     slots: u32,
     seq: AtomicU64,
@@ -459,7 +430,12 @@
 
 impl ServerState {
     pub fn count(&self, attempt: &str) -> usize {
-        self.runs.lock().unwrap().iter().filter(|run| run.attempt == attempt).count()
+        self.runs
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|run| *run == attempt)
+            .count()
     }
 
     fn heartbeat(&self, store: &Store, service: &str, zone: &str) {
@@ -473,15 +449,9 @@
     }
 }
 
-/// A server of 6 slots that records each run.
-pub fn start_server(store: &Store, record: &Record, id: &str, service: &str, zone: &str, work: Duration) -> Server {
-    start_server_of(store, Some(record), id, service, zone, work, 6)
-}
-
-/// A server of so many slots, which records each run where it has a record.
-pub fn start_server_of(
+/// Starts a server of so many slots.
+pub fn start_server(
     store: &Store,
-    record: Option<&Record>,
     id: &str,
     service: &str,
     zone: &str,
@@ -493,12 +463,11 @@
         id: id.to_owned(),
         address: listener.local_addr().unwrap(),
         runs: Mutex::default(),
-        cut_from_store: AtomicBool::new(false),
         born: unix_ms(),
         slots,
         seq: AtomicU64::new(0),
     });
-    let (shared, record) = (server.clone(), record.cloned());
+    let shared = server.clone();
     serve(listener, move |request, writer| {
         let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
         let echo = ("X-Attempt-Id", attempt.clone());
@@ -506,7 +475,10 @@
             let body = format!("{{\"seq\":0,\"busy\":false,\"born\":{}}}", shared.born);
             return writer.write_all(&response(200, &[], body.as_bytes())).is_ok();
         }
-        if request.header("x-expect-instance").is_some_and(|expected| expected != shared.id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != shared.id)
+        {
             let instance = ("X-Instance-Id", shared.id.clone());
             return writer.write_all(&response(421, &[echo, instance], b"")).is_ok();
         }
@@ -514,11 +486,7 @@
             let instance = ("X-Instance-Id", shared.id.clone());
             return writer.write_all(&response(200, &[instance], b"")).is_ok();
         }
-        let tenant = request.header("x-tenant").map(str::to_owned);
-        if let Some(record) = &record {
-            record.say(&format!("server {} runs {attempt} for tenant {tenant:?}", shared.id));
-        }
-        shared.runs.lock().unwrap().push(Run { attempt: attempt.clone(), tenant, at: Instant::now() });
+        shared.runs.lock().unwrap().push(attempt.clone());
         thread::sleep(work);
         let seal = ("X-Response-Seal", format!("seal.{attempt}"));
         writer.write_all(&response(200, &[echo, seal], b"done")).is_ok()
@@ -527,9 +495,7 @@
     let (service, zone) = (service.to_owned(), zone.to_owned());
     thread::spawn(move || {
         loop {
-            if !store.is_away() && !shared.cut_from_store.load(Ordering::SeqCst) {
-                shared.heartbeat(&store, &service, &zone);
-            }
+            shared.heartbeat(&store, &service, &zone);
             thread::sleep(ms(1200));
         }
     });
@@ -562,7 +528,6 @@
 
 /// An entry on a loopback address of its own.
 pub struct Entry {
-    pub name: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
@@ -571,8 +536,18 @@
 }
 
 impl Entry {
-    pub fn new(folder: &PathBuf, name: &str, zone: &str, zones: &[&str], ip: Ipv4Addr, store: &Store) -> Self {
-        let (callers, ready) = (SocketAddr::from((ip, free_port(ip))), SocketAddr::from((ip, free_port(ip))));
+    pub fn new(
+        folder: &PathBuf,
+        name: &str,
+        zone: &str,
+        zones: &[&str],
+        ip: Ipv4Addr,
+        store: &Store,
+    ) -> Self {
+        let (callers, ready) = (
+            SocketAddr::from((ip, free_port(ip))),
+            SocketAddr::from((ip, free_port(ip))),
+        );
         let first = free_range(ip);
         let zone_map: Vec<String> = zones.iter().map(|zone| format!("\"{zone}\":\"r\"")).collect();
         let settings = folder.join(format!("{name}.json"));
@@ -599,7 +574,13 @@
             cannot_run("no settings file");
         }
         let log = folder.join(format!("{name}.log"));
-        Self { name: name.to_owned(), callers, ready, settings, log, child: None }
+        Self {
+            callers,
+            ready,
+            settings,
+            log,
+            child: None,
+        }
     }
 
     /// Starts the process with the command of the deploy file.
@@ -623,7 +604,9 @@
 
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+        self.child
+            .as_mut()
+            .is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn id(&self) -> u32 {
@@ -639,7 +622,11 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET /api/readyz HTTP/1.1\r\nHost: r\r\n\r\n", ms(1000));
+        let answer = call(
+            self.ready,
+            "GET /api/readyz HTTP/1.1\r\nHost: r\r\n\r\n",
+            ms(1000),
+        );
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
@@ -653,12 +640,6 @@
         }
         false
     }
-
-    /// Lines of its log with a text.
-    pub fn lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Entry {
@@ -678,14 +659,6 @@
     read_message(&mut BufReader::new(stream)).ok()
 }
 
-/// A request of a tenant's key.
-pub fn request(method: &str, path: &str, attempt: &str, key: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 600\r\n\
-         Authorization: Bearer {key}\r\nContent-Length: 0\r\n\r\n"
-    )
-}
-
 /// A folder for settings and logs, removed when dropped.
 pub struct Folder(pub PathBuf);
 
@@ -705,13 +678,9 @@
     }
 }
 
-/// A configuration with two routes to one service, and these keys, each of a tenant of its own.
-pub fn configuration(version: u64, keys: &[&str]) -> String {
-    configuration_of(version, keys, 600, 51)
-}
-
-/// The same with a time-out of the routes, in ms, and channels to each server.
-pub fn configuration_of(version: u64, keys: &[&str], timeout_ms: u64, channels: u64) -> String {
+/// A configuration with two routes to one service, with this time-out in ms and so many channels to each
+/// server, and these keys, each of a tenant of its own.
+pub fn configuration(version: u64, keys: &[&str], timeout_ms: u64, channels: u64) -> String {
     let route = |prefix: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{kind}\",\"host\":\"h.example\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\
--- a/review/standin-3/waves.rs
+++ b/review/standin-3/waves.rs
@@ -5,8 +5,8 @@
 
 use {
     common::{
-        Entry, Folder, Record, Server, Store, cannot_run, configuration_of, has_trouble, ms, read_message,
-        start_server_of,
+        Entry, Folder, Record, Server, Store, cannot_run, configuration, has_trouble, ms, read_message,
+        start_server,
     },
     std::{
         collections::BTreeMap,
@@ -26,11 +26,29 @@
 /// `memoryMb` of the settings, in bytes.
 const MEMORY: u64 = 260 << 20;
 /// Uploads that come at once in the usual traffic, and in a burst: 1.7 times as many.
-const USUAL: Crowd = Crowd { small: 530, large: 42 };
-const BURST: Crowd = Crowd { small: 900, large: 71 };
+const USUAL: Crowd = Crowd {
+    small: 530,
+    large: 42,
+};
+const BURST: Crowd = Crowd {
+    small: 900,
+    large: 71,
+};
 /// Bodies and the chunks in which they are sent. A large one is as long as `maxBodyBytes` allows.
-const SMALL: Upload = Upload { bytes: 60_000, chunk: 1_000, least_ms: 1_000, most_ms: 2_700, spread_ms: 300 };
-const LARGE: Upload = Upload { bytes: 4_194_304, chunk: 10_000, least_ms: 2_200, most_ms: 2_700, spread_ms: 300 };
+const SMALL: Upload = Upload {
+    bytes: 60_000,
+    chunk: 1_000,
+    least_ms: 1_000,
+    most_ms: 2_700,
+    spread_ms: 300,
+};
+const LARGE: Upload = Upload {
+    bytes: 4_194_304,
+    chunk: 10_000,
+    least_ms: 2_200,
+    most_ms: 2_700,
+    spread_ms: 300,
+};
 /// Requesters that each use one channel for many requests without a body.
 const KEPT: usize = 24;
 /// Rounds of one wave of small and one of large uploads.
@@ -145,7 +163,12 @@
             let answer = sent.and_then(|()| read_message(&mut reader));
             let status = answer.as_ref().map_or(0, common::Message::status);
             let attempt = format!("{attempt:016x}");
-            asked.lock().unwrap().push(Asked { attempt, status, is_kept, ended: Instant::now() });
+            asked.lock().unwrap().push(Asked {
+                attempt,
+                status,
+                is_kept,
+                ended: Instant::now(),
+            });
             let closes = answer.is_ok_and(|answer| answer.header("connection") == Some("close"));
             if status == 0 || closes {
                 break;
@@ -164,14 +187,16 @@
 }
 
 fn main() {
-    let out = std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: waves RECORD"));
+    let out = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| cannot_run("usage: waves RECORD"));
     let record = Record::new(&out);
     let folder = Folder::new("review-11");
     let store = Store::start();
     let servers: Vec<Server> = (0..3)
-        .map(|index| start_server_of(&store, None, &format!("i-{index}"), "hall", "zone-a", ms(300), 192))
+        .map(|index| start_server(&store, &format!("i-{index}"), "hall", "zone-a", ms(300), 192))
         .collect();
-    store.write("keyed.op", "config", &configuration_of(7, &[KEY], 20_000, 908));
+    store.write("keyed.op", "config", &configuration(7, &[KEY], 20_000, 908));
     let ip = Ipv4Addr::new(127, 0, 0, 11);
     let mut entry = Entry::new(&folder.0, "front-zone-a-1", "zone-a", &["zone-a"], ip, &store);
     entry.start();
@@ -212,7 +237,10 @@
     for round in 1..=ROUNDS {
         for (name, count, upload) in [("small", crowd.small, SMALL), ("large", crowd.large, LARGE)] {
             wave(&record, address, name, count, upload, &next);
-            record.say(&format!("round {round}: at most {} MiB so far", peak.load(Ordering::SeqCst) >> 20));
+            record.say(&format!(
+                "round {round}: at most {} MiB so far",
+                peak.load(Ordering::SeqCst) >> 20
+            ));
             if killed.lock().unwrap().is_some() {
                 break;
             }
@@ -241,13 +269,20 @@
         }
         lost += u32::from(is_lost && is_end);
     }
-    record.say(&format!("requests on kept channels in all: {}", asked.lock().unwrap().len()));
+    record.say(&format!(
+        "requests on kept channels in all: {}",
+        asked.lock().unwrap().len()
+    ));
     record.say(&format!(
         "most memory {} MiB of 260; killed for it: {}; passed on from kept channels and closed without an answer: {lost}",
         peak.load(Ordering::SeqCst) >> 20,
         killed.is_some()
     ));
-    println!("memory {} MiB, killed {}, lost {lost}", peak.load(Ordering::SeqCst) >> 20, killed.is_some());
+    println!(
+        "memory {} MiB, killed {}, lost {lost}",
+        peak.load(Ordering::SeqCst) >> 20,
+        killed.is_some()
+    );
     entry.lock().unwrap().kill();
     drop(folder);
     std::process::exit(i32::from(killed.is_some() && lost > 3));
