--- a/review/standin-3/waves.rs
+++ b/review/standin-3/waves.rs
@@ -51,6 +51,10 @@
 };
 /// Requesters that each use one channel for many requests without a body.
 const KEPT: usize = 24;
+/// Bytes that requesters have sent.
+static SENT: AtomicU64 = AtomicU64::new(0);
+/// Span over which the rate of what they send is taken.
+const RATE_SPAN: Duration = Duration::from_millis(500);
 /// Rounds of one wave of small and one of large uploads.
 const ROUNDS: usize = 8;
 
@@ -100,6 +104,7 @@
             chunk.resize(chunk.len() + size, b'z');
             chunk.extend_from_slice(b"\r\n");
             (&stream).write_all(&chunk)?;
+            SENT.fetch_add(chunk.len() as u64, Ordering::SeqCst);
             sent += size;
             let due = takes.mul_f64(sent as f64 / upload.bytes as f64);
             sleep(due.saturating_sub(began.elapsed()));
@@ -233,6 +238,24 @@
         }
     });
 
+    // The highest rate at which requesters sent, in Mbit/s.
+    let rate = Arc::new(AtomicU64::new(0));
+    let shared_rate = rate.clone();
+    thread::spawn(move || {
+        let mut looks: Vec<(Instant, u64)> = Vec::new();
+        loop {
+            let now = (Instant::now(), SENT.load(Ordering::SeqCst));
+            looks.push(now);
+            if let Some(index) = looks.iter().rposition(|(at, _)| now.0 - *at >= RATE_SPAN) {
+                let bits = (now.1 - looks[index].1) as f64 * 8.0;
+                let mbit = bits / (now.0 - looks[index].0).as_secs_f64() / 1e6;
+                shared_rate.fetch_max(mbit as u64, Ordering::SeqCst);
+                looks.drain(..index);
+            }
+            sleep(ms(50));
+        }
+    });
+
     let crowd = if has_trouble() { BURST } else { USUAL };
     for round in 1..=ROUNDS {
         for (name, count, upload) in [("small", crowd.small, SMALL), ("large", crowd.large, LARGE)] {
@@ -273,6 +296,10 @@
         "requests on kept channels in all: {}",
         asked.lock().unwrap().len()
     ));
+    record.say(&format!(
+        "highest rate of what requesters sent, over 0.5 s: {} Mbit/s of 1,000",
+        rate.load(Ordering::SeqCst)
+    ));
     record.say(&format!(
         "most memory {} MiB of 260; killed for it: {}; passed on from kept channels and closed without an answer: {lost}",
         peak.load(Ordering::SeqCst) >> 20,
